Add the workspace, the design page and the first types

Cause: nothing exists yet. The types of intent, wire and policy are the interfaces that the edges are built against.

--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the first commit.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of keyed work and suspect requests, without I/O.
--- /dev/null
+++ b/crates/wire/src/header/mod.rs
@@ -0,0 +1,26 @@
+//! Names of the HTTP headers, all lower case.
+
+/// Key that identifies one piece of non-idempotent work over all attempts.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Number of the attempt, from 1; optional.
+pub const ATTEMPT: &str = "savorylane-attempt";
+/// Region whose hosts hold the key; the same on every attempt; optional.
+pub const HOME: &str = "savorylane-home";
+/// Time that remains for the request, in milliseconds.
+pub const TIMEOUT_MS: &str = "savorylane-timeout-ms";
+/// Number of calls above this one.
+pub const DEPTH: &str = "savorylane-depth";
+/// Verdict of an answer.
+pub const VERDICT: &str = "savorylane-verdict";
+/// Class that the entry matched; between daemons.
+pub const CLASS: &str = "savorylane-class";
+/// Sending daemon as `host/incarnation`; between daemons.
+pub const FROM: &str = "savorylane-from";
+/// Receiving daemon as `host/incarnation`; between daemons.
+pub const TO: &str = "savorylane-to";
+/// Caller's address as the entry sees it; between daemons.
+pub const CALLER: &str = "savorylane-caller";
+/// What the gatekeeper knows of its upstream; on answers between daemons.
+pub const LOAD: &str = "savorylane-load";
+/// Wait before another attempt is useful, in milliseconds; on refusals.
+pub const RETRY_AFTER_MS: &str = "retry-after-ms";
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! What daemons, callers and operators exchange: header names, verdicts and
+//! control messages. The crate holds data only.
+
+pub mod control;
+pub mod header;
+pub mod incarnation;
+pub mod load;
+pub mod verdict;
+
+pub use incarnation::Incarnation;
+pub use load::Load;
+pub use verdict::Verdict;
