--- /dev/null
+++ b/crates/daemon/src/audit/mod.rs
@@ -0,0 +1,110 @@
+//! Audit trail: what this daemon accepted, refused and applied.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
+
+/// Entries kept; older ones stay in the log only.
+const ENTRIES_MAX: usize = 4096;
+
+/// One entry of the trail.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// Number of the entry in this run, from 1.
+    pub sequence: u64,
+    /// Moment, RFC 3339 in UTC.
+    pub at: String,
+    /// What happened.
+    pub event: Event,
+}
+
+/// What happened.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub enum Event {
+    /// A version is in force.
+    Applied {
+        /// The version.
+        version: String,
+        /// Where it came from.
+        source: String,
+        /// Targets set, changed and withdrawn.
+        changes: Vec<String>,
+    },
+    /// A version or host list was refused.
+    Refused {
+        /// The version, if it could be read.
+        version: String,
+        /// Where it came from.
+        source: String,
+        /// Reason of the refusal.
+        reason: String,
+    },
+    /// A host list is in force.
+    Hosts {
+        /// Number of the list.
+        number: u64,
+        /// Where it came from.
+        source: String,
+        /// Hosts in the list.
+        count: usize,
+    },
+    /// This daemon leaves.
+    Leaving {
+        /// Who asked.
+        source: String,
+    },
+    /// A request is refused by its fingerprint.
+    Banned {
+        /// The fingerprint.
+        fingerprint: String,
+        /// Why.
+        reason: String,
+    },
+    /// The process was paused.
+    Paused {
+        /// Length of the pause, milliseconds.
+        milliseconds: u64,
+    },
+}
+
+/// Bounded trail in memory.
+#[derive(Debug, Default)]
+pub struct Trail {
+    entries: Mutex<(u64, VecDeque<Entry>)>,
+}
+
+impl Trail {
+    /// Adds an entry and writes it to the log.
+    pub fn record(&self, event: Event) {
+        let mut guard = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        guard.0 += 1;
+        let entry = Entry {
+            sequence: guard.0,
+            at: jiff::Timestamp::now().to_string(),
+            event,
+        };
+        log::info!(
+            target: "audit",
+            "{}",
+            serde_json::to_string(&entry.event).unwrap_or_default()
+        );
+        if guard.1.len() == ENTRIES_MAX {
+            guard.1.pop_front();
+        }
+        guard.1.push_back(entry);
+    }
+
+    /// Returns up to `most` entries after `sequence`, oldest first.
+    pub fn after(&self, sequence: u64, most: usize) -> Vec<Entry> {
+        let guard = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        guard
+            .1
+            .iter()
+            .filter(|entry| entry.sequence > sequence)
+            .take(most)
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/body/mod.rs
@@ -0,0 +1,261 @@
+//! Bodies of requests and answers.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, Full};
+use hyper::body::Incoming;
+use tokio::time::Sleep;
+
+/// Why a body ended early. The connection or stream is then reset, so that a
+/// cut body is never taken for a complete one.
+pub type Cut = Box<dyn std::error::Error + Send + Sync>;
+
+/// Body of a request or an answer.
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
+
+/// Bytes of a request body that are kept for another attempt. One HTTP/2
+/// stream window, so that a gatekeeper that refuses a request before reading
+/// its body never makes another attempt impossible.
+const KEPT_BYTES: usize = 65_536 + 16_384;
+
+/// Returns a body without content.
+pub fn empty() -> Body {
+    Empty::new().map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns a body that holds `bytes`.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// Something that is told how a body ended.
+pub trait Observer: Send + 'static {
+    /// Called once; `whole` says whether the last frame was passed on.
+    fn end(self, whole: bool);
+}
+
+/// Body that ends at a deadline and tells an observer how it ended.
+pub struct Watched<O: Observer> {
+    inner: Body,
+    deadline: Pin<Box<Sleep>>,
+    observer: Option<O>,
+}
+
+impl<O: Observer + Unpin> Watched<O> {
+    /// Wraps `inner`; it is cut at `deadline`.
+    pub fn wrap(inner: Body, deadline: Instant, observer: O) -> Body {
+        let mut watched = Self {
+            inner,
+            deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
+            observer: Some(observer),
+        };
+        if watched.inner.is_end_stream() {
+            watched.end(true);
+            return watched.inner_only();
+        }
+        watched.boxed_unsync()
+    }
+
+    fn inner_only(mut self) -> Body {
+        std::mem::replace(&mut self.inner, empty())
+    }
+
+    fn end(&mut self, whole: bool) {
+        if let Some(observer) = self.observer.take() {
+            observer.end(whole);
+        }
+    }
+}
+
+impl<O: Observer + Unpin> http_body::Body for Watched<O> {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.inner.is_end_stream() {
+                    self.end(true);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(cut))) => {
+                self.end(false);
+                Poll::Ready(Some(Err(cut)))
+            }
+            Poll::Ready(None) => {
+                self.end(true);
+                Poll::Ready(None)
+            }
+            Poll::Pending => {
+                if self.deadline.as_mut().poll(cx).is_ready() {
+                    self.end(false);
+                    return Poll::Ready(Some(Err("the deadline passed within the body".into())));
+                }
+                Poll::Pending
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl<O: Observer> Drop for Watched<O> {
+    fn drop(&mut self) {
+        if let Some(observer) = self.observer.take() {
+            observer.end(false);
+        }
+    }
+}
+
+/// A caller's body that several attempts can send, as long as no more than
+/// the kept bytes were read.
+#[derive(Clone)]
+pub struct Replay {
+    shared: Arc<Mutex<Shared>>,
+}
+
+struct Shared {
+    source: Incoming,
+    kept: Vec<Bytes>,
+    kept_bytes: usize,
+    read_bytes: u64,
+    limit: u64,
+    ended: bool,
+    dropped: bool,
+}
+
+impl Replay {
+    /// Takes a caller's body of at most `limit` bytes.
+    pub fn open(source: Incoming, limit: u64) -> Self {
+        let ended = source.is_end_stream();
+        Self {
+            shared: Arc::new(Mutex::new(Shared {
+                source,
+                kept: Vec::new(),
+                kept_bytes: 0,
+                read_bytes: 0,
+                limit,
+                ended,
+                dropped: false,
+            })),
+        }
+    }
+
+    /// Says whether another attempt can send the whole body.
+    pub fn repeatable(&self) -> bool {
+        !self.lock().dropped
+    }
+
+    /// Says whether nothing remains to be read from the caller.
+    pub fn complete(&self) -> bool {
+        let shared = self.lock();
+        shared.ended && !shared.dropped
+    }
+
+    /// Returns the body of one attempt.
+    pub fn attempt(&self) -> Body {
+        Attempt {
+            replay: self.clone(),
+            next: 0,
+        }
+        .boxed_unsync()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct Attempt {
+    replay: Replay,
+    next: usize,
+}
+
+impl http_body::Body for Attempt {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let replay = self.replay.clone();
+        let mut shared = replay.lock();
+        if let Some(bytes) = shared.kept.get(self.next) {
+            self.next += 1;
+            return Poll::Ready(Some(Ok(Frame::data(bytes.clone()))));
+        }
+        if shared.ended {
+            return Poll::Ready(None);
+        }
+        loop {
+            let frame = match Pin::new(&mut shared.source).poll_frame(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(None) => {
+                    shared.ended = true;
+                    return Poll::Ready(None);
+                }
+                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error.into()))),
+                Poll::Ready(Some(Ok(frame))) => frame,
+            };
+            // Trailers of a request are not passed on.
+            let Ok(bytes) = frame.into_data() else {
+                continue;
+            };
+            shared.ended = shared.source.is_end_stream();
+            shared.read_bytes += bytes.len() as u64;
+            if shared.read_bytes > shared.limit {
+                return Poll::Ready(Some(Err("the body is larger than the limit".into())));
+            }
+            if shared.kept_bytes + bytes.len() <= KEPT_BYTES && !shared.dropped {
+                shared.kept_bytes += bytes.len();
+                shared.kept.push(bytes.clone());
+            } else {
+                shared.dropped = true;
+                shared.kept.clear();
+            }
+            self.next += 1;
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        let shared = self.replay.lock();
+        shared.ended && self.next >= shared.kept.len()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let shared = self.replay.lock();
+        let kept: u64 = shared
+            .kept
+            .iter()
+            .skip(self.next)
+            .map(|b| b.len() as u64)
+            .sum();
+        if shared.ended {
+            return SizeHint::with_exact(kept);
+        }
+        match shared.source.size_hint().exact() {
+            Some(rest) => SizeHint::with_exact(rest + kept),
+            None => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/call/mod.rs
@@ -0,0 +1,257 @@
+//! A request on its way, and the refusal that may answer it.
+
+use std::collections::hash_map::DefaultHasher;
+use std::hash::{Hash, Hasher};
+use std::net::IpAddr;
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::{Method, Response, StatusCode, Uri};
+use savorylane_intent::document::{Class, Work};
+use savorylane_wire::{Verdict, header};
+use serde::Serialize;
+
+use crate::body::{self, Body};
+
+/// Calls of one chain, at most.
+pub const DEPTH_MAX: u32 = 26;
+/// Time for a short request whose caller names none.
+const SHORT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for a long request whose caller names none.
+const LONG_TIMEOUT: Duration = Duration::from_secs(300);
+/// Longest time that a caller may ask for.
+const TIMEOUT_MAX: Duration = Duration::from_secs(3600);
+/// Longest idempotency key, bytes.
+const KEY_BYTES: usize = 256;
+
+/// A request that an entry accepted.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Method of the request.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers that are passed on.
+    pub headers: HeaderMap,
+    /// Class of the request.
+    pub class: Class,
+    /// Address of the caller.
+    pub caller: IpAddr,
+    /// Moment after which the answer is of no use.
+    pub deadline: Instant,
+    /// Calls above this one.
+    pub depth: u32,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Number of the attempt, from 1, if the caller marks attempts.
+    pub attempt: Option<u32>,
+    /// Region whose hosts hold the key.
+    pub home: Option<String>,
+}
+
+/// Answer that the system itself makes.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Reason for the caller, one line.
+    pub reason: String,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Wait before another attempt is useful.
+    pub retry_after: Option<Duration>,
+}
+
+/// Body of a refusal.
+#[derive(Serialize)]
+struct Explanation<'a> {
+    reason: &'a str,
+    verdict: Verdict,
+}
+
+impl Refusal {
+    /// Returns a refusal of a request that did not run.
+    pub fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self {
+            status,
+            reason: reason.into(),
+            verdict: Verdict::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// Returns a refusal of a request that may have run.
+    pub fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            ..Self::not_run(status, reason)
+        }
+    }
+
+    /// Returns the answer.
+    ///
+    /// # Panics
+    ///
+    /// Never: status, verdict and numbers are valid header values.
+    pub fn answer(&self) -> Response<Body> {
+        let explanation = Explanation {
+            reason: &self.reason,
+            verdict: self.verdict,
+        };
+        let mut text = serde_json::to_vec(&explanation).expect("text is expressible in JSON");
+        text.push(b'\n');
+        let mut answer = Response::new(body::full(text));
+        *answer.status_mut() = self.status;
+        let headers = answer.headers_mut();
+        headers.insert(
+            http::header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        headers.insert(
+            header::VERDICT,
+            HeaderValue::from_static(self.verdict.as_str()),
+        );
+        if let Some(wait) = self.retry_after {
+            headers.insert(
+                header::RETRY_AFTER_MS,
+                HeaderValue::from(wait.as_millis() as u64),
+            );
+        }
+        answer
+    }
+}
+
+impl Call {
+    /// Reads a call from the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that names the malformed header.
+    pub fn read(
+        head: &http::request::Parts,
+        class: &Class,
+        caller: IpAddr,
+        now: Instant,
+    ) -> Result<Self, Refusal> {
+        let depth = number::<u32>(&head.headers, header::DEPTH)?.unwrap_or(0);
+        if depth > DEPTH_MAX {
+            return Err(bad(header::DEPTH, "a number from 0 to 26"));
+        }
+        let attempt = number::<u32>(&head.headers, header::ATTEMPT)?;
+        if attempt == Some(0) {
+            return Err(bad(header::ATTEMPT, "a number from 1"));
+        }
+        let key = text(&head.headers, header::IDEMPOTENCY_KEY)?;
+        if key
+            .as_ref()
+            .is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES)
+        {
+            return Err(bad(header::IDEMPOTENCY_KEY, "1 to 256 characters"));
+        }
+        let timeout = match number::<u64>(&head.headers, header::TIMEOUT_MS)? {
+            Some(0) => return Err(bad(header::TIMEOUT_MS, "a number of milliseconds above 0")),
+            Some(ms) => Duration::from_millis(ms).min(TIMEOUT_MAX),
+            None => match class.work {
+                Work::Short => SHORT_TIMEOUT,
+                Work::Long => LONG_TIMEOUT,
+            },
+        };
+        Ok(Self {
+            method: head.method.clone(),
+            uri: head.uri.clone(),
+            headers: passed_on(&head.headers),
+            class: class.clone(),
+            caller,
+            deadline: now + timeout,
+            depth,
+            key,
+            attempt,
+            home: text(&head.headers, header::HOME)?,
+        })
+    }
+
+    /// Returns the time that remains at `now`; zero when it is over.
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.deadline.saturating_duration_since(now)
+    }
+
+    /// Returns a hash of the caller, by which callers share queues.
+    pub fn caller_hash(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.caller.hash(&mut hasher);
+        hasher.finish()
+    }
+}
+
+/// Returns the headers without those that belong to one connection.
+pub fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    const HOP: [HeaderName; 8] = [
+        http::header::CONNECTION,
+        http::header::HOST,
+        http::header::PROXY_AUTHENTICATE,
+        http::header::PROXY_AUTHORIZATION,
+        http::header::TE,
+        http::header::TRAILER,
+        http::header::TRANSFER_ENCODING,
+        http::header::UPGRADE,
+    ];
+    let named: Vec<String> = headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut passed = headers.clone();
+    for name in HOP {
+        passed.remove(name);
+    }
+    passed.remove("keep-alive");
+    for name in named {
+        passed.remove(name.as_str());
+    }
+    passed
+}
+
+/// Reads a header as a number.
+///
+/// # Errors
+///
+/// Returns a refusal for a value that is not one.
+pub fn number<N: FromStr>(headers: &HeaderMap, name: &'static str) -> Result<Option<N>, Refusal> {
+    match text(headers, name)? {
+        None => Ok(None),
+        Some(value) => match value.trim().parse() {
+            Ok(number) => Ok(Some(number)),
+            Err(_) => Err(bad(name, "a whole number")),
+        },
+    }
+}
+
+/// Reads a header as text.
+///
+/// # Errors
+///
+/// Returns a refusal for a value with other than visible characters, and for
+/// a header that stands twice.
+pub fn text(headers: &HeaderMap, name: &'static str) -> Result<Option<String>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad(name, "one value"));
+    }
+    match value.to_str() {
+        Ok(value) => Ok(Some(value.into())),
+        Err(_) => Err(bad(name, "visible ASCII characters")),
+    }
+}
+
+fn bad(name: &str, accepted: &str) -> Refusal {
+    Refusal::not_run(
+        StatusCode::BAD_REQUEST,
+        format!("header {name}: expected {accepted}"),
+    )
+}
--- /dev/null
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -0,0 +1,126 @@
+//! Edge towards callers: the entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures::future::BoxFuture;
+use http::{Request, Response, StatusCode};
+use hyper::body::{Body as _, Incoming};
+use savorylane_intent::document::Class;
+use savorylane_wire::Verdict;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::{Body, Observer, Replay, Watched};
+use crate::call::{Call, Refusal};
+use crate::dispatch;
+use crate::edge::server;
+use crate::kernel::{Context, Plugin, Port};
+
+inventory::submit! {
+    Plugin {
+        name: "caller",
+        order: 40,
+        port: Some(Port { flag: "entry", address: |settings| settings.entry }),
+        run,
+    }
+}
+
+fn run(
+    context: Arc<Context>,
+    listener: Option<TcpListener>,
+    stop: CancellationToken,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let Some(listener) = listener else { return };
+        let connections = context.settings.caller_connections;
+        let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
+        server::serve(listener, connections, stop, handle).await;
+    })
+}
+
+async fn handle(
+    context: Arc<Context>,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<Body> {
+    match accept(&context, request, peer).await {
+        Ok(answer) => answer,
+        Err(refusal) => refusal.answer(),
+    }
+}
+
+async fn accept(
+    context: &Arc<Context>,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Result<Response<Body>, Refusal> {
+    let Some(snapshot) = context.config.snapshot() else {
+        return Err(Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration is in force yet",
+        ));
+    };
+    let (head, body) = request.into_parts();
+    let Some(class) = snapshot.class(head.method.as_str(), head.uri.path()) else {
+        return Err(Refusal::not_run(
+            StatusCode::NOT_FOUND,
+            "no class matches the method and path",
+        ));
+    };
+    let limit = context.settings.body_bytes;
+    if body.size_hint().lower() > limit {
+        return Err(Refusal::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            format!("the body is larger than {limit} bytes"),
+        ));
+    }
+    let call = Call::read(&head, class, peer.ip(), Instant::now())?;
+    let body = Replay::open(body, limit);
+    let mut record = Record {
+        context: Arc::clone(context),
+        class: call.class.clone(),
+        start: Instant::now(),
+        success: false,
+        verdict: Verdict::MayHaveRun,
+    };
+    match dispatch::serve(context, &snapshot, &call, &body).await {
+        Ok(answer) => {
+            record.success = !answer.status().is_server_error();
+            record.verdict = Verdict::Ran;
+            Ok(answer.map(|body| Watched::wrap(body, call.deadline, record)))
+        }
+        Err(refusal) => {
+            record.verdict = refusal.verdict;
+            Err(refusal)
+        }
+    }
+}
+
+/// Counts a request in results and metrics when its answer has ended.
+struct Record {
+    context: Arc<Context>,
+    class: Class,
+    start: Instant,
+    success: bool,
+    verdict: Verdict,
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let latency = self.start.elapsed();
+        let context = &self.context;
+        context.results.record(&self.class, latency, self.success);
+        let seconds = latency.as_secs_f64();
+        context
+            .metrics
+            .answered(&self.class.name, self.verdict, seconds);
+    }
+}
+
+impl Observer for Record {
+    fn end(mut self, whole: bool) {
+        self.success &= whole;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -0,0 +1,100 @@
+//! Edge towards other daemons' requests: the way to the gatekeeper.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures::future::BoxFuture;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use savorylane_wire::header;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::Body;
+use crate::call::{self, Call, Refusal};
+use crate::edge::server;
+use crate::kernel::{Context, Plugin, Port};
+
+/// Connections that one peer may open.
+const CONNECTIONS_MAX: usize = 65_536;
+
+inventory::submit! {
+    Plugin {
+        name: "data",
+        order: 30,
+        port: Some(Port { flag: "data", address: |settings| settings.data }),
+        run,
+    }
+}
+
+fn run(
+    context: Arc<Context>,
+    listener: Option<TcpListener>,
+    stop: CancellationToken,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let Some(listener) = listener else { return };
+        let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
+        server::serve(listener, CONNECTIONS_MAX, stop, handle).await;
+    })
+}
+
+async fn handle(
+    context: Arc<Context>,
+    request: Request<Incoming>,
+    _peer: SocketAddr,
+) -> Response<Body> {
+    let mut answer = match accept(&context, request).await {
+        Ok(answer) => answer,
+        Err(refusal) => refusal.answer(),
+    };
+    let mut load = context.gatekeeper.load();
+    load.incarnation = context.incarnation;
+    if let Ok(value) = HeaderValue::from_str(&load.to_string()) {
+        answer.headers_mut().insert(header::LOAD, value);
+    }
+    answer
+}
+
+async fn accept(
+    context: &Arc<Context>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let (mut head, body) = request.into_parts();
+    let Some(snapshot) = context.config.snapshot() else {
+        return Err(Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no configuration is in force yet",
+        ));
+    };
+    if call::text(&head.headers, header::FROM)?.is_none() {
+        return Err(Refusal::not_run(
+            StatusCode::FORBIDDEN,
+            "this port serves daemons only; callers connect to the entry port",
+        ));
+    }
+    let name = call::text(&head.headers, header::CLASS)?.unwrap_or_default();
+    let classes = &snapshot.document.classes;
+    let Some(class) = classes.iter().find(|class| class.name == name) else {
+        return Err(Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            format!("class {name} is not in force on this host"),
+        ));
+    };
+    if class.service != context.settings.service {
+        return Err(Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this host runs another service",
+        ));
+    }
+    let caller: IpAddr =
+        call::number(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
+    for name in [header::FROM, header::TO, header::CLASS, header::CALLER] {
+        head.headers.remove(name);
+    }
+    let call = Call::read(&head, class, caller, Instant::now())?;
+    let body = body.map_err(Into::into).boxed_unsync();
+    context.gatekeeper.run(&call, body).await
+}
--- /dev/null
+++ b/crates/daemon/src/edge/mod.rs
@@ -0,0 +1,11 @@
+//! Edges of the daemon. Each meets one kind of outside system and registers
+//! itself with the kernel.
+
+pub mod caller;
+pub mod control;
+pub mod data;
+pub mod operator;
+pub mod platform;
+pub mod rpc;
+pub mod server;
+pub mod upstream;
--- /dev/null
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -0,0 +1,110 @@
+//! Edge towards operators: state, results, audit trail, drain and metrics.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use jsonrpsee::core::{RpcResult, async_trait};
+use savorylane_wire::operator::{Entry, Host, OperatorServer, Scope, Status, Summary};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::edge::rpc;
+use crate::kernel::{Context, Plugin, Port};
+use crate::results::WINDOW_S;
+
+/// Entries of one answer.
+const ENTRIES_MAX: usize = 1000;
+
+inventory::submit! {
+    Plugin {
+        name: "operator",
+        order: 5,
+        port: Some(Port { flag: "operator", address: |settings| settings.operator }),
+        run,
+    }
+}
+
+fn run(
+    context: Arc<Context>,
+    listener: Option<TcpListener>,
+    stop: CancellationToken,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let Some(listener) = listener else { return };
+        let methods = Desk(Arc::clone(&context)).into_rpc();
+        let page = move |request: &http::Request<hyper::body::Incoming>| {
+            let asked = request.method() == http::Method::GET && request.uri().path() == "/metrics";
+            asked.then(|| {
+                let version = context.config.version().map_or(0, |version| version.number);
+                let load = context.gatekeeper.load();
+                rpc::text(context.metrics.text(&load, version))
+            })
+        };
+        rpc::serve(listener, stop, methods, page).await;
+    })
+}
+
+/// Answers operators.
+struct Desk(Arc<Context>);
+
+#[async_trait]
+impl OperatorServer for Desk {
+    async fn status(&self) -> RpcResult<Status> {
+        Ok(status(&self.0))
+    }
+
+    async fn summary(&self, _scope: Scope) -> RpcResult<Summary> {
+        Ok(summary(&self.0))
+    }
+
+    async fn audit(&self, sequence: u64, most: u64) -> RpcResult<Vec<Entry>> {
+        let most = usize::try_from(most).map_or(ENTRIES_MAX, |most| most.min(ENTRIES_MAX));
+        let entries = self.0.trail.after(sequence, most);
+        let entries = entries.into_iter().map(|entry| Entry {
+            sequence: entry.sequence,
+            at: entry.at,
+            event: serde_json::to_value(entry.event).unwrap_or_default(),
+        });
+        Ok(entries.collect())
+    }
+
+    async fn drain(&self) -> RpcResult<Status> {
+        self.0.leave("operator");
+        Ok(status(&self.0))
+    }
+}
+
+fn status(context: &Context) -> Status {
+    let snapshot = context.config.snapshot();
+    let mut load = context.gatekeeper.load();
+    load.incarnation = context.incarnation;
+    let hosts = snapshot.iter().flat_map(|snapshot| &snapshot.list.hosts);
+    let hosts = hosts.map(|host| Host {
+        name: host.name.clone(),
+        data_centre: host.data_centre.clone(),
+        service: host.service.clone(),
+        state: "unknown".into(),
+        version: None,
+    });
+    Status {
+        host: context.settings.host.clone(),
+        incarnation: context.incarnation,
+        version: context.config.version(),
+        hosts_number: snapshot.as_ref().map_or(0, |snapshot| snapshot.list.number),
+        reader: true,
+        load,
+        hosts: hosts.collect(),
+    }
+}
+
+/// Returns the results of the requests that entered at this daemon.
+pub fn summary(context: &Context) -> Summary {
+    let outcomes = context.config.snapshot();
+    let outcomes = outcomes.map(|snapshot| context.results.outcomes(&snapshot));
+    Summary {
+        window_s: WINDOW_S,
+        daemons: 1,
+        missing: 0,
+        outcomes: outcomes.unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/rpc/mod.rs
@@ -0,0 +1,74 @@
+//! JSON-RPC over the servers of this daemon.
+
+use std::net::SocketAddr;
+
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use jsonrpsee::Methods;
+use jsonrpsee::server::{Server, ServerConfig, ServerHandle, stop_channel};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use tower::Service;
+
+use crate::body::{self, Body};
+use crate::edge::server;
+
+/// Largest message, bytes: a compressed document of 1,100 targets, encoded as
+/// text, with room to spare.
+const MESSAGE_BYTES: u32 = 4 << 20;
+/// Connections that one address may open.
+const CONNECTIONS_MAX: usize = 4096;
+
+/// Serves `methods` until `stop`. `page` may answer a request itself.
+pub async fn serve<P>(
+    listener: TcpListener,
+    stop: CancellationToken,
+    methods: impl Into<Methods>,
+    page: P,
+) where
+    P: Fn(&Request<Incoming>) -> Option<Response<Body>> + Clone + Send + 'static,
+{
+    let config = ServerConfig::builder()
+        .max_request_body_size(MESSAGE_BYTES)
+        .max_response_body_size(MESSAGE_BYTES)
+        .http_only()
+        .build();
+    // The service ends when its handle is dropped, so the handle lives as long
+    // as the server.
+    let (stopped, handle): (_, ServerHandle) = stop_channel();
+    let service = Server::builder()
+        .set_config(config)
+        .to_service_builder()
+        .build(methods, stopped);
+    let answer = move |request: Request<Incoming>, _peer: SocketAddr| {
+        let own = page(&request);
+        let mut service = service.clone();
+        async move {
+            if let Some(answer) = own {
+                return answer;
+            }
+            match service.call(request).await {
+                Ok(answer) => answer.map(|body| body.map_err(Into::into).boxed_unsync()),
+                Err(error) => {
+                    log::warn!("cannot serve a message: {error}");
+                    let mut answer = Response::new(body::empty());
+                    *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+                    answer
+                }
+            }
+        }
+    };
+    server::serve(listener, CONNECTIONS_MAX, stop, answer).await;
+    drop(handle);
+}
+
+/// Returns a page of text.
+pub fn text(content: Vec<u8>) -> Response<Body> {
+    let mut answer = Response::new(body::full(content));
+    answer.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; version=0.0.4"),
+    );
+    answer
+}
--- /dev/null
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -0,0 +1,135 @@
+//! HTTP server that the caller and data edges share.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::Body;
+
+/// Time in which a caller must send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Interval of the keep-alive pings of HTTP/2.
+pub const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Time in which a ping must be answered; with the interval, a silent
+/// connection is closed within 1.5 s.
+pub const PING_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size of all headers of a request, bytes.
+const HEADER_BYTES: u32 = 16_384;
+/// Streams of one HTTP/2 connection.
+const STREAMS_MAX: u32 = 1024;
+
+/// Serves HTTP/1.1 and HTTP/2 until `stop`, then waits until each connection
+/// has answered what it took. One address may open `connections` connections.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    connections: usize,
+    stop: CancellationToken,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let open: Arc<Mutex<HashMap<IpAddr, usize>>> = Arc::default();
+    loop {
+        let (stream, peer) = tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok(accepted) => accepted,
+                Err(error) => {
+                    log::warn!("cannot accept a connection: {error}");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
+                }
+            },
+            () = stop.cancelled() => break,
+        };
+        let Some(place) = Place::take(&open, peer.ip(), connections) else {
+            log::warn!("refused a connection of {}: it has too many", peer.ip());
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handle = handle.clone();
+        let service = service_fn(move |request| {
+            let answer = handle(request, peer);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = builder()
+            .serve_connection(TokioIo::new(stream), service)
+            .into_owned();
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = watched.await {
+                log::debug!("a connection of {peer} ended: {error}");
+            }
+            drop(place);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn builder() -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEADER_BYTES as usize);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .max_header_list_size(HEADER_BYTES)
+        .max_concurrent_streams(STREAMS_MAX);
+    builder
+}
+
+/// Place of one connection in the count of its address.
+struct Place {
+    open: Arc<Mutex<HashMap<IpAddr, usize>>>,
+    address: IpAddr,
+}
+
+impl Place {
+    fn take(
+        open: &Arc<Mutex<HashMap<IpAddr, usize>>>,
+        address: IpAddr,
+        most: usize,
+    ) -> Option<Self> {
+        let mut counts = open.lock().unwrap_or_else(PoisonError::into_inner);
+        let count = counts.entry(address).or_default();
+        if *count >= most {
+            return None;
+        }
+        *count += 1;
+        Some(Self {
+            open: Arc::clone(open),
+            address,
+        })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut counts = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = counts.get_mut(&self.address) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.address);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -0,0 +1,89 @@
+//! Edge towards the host's upstream.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::{HeaderValue, Request, Response, Uri, uri};
+use http_body_util::BodyExt;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use savorylane_wire::header;
+
+use crate::body::Body;
+use crate::call::Call;
+
+/// Idle connections are not reused after this time: they may have gone silent,
+/// and a new one costs about 1 ms.
+const IDLE: Duration = Duration::from_secs(1);
+/// Time for a connection to be opened.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why no answer came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// No connection could be opened, so nothing was sent.
+    Connect,
+    /// The connection broke after the request may have been sent.
+    Broken,
+}
+
+/// Client of the host's upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    address: SocketAddr,
+    client: Client<HttpConnector, Body>,
+}
+
+impl Upstream {
+    /// Returns a client of the upstream at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE)
+            .pool_timer(TokioTimer::new())
+            .build(connector);
+        Self { address, client }
+    }
+
+    /// Sends a call and returns the answer's head with a streamed body.
+    ///
+    /// # Errors
+    ///
+    /// Returns whether the request was certainly not sent.
+    pub async fn send(&self, call: &Call, body: Body) -> Result<Response<Body>, Failure> {
+        let mut request = Request::new(body);
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = target(self.address, &call.uri);
+        *request.headers_mut() = call.headers.clone();
+        let headers = request.headers_mut();
+        let remaining = call.remaining(Instant::now()).as_millis() as u64;
+        headers.insert(header::TIMEOUT_MS, HeaderValue::from(remaining.max(1)));
+        headers.insert(header::DEPTH, HeaderValue::from(call.depth + 1));
+        match self.client.request(request).await {
+            Ok(answer) => Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync())),
+            Err(error) if error.is_connect() => Err(Failure::Connect),
+            Err(error) => {
+                log::debug!("request to the upstream failed: {error}");
+                Err(Failure::Broken)
+            }
+        }
+    }
+}
+
+/// Returns the absolute form of `uri` at `address`.
+///
+/// # Panics
+///
+/// Never: an address and a path that was parsed make a valid URI.
+pub fn target(address: SocketAddr, uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("/", uri::PathAndQuery::as_str);
+    uri::Builder::new()
+        .scheme("http")
+        .authority(address.to_string())
+        .path_and_query(path)
+        .build()
+        .expect("an address and a parsed path make a URI")
+}
--- /dev/null
+++ b/crates/daemon/src/kernel/mod.rs
@@ -0,0 +1,212 @@
+//! Kernel of the daemon: state that the edges share, and their life.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use futures::future::BoxFuture;
+use savorylane_wire::Incarnation;
+use savorylane_wire::control::Sender;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::audit::{Event, Trail};
+use crate::config::Store;
+use crate::dispatch::Dispatcher;
+use crate::edge::upstream::Upstream;
+use crate::error::{BindSnafu, Error};
+use crate::gatekeeper::Gatekeeper;
+use crate::metrics::Metrics;
+use crate::results::Results;
+use crate::settings::Settings;
+
+/// Time between the announcement that the host leaves and the end of the
+/// servers, so that peers route elsewhere first.
+const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+
+/// State that the edges share.
+#[derive(Debug)]
+pub struct Context {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Identity of this run.
+    pub incarnation: Incarnation,
+    /// Configuration in force.
+    pub config: Store,
+    /// Audit trail.
+    pub trail: Trail,
+    /// Gate of the host's upstream.
+    pub gatekeeper: Arc<Gatekeeper>,
+    /// Results by class.
+    pub results: Results,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Chooses hosts and sends requests to them.
+    pub dispatcher: Dispatcher,
+    /// Cancelled when the host announces that it leaves.
+    pub leaving: CancellationToken,
+    /// Cancelled when the edges end.
+    pub stop: CancellationToken,
+}
+
+impl Context {
+    /// Returns this daemon as the sender of a message.
+    pub fn sender(&self) -> Sender {
+        Sender {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Announces that this host leaves: new work is refused from now on.
+    pub fn leave(&self, source: &str) {
+        if self.leaving.is_cancelled() {
+            return;
+        }
+        self.gatekeeper.leave();
+        self.leaving.cancel();
+        self.trail.record(Event::Leaving {
+            source: source.into(),
+        });
+    }
+}
+
+/// Port of an edge that listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Port {
+    /// Flag that names the address.
+    pub flag: &'static str,
+    /// Picks the address from the settings.
+    pub address: fn(&Settings) -> SocketAddr,
+}
+
+/// An edge. Edges register with [`inventory::submit!`].
+pub struct Plugin {
+    /// Unique name.
+    pub name: &'static str,
+    /// Edges end in falling order; servers that finish requests have a higher
+    /// value than what they depend on.
+    pub order: u8,
+    /// Port to bind, for an edge that listens.
+    pub port: Option<Port>,
+    /// Runs the edge until the token is cancelled and its work is finished.
+    pub run: fn(Arc<Context>, Option<TcpListener>, CancellationToken) -> BoxFuture<'static, ()>,
+}
+
+inventory::collect!(Plugin);
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Handle {
+    /// Shared state, for tests and the binary.
+    pub context: Arc<Context>,
+    /// Bound addresses by flag.
+    pub addresses: BTreeMap<&'static str, SocketAddr>,
+    edges: Vec<Edge>,
+}
+
+#[derive(Debug)]
+struct Edge {
+    name: &'static str,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+/// Binds all ports, then starts the registered edges.
+///
+/// # Errors
+///
+/// Returns [`Error::Bind`] if a port cannot be bound; nothing runs then.
+pub async fn spawn(settings: Settings) -> Result<Handle, Error> {
+    let mut plugins: Vec<&'static Plugin> = inventory::iter::<Plugin>().collect();
+    plugins.sort_by_key(|plugin| (plugin.order, plugin.name));
+    let mut bound = Vec::new();
+    let mut addresses = BTreeMap::new();
+    for plugin in plugins {
+        let mut listener = None;
+        if let Some(port) = plugin.port {
+            let address = (port.address)(&settings);
+            let context = BindSnafu {
+                port: port.flag,
+                address,
+            };
+            let socket = TcpListener::bind(address).await.context(context)?;
+            addresses.insert(port.flag, socket.local_addr().context(context)?);
+            listener = Some(socket);
+        }
+        bound.push((plugin, listener));
+    }
+    let gatekeeper = Gatekeeper::open(settings.slots, Upstream::new(settings.upstream));
+    let context = Arc::new(Context {
+        incarnation: incarnation(),
+        config: Store::default(),
+        trail: Trail::default(),
+        gatekeeper,
+        results: Results::default(),
+        metrics: Metrics::open(),
+        dispatcher: Dispatcher::default(),
+        leaving: CancellationToken::new(),
+        stop: CancellationToken::new(),
+        settings,
+    });
+    let edges = bound
+        .into_iter()
+        .map(|(plugin, listener)| {
+            let stop = CancellationToken::new();
+            let edge = (plugin.run)(Arc::clone(&context), listener, stop.clone());
+            Edge {
+                name: plugin.name,
+                stop,
+                task: tokio::spawn(edge),
+            }
+        })
+        .collect();
+    Ok(Handle {
+        context,
+        addresses,
+        edges,
+    })
+}
+
+impl Handle {
+    /// Announces that the host leaves, finishes what is in flight and ends.
+    /// Returns the names of the edges that had to be cut at the drain limit.
+    pub async fn shutdown(self) -> Vec<&'static str> {
+        self.context.leave("shutdown");
+        tokio::time::sleep(LEAVE_NOTICE).await;
+        self.context.stop.cancel();
+        let limit = tokio::time::Instant::now() + self.context.settings.drain_limit;
+        let mut cut = Vec::new();
+        for mut edge in self.edges.into_iter().rev() {
+            edge.stop.cancel();
+            if tokio::time::timeout_at(limit, &mut edge.task)
+                .await
+                .is_err()
+            {
+                edge.task.abort();
+                cut.push(edge.name);
+            }
+        }
+        cut
+    }
+
+    /// Ends at once, as a killed process would.
+    pub fn abort(self) {
+        for edge in self.edges {
+            edge.task.abort();
+        }
+    }
+}
+
+fn incarnation() -> Incarnation {
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Incarnation {
+        started_ms: now.as_millis() as u64,
+        nonce: rand::random(),
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder of the first commit.
+//! The savorylane daemon: a kernel, and edges that register with it.
+//!
+//! Decisions are taken by the pure crates `intent`, `membership`, `policy` and
+//! `ledger`; this crate gives them time, events and sockets.
+
+pub mod audit;
+pub mod body;
+pub mod call;
+pub mod config;
+pub mod dispatch;
+pub mod edge;
+pub mod error;
+pub mod gatekeeper;
+pub mod kernel;
+pub mod logs;
+pub mod metrics;
+pub mod results;
+pub mod settings;
+
+pub use error::Error;
+pub use kernel::{Handle, spawn};
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,94 @@
+//! The daemon's binary: reads settings, starts the kernel, waits for a signal.
+
+use std::process::ExitCode;
+
+use bpaf::{Args, ParseFailure};
+use savorylane_daemon::logs;
+use savorylane_daemon::settings::{self, Command};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code for refused settings.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let command = match read_command() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    if command.check {
+        println!("settings are accepted");
+        return ExitCode::SUCCESS;
+    }
+    let _logger = match logs::open(&command.settings) {
+        Ok(logger) => logger,
+        Err(error) => {
+            eprintln!("cannot start logging: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cannot start the runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(run(command))
+}
+
+fn read_command() -> Result<Command, ExitCode> {
+    let parsed = match settings::parser().run_inner(Args::current_args()) {
+        Ok(parsed) => parsed,
+        Err(ParseFailure::Stderr(text)) => {
+            eprintln!("{}", text.monochrome(true));
+            return Err(ExitCode::from(USAGE));
+        }
+        Err(ParseFailure::Stdout(text, full)) => {
+            println!("{}", text.monochrome(full));
+            return Err(ExitCode::SUCCESS);
+        }
+        Err(ParseFailure::Completion(text)) => {
+            print!("{text}");
+            return Err(ExitCode::SUCCESS);
+        }
+    };
+    parsed.map_err(|fault| {
+        eprintln!("{fault}");
+        ExitCode::from(USAGE)
+    })
+}
+
+async fn run(command: Command) -> ExitCode {
+    let signals = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    );
+    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+        eprintln!("cannot listen for signals");
+        return ExitCode::FAILURE;
+    };
+    let handle = match savorylane_daemon::spawn(command.settings).await {
+        Ok(handle) => handle,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    for (port, address) in &handle.addresses {
+        println!("{port} {address}");
+    }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let cut = tokio::select! {
+        cut = handle.shutdown() => cut,
+        _ = terminate.recv() => vec!["all"],
+        _ = interrupt.recv() => vec!["all"],
+    };
+    if cut.is_empty() {
+        return ExitCode::SUCCESS;
+    }
+    log::warn!("ended with requests in flight at: {}", cut.join(", "));
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/daemon/src/metrics/mod.rs
@@ -0,0 +1,104 @@
+//! Metrics of the daemon, pulled over HTTP in the usual text format.
+
+use std::fmt;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use savorylane_wire::{Load, Verdict};
+
+/// Instruments of one daemon.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    retries: Counter<u64>,
+    late: Counter<u64>,
+    running: Gauge<u64>,
+    queued: Gauge<u64>,
+    limit: Gauge<u64>,
+    version: Gauge<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Metrics")
+    }
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Panics
+    ///
+    /// Never: the registry is new, so no name stands twice.
+    pub fn open() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("savorylane");
+        Self {
+            requests: meter
+                .u64_counter("savorylane_requests")
+                .with_description("Requests answered to callers, by class and verdict")
+                .build(),
+            latency: meter
+                .f64_histogram("savorylane_latency_seconds")
+                .with_description("Time from the head of a request to the end of its answer")
+                .with_boundaries(vec![
+                    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0,
+                ])
+                .build(),
+            retries: meter
+                .u64_counter("savorylane_attempts")
+                .with_description("Further attempts and hedges sent to hosts, by kind")
+                .build(),
+            late: meter
+                .u64_counter("savorylane_late_answers")
+                .with_description("Answers to abandoned attempts, dropped")
+                .build(),
+            running: meter.u64_gauge("savorylane_running").build(),
+            queued: meter.u64_gauge("savorylane_queued").build(),
+            limit: meter.u64_gauge("savorylane_slots").build(),
+            version: meter.u64_gauge("savorylane_version").build(),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, class: &str, verdict: Verdict, seconds: f64) {
+        let class = KeyValue::new("class", class.to_owned());
+        self.latency.record(seconds, std::slice::from_ref(&class));
+        let verdict = KeyValue::new("verdict", verdict.as_str());
+        self.requests.add(1, &[class, verdict]);
+    }
+
+    /// Counts a further attempt; `kind` is `retry` or `hedge`.
+    pub fn attempted(&self, kind: &'static str) {
+        self.retries.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts an answer that came after its attempt was abandoned.
+    pub fn late(&self) {
+        self.late.add(1, &[]);
+    }
+
+    /// Returns all metrics as text. Work is bounded by the number of classes.
+    pub fn text(&self, load: &Load, version: u64) -> Vec<u8> {
+        self.running.record(load.running.into(), &[]);
+        self.queued.record(load.queued.into(), &[]);
+        self.limit.record(load.limit.into(), &[]);
+        self.version.record(version, &[]);
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("cannot encode metrics: {error}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/results/mod.rs
@@ -0,0 +1,129 @@
+//! Results by class over the last minute, counted with atomics.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use savorylane_intent::Snapshot;
+use savorylane_intent::document::Class;
+use savorylane_wire::operator::Outcome;
+
+/// Length of one bucket.
+const BUCKET: Duration = Duration::from_secs(5);
+/// Buckets of the window; one more is being overwritten.
+const BUCKETS: usize = 13;
+/// Length of the window that is reported, seconds.
+pub const WINDOW_S: u64 = 60;
+
+/// Counts of one bucket; `period` tells which time they belong to.
+#[derive(Debug, Default)]
+struct Bucket {
+    period: AtomicU64,
+    requests: AtomicU64,
+    succeeded: AtomicU64,
+    in_time: AtomicU64,
+}
+
+/// Counts of one class.
+#[derive(Debug, Default)]
+struct Window {
+    buckets: [Bucket; BUCKETS],
+}
+
+/// Counts of all classes.
+#[derive(Debug)]
+pub struct Results {
+    start: Instant,
+    windows: ArcSwap<HashMap<String, Arc<Window>>>,
+}
+
+impl Default for Results {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            windows: ArcSwap::default(),
+        }
+    }
+}
+
+impl Results {
+    /// Counts the end of a request of `class`.
+    pub fn record(&self, class: &Class, latency: Duration, success: bool) {
+        let period = self.period();
+        let window = self.window(&class.name);
+        let bucket = window.bucket(period);
+        bucket.requests.fetch_add(1, Ordering::Relaxed);
+        if !success {
+            return;
+        }
+        bucket.succeeded.fetch_add(1, Ordering::Relaxed);
+        if latency <= Duration::from_millis(class.target.latency_ms.into()) {
+            bucket.in_time.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the results of the snapshot's classes over the window.
+    pub fn outcomes(&self, snapshot: &Snapshot) -> Vec<Outcome> {
+        let period = self.period();
+        let windows = self.windows.load();
+        let outcome = |class: &Class| {
+            let mut outcome = Outcome {
+                class: class.name.clone(),
+                target: class.target,
+                requests: 0,
+                succeeded: 0,
+                in_time: 0,
+            };
+            let buckets = windows.get(&class.name).map(|window| &window.buckets);
+            for bucket in buckets.into_iter().flatten() {
+                if bucket.period.load(Ordering::Relaxed) + (BUCKETS as u64) <= period {
+                    continue;
+                }
+                outcome.requests += bucket.requests.load(Ordering::Relaxed);
+                outcome.succeeded += bucket.succeeded.load(Ordering::Relaxed);
+                outcome.in_time += bucket.in_time.load(Ordering::Relaxed);
+            }
+            outcome
+        };
+        snapshot.document.classes.iter().map(outcome).collect()
+    }
+
+    fn period(&self) -> u64 {
+        // From 1, so that an untouched bucket is always an old one.
+        (self.start.elapsed().as_millis() / BUCKET.as_millis()) as u64 + 1 + BUCKETS as u64
+    }
+
+    fn window(&self, class: &str) -> Arc<Window> {
+        if let Some(window) = self.windows.load().get(class) {
+            return Arc::clone(window);
+        }
+        self.windows.rcu(|windows| {
+            let mut windows = HashMap::clone(windows);
+            windows.entry(class.into()).or_default();
+            windows
+        });
+        Arc::clone(&self.windows.load()[class])
+    }
+}
+
+impl Window {
+    fn bucket(&self, period: u64) -> &Bucket {
+        let bucket = &self.buckets[period as usize % BUCKETS];
+        let old = bucket.period.load(Ordering::Relaxed);
+        let moved = old != period
+            && bucket
+                .period
+                .compare_exchange(old, period, Ordering::Relaxed, Ordering::Relaxed)
+                .is_ok();
+        // A count that another thread adds between the exchange and the resets
+        // is lost; results are statistics, and this happens once in 5 s.
+        if moved {
+            bucket.requests.store(0, Ordering::Relaxed);
+            bucket.succeeded.store(0, Ordering::Relaxed);
+            bucket.in_time.store(0, Ordering::Relaxed);
+        }
+        bucket
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/settings/mod.rs
@@ -0,0 +1,362 @@
+//! Settings: flags with matching environment variables, checked before
+//! anything is bound.
+
+use std::fmt::Display;
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long};
+use snafu::Snafu;
+
+/// Checked settings of a daemon.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the host; unique in the deployment.
+    pub host: String,
+    /// Region of the data centre.
+    pub region: String,
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Service that the upstream runs.
+    pub service: String,
+    /// Where callers connect.
+    pub entry: SocketAddr,
+    /// Where other daemons send requests.
+    pub data: SocketAddr,
+    /// Where other daemons send control messages.
+    pub control: SocketAddr,
+    /// Where operators connect.
+    pub operator: SocketAddr,
+    /// The host's upstream.
+    pub upstream: SocketAddr,
+    /// Requests that the upstream is given at once, at most.
+    pub slots: usize,
+    /// Addresses of the platform, in order of preference.
+    pub platform: Vec<SocketAddr>,
+    /// Control addresses of peers that are asked at the start.
+    pub peers: Vec<SocketAddr>,
+    /// Time after which a caller no longer resends an unmarked key.
+    pub key_horizon: Duration,
+    /// States that no earlier process served within the key horizon.
+    pub first_start: bool,
+    /// Time that a shutdown waits for requests in flight.
+    pub drain_limit: Duration,
+    /// Largest request body, bytes.
+    pub body_bytes: u64,
+    /// Connections that one caller may open.
+    pub caller_connections: usize,
+    /// Log level.
+    pub log_level: log::LevelFilter,
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug)]
+pub struct Command {
+    /// Settings of the daemon.
+    pub settings: Settings,
+    /// Whether to check the settings and exit.
+    pub check: bool,
+}
+
+/// A refused setting.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("--{flag}: `{value}` is not accepted; {accepted}"))]
+pub struct Fault {
+    /// Flag without the dashes.
+    pub flag: &'static str,
+    /// The refused value.
+    pub value: String,
+    /// What is accepted, with units.
+    pub accepted: String,
+}
+
+/// Settings as they stand on the command line, not yet checked.
+#[derive(Clone, Debug)]
+struct Raw {
+    host: String,
+    region: String,
+    data_centre: String,
+    service: String,
+    entry: String,
+    data: String,
+    control: String,
+    operator: String,
+    upstream: String,
+    slots: String,
+    platform: Vec<String>,
+    peer: Vec<String>,
+    key_horizon_s: String,
+    first_start: bool,
+    drain_limit_s: String,
+    body_mb: String,
+    caller_connections: String,
+    log_level: String,
+    check: bool,
+}
+
+fn required(
+    flag: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<String> {
+    long(flag).env(variable).help(help).argument::<String>(meta)
+}
+
+fn optional(
+    flag: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+    default: &'static str,
+) -> impl Parser<String> {
+    required(flag, variable, meta, help)
+        .fallback(default.to_owned())
+        .display_fallback()
+}
+
+/// Returns the parser of the command line.
+pub fn parser() -> OptionParser<Result<Command, Fault>> {
+    let host = required("host", "SAVORYLANE_HOST", "NAME", "Name of this host");
+    let region = required("region", "SAVORYLANE_REGION", "NAME", "Region of the host");
+    let data_centre = required(
+        "data-centre",
+        "SAVORYLANE_DATA_CENTRE",
+        "NAME",
+        "Data centre of the host",
+    );
+    let service = required(
+        "service",
+        "SAVORYLANE_SERVICE",
+        "NAME",
+        "Service that the upstream of this host runs",
+    );
+    let entry = optional(
+        "entry",
+        "SAVORYLANE_ENTRY",
+        "IP:PORT",
+        "Where callers connect",
+        "0.0.0.0:8080",
+    );
+    let data = optional(
+        "data",
+        "SAVORYLANE_DATA",
+        "IP:PORT",
+        "Where other daemons send requests",
+        "0.0.0.0:8081",
+    );
+    let control = optional(
+        "control",
+        "SAVORYLANE_CONTROL",
+        "IP:PORT",
+        "Where other daemons send control messages",
+        "0.0.0.0:8082",
+    );
+    let operator = optional(
+        "operator",
+        "SAVORYLANE_OPERATOR",
+        "IP:PORT",
+        "Where operators connect and metrics are read",
+        "127.0.0.1:8083",
+    );
+    let upstream = required(
+        "upstream",
+        "SAVORYLANE_UPSTREAM",
+        "IP:PORT",
+        "Address of the host's upstream",
+    );
+    let slots = optional(
+        "slots",
+        "SAVORYLANE_SLOTS",
+        "COUNT",
+        "Requests that the upstream runs at once",
+        "6",
+    );
+    let platform = required(
+        "platform",
+        "SAVORYLANE_PLATFORM",
+        "IP:PORT",
+        "Address of the platform; may be repeated",
+    )
+    .many();
+    let peer = required(
+        "peer",
+        "SAVORYLANE_PEER",
+        "IP:PORT",
+        "Control address of a daemon that is asked at the start; may be repeated",
+    )
+    .many();
+    let key_horizon_s = optional(
+        "key-horizon-s",
+        "SAVORYLANE_KEY_HORIZON_S",
+        "SECONDS",
+        "Time after which callers no longer resend an unmarked idempotency key",
+        "30",
+    );
+    let first_start = long("first-start")
+        .env("SAVORYLANE_FIRST_START")
+        .help("States that no earlier process of the deployment served within the key horizon")
+        .switch();
+    let drain_limit_s = optional(
+        "drain-limit-s",
+        "SAVORYLANE_DRAIN_LIMIT_S",
+        "SECONDS",
+        "Time that a shutdown waits for requests in flight",
+        "60",
+    );
+    let body_mb = optional(
+        "body-mb",
+        "SAVORYLANE_BODY_MB",
+        "MEGABYTES",
+        "Largest request body",
+        "64",
+    );
+    let caller_connections = optional(
+        "caller-connections",
+        "SAVORYLANE_CALLER_CONNECTIONS",
+        "COUNT",
+        "Connections that one caller address may open",
+        "256",
+    );
+    let log_level = optional(
+        "log-level",
+        "SAVORYLANE_LOG_LEVEL",
+        "LEVEL",
+        "One of error, warn, info, debug, trace",
+        "info",
+    );
+    let check = long("check").help("Checks the settings and exits").switch();
+    construct!(Raw {
+        host,
+        region,
+        data_centre,
+        service,
+        entry,
+        data,
+        control,
+        operator,
+        upstream,
+        slots,
+        platform,
+        peer,
+        key_horizon_s,
+        first_start,
+        drain_limit_s,
+        body_mb,
+        caller_connections,
+        log_level,
+        check
+    })
+    .map(check_all)
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Daemon of savorylane: entry for callers and gatekeeper of one upstream")
+}
+
+fn check_all(raw: Raw) -> Result<Command, Fault> {
+    let settings = Settings {
+        host: name("host", &raw.host)?,
+        region: name("region", &raw.region)?,
+        data_centre: name("data-centre", &raw.data_centre)?,
+        service: name("service", &raw.service)?,
+        entry: address("entry", &raw.entry)?,
+        data: address("data", &raw.data)?,
+        control: address("control", &raw.control)?,
+        operator: address("operator", &raw.operator)?,
+        upstream: remote("upstream", &raw.upstream)?,
+        slots: number("slots", &raw.slots, 1, 4096)?,
+        platform: list("platform", &raw.platform)?,
+        peers: list("peer", &raw.peer)?,
+        key_horizon: Duration::from_secs(number("key-horizon-s", &raw.key_horizon_s, 1, 86_400)?),
+        first_start: raw.first_start,
+        drain_limit: Duration::from_secs(number("drain-limit-s", &raw.drain_limit_s, 1, 3600)?),
+        body_bytes: number::<u64>("body-mb", &raw.body_mb, 1, 4096)? * 1_000_000,
+        caller_connections: number("caller-connections", &raw.caller_connections, 1, 65_536)?,
+        log_level: raw.log_level.parse().map_err(|_| Fault {
+            flag: "log-level",
+            value: raw.log_level.clone(),
+            accepted: "one of error, warn, info, debug, trace".into(),
+        })?,
+    };
+    if settings.platform.is_empty() && settings.peers.is_empty() {
+        return Err(Fault {
+            flag: "platform",
+            value: String::new(),
+            accepted: "at least one --platform or --peer address is needed".into(),
+        });
+    }
+    let ports = [
+        ("entry", settings.entry),
+        ("data", settings.data),
+        ("control", settings.control),
+        ("operator", settings.operator),
+    ];
+    for (index, (flag, port)) in ports.iter().enumerate() {
+        if port.port() != 0 && ports[..index].iter().any(|(_, other)| other == port) {
+            return Err(Fault {
+                flag,
+                value: port.to_string(),
+                accepted: "entry, data, control and operator need different addresses".into(),
+            });
+        }
+    }
+    Ok(Command {
+        settings,
+        check: raw.check,
+    })
+}
+
+fn name(flag: &'static str, value: &str) -> Result<String, Fault> {
+    let accepted = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if value.is_empty() || value.len() > 64 || !value.chars().all(accepted) {
+        return Err(Fault {
+            flag,
+            value: value.into(),
+            accepted: "1 to 64 letters, digits, `-`, `_` or `.`".into(),
+        });
+    }
+    Ok(value.into())
+}
+
+fn address(flag: &'static str, value: &str) -> Result<SocketAddr, Fault> {
+    value.parse().map_err(|_| Fault {
+        flag,
+        value: value.into(),
+        accepted: "an IP number and a port, for example 127.0.0.1:8080".into(),
+    })
+}
+
+fn remote(flag: &'static str, value: &str) -> Result<SocketAddr, Fault> {
+    let address = address(flag, value)?;
+    let unspecified = match address.ip() {
+        IpAddr::V4(ip) => ip.is_unspecified(),
+        IpAddr::V6(ip) => ip.is_unspecified(),
+    };
+    if unspecified || address.port() == 0 {
+        return Err(Fault {
+            flag,
+            value: value.into(),
+            accepted: "an IP number that can be connected to and a port above 0".into(),
+        });
+    }
+    Ok(address)
+}
+
+fn list(flag: &'static str, values: &[String]) -> Result<Vec<SocketAddr>, Fault> {
+    values.iter().map(|value| remote(flag, value)).collect()
+}
+
+fn number<N>(flag: &'static str, value: &str, least: N, most: N) -> Result<N, Fault>
+where
+    N: Copy + Display + FromStr + PartialOrd,
+{
+    match value.parse::<N>() {
+        Ok(number) if number >= least && number <= most => Ok(number),
+        _ => Err(Fault {
+            flag,
+            value: value.into(),
+            accepted: format!("a whole number from {least} to {most}"),
+        }),
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod header;
 pub mod incarnation;
 pub mod load;
+pub mod operator;
 pub mod verdict;
 
 pub use incarnation::Incarnation;
