Extend routing, gate and retries in the policy crate

The first versions of route and gate kept only a count per host and one first-come queue, which neither avoids slow hosts nor protects short work.

Estimate now keeps reported load, smoothed response times, the start times of up to 16 unanswered requests, failures and the time first seen, all atomic. choose takes a context (policy, slack, length) and returns a Choice, which can ask for a hedged probe of a slow host. Gate gets a queue per class, an adaptive limit, fair shares, shedding, closing and work that runs alone. retry holds budgets, the retry rule and the hedge delay.

Not measured yet; the interface is committed first so that the daemon can be written against it.

--- /dev/null
+++ b/crates/policy/src/gate/queue.rs
@@ -0,0 +1,124 @@
+//! Waiting requests of one class.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Callers without waiting work that are remembered before they are pruned.
+const IDLE_MAX: usize = 512;
+
+/// Requests of one caller, in order of deadline.
+#[derive(Debug, Default)]
+struct Share {
+    /// Round in which the caller's next request is due (start-time fair
+    /// queueing with unit cost).
+    round: u64,
+    waiting: BTreeSet<(Duration, u64)>,
+}
+
+/// Queue in order of deadline that callers share fairly.
+///
+/// Each caller has one request served per round. Within a round, the earliest
+/// deadline is served first, so callers with one request each are served in
+/// order of deadline.
+///
+/// Invariant: `len` is the sum of the callers' waiting requests.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    callers: BTreeMap<u64, Share>,
+    round: u64,
+    len: usize,
+}
+
+impl Queue {
+    /// Returns the number of waiting requests.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Adds a request.
+    pub(super) fn push(&mut self, caller: u64, deadline: Duration, id: u64) {
+        let round = self.round;
+        let share = self.callers.entry(caller).or_default();
+        if share.waiting.is_empty() {
+            share.round = share.round.max(round);
+        }
+        let added = share.waiting.insert((deadline, id));
+        assert!(added, "a request is queued once");
+        self.len += 1;
+    }
+
+    /// Returns the deadline and id of the request that is served next.
+    pub(super) fn first(&self) -> Option<(Duration, u64)> {
+        self.callers
+            .values()
+            .filter_map(|share| Some((share.round, *share.waiting.first()?)))
+            .min()
+            .map(|(_, request)| request)
+    }
+
+    /// Returns the request that is given up first: the latest one of the
+    /// caller that has most.
+    pub(super) fn last(&self) -> Option<(Duration, u64)> {
+        self.callers
+            .values()
+            .filter_map(|share| Some((share.waiting.len(), *share.waiting.last()?)))
+            .max()
+            .map(|(_, request)| request)
+    }
+
+    /// Returns the requests of the caller that has most.
+    pub(super) fn largest(&self) -> usize {
+        self.callers
+            .values()
+            .map(|share| share.waiting.len())
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Returns the requests of one caller.
+    pub(super) fn of(&self, caller: u64) -> usize {
+        self.callers
+            .get(&caller)
+            .map_or(0, |share| share.waiting.len())
+    }
+
+    /// Returns how many waiting requests are served before a new request of
+    /// `caller` with `deadline`.
+    pub(super) fn ahead(&self, caller: u64, deadline: Duration) -> usize {
+        let own = self.callers.get(&caller);
+        let earlier = own.map_or(0, |share| {
+            share
+                .waiting
+                .iter()
+                .take_while(|(other, _)| *other <= deadline)
+                .count()
+        });
+        let others = self
+            .callers
+            .iter()
+            .filter(|(other, _)| **other != caller)
+            .map(|(_, share)| share.waiting.len().min(earlier + 1))
+            .sum::<usize>();
+        earlier + others
+    }
+
+    /// Takes the request that is served next and charges its caller.
+    pub(super) fn pop(&mut self, caller: u64, deadline: Duration, id: u64) {
+        if let Some(share) = self.callers.get_mut(&caller) {
+            self.round = self.round.max(share.round);
+            share.round += 1;
+        }
+        self.remove(caller, deadline, id);
+    }
+
+    /// Takes out a request that is not served.
+    pub(super) fn remove(&mut self, caller: u64, deadline: Duration, id: u64) {
+        let share = self.callers.get_mut(&caller);
+        let removed = share.is_some_and(|share| share.waiting.remove(&(deadline, id)));
+        assert!(removed, "a request leaves the queue once");
+        self.len -= 1;
+        if self.callers.len() > IDLE_MAX {
+            self.callers.retain(|_, share| !share.waiting.is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gate/types.rs
@@ -0,0 +1,71 @@
+//! What goes into a gate and what comes out.
+
+use std::time::Duration;
+
+use savorylane_intent::document;
+
+/// A request that asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// Identifies the request within this gate.
+    pub id: u64,
+    /// Hash of the class name; each class has its own queue.
+    pub class: u64,
+    /// Expected length.
+    pub length: document::Work,
+    /// Under overload, higher values are refused first.
+    pub shed_order: u8,
+    /// Moment after which the answer is of no use.
+    pub deadline: Duration,
+    /// Hash of the caller; callers share a queue fairly.
+    pub caller: u64,
+    /// Whether the request is suspect and must run with nothing beside it.
+    pub alone: bool,
+}
+
+/// Why a request was refused. A refused request did not run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// The upstream is away.
+    Closed,
+    /// The deadline cannot be met, or passed in the queue.
+    Deadline,
+    /// The queue is full.
+    Full,
+    /// The host leaves.
+    Leaving,
+    /// The request gave way to work that is shed later.
+    Shed,
+}
+
+/// Answer to an arrival.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The request has a slot.
+    Run,
+    /// The request waits; [`Gate::next`](super::Gate::next) says when it
+    /// starts or is refused.
+    Wait,
+    /// The request does not run.
+    Refuse(Reason),
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Finish {
+    /// The upstream answered.
+    Answered,
+    /// The caller went away or the deadline passed.
+    Cancelled,
+    /// The upstream died; closes the gate.
+    Died,
+}
+
+/// What to do with a waiting request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// The request has a slot now.
+    Start(u64),
+    /// The request is refused.
+    Refuse(u64, Reason),
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -3,4 +3,5 @@
 //! are `Duration`s since an arbitrary moment of the process.
 
 pub mod gate;
+pub mod retry;
 pub mod route;
--- /dev/null
+++ b/crates/policy/src/retry/mod.rs
@@ -0,0 +1,164 @@
+//! Budgets of retries and hedged requests.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use savorylane_intent::document;
+use savorylane_wire::Verdict;
+
+/// Attempts of one request in total, the first included.
+pub const ATTEMPTS: u32 = 3;
+/// Millionths of a token that a fresh request adds for retries: 10%.
+const RETRY_SHARE: u64 = 100_000;
+/// Millionths of a token that a fresh request adds for hedges: 5%.
+const HEDGE_SHARE: u64 = 50_000;
+/// One token.
+const TOKEN: u64 = 1_000_000;
+/// Retries that a class may send at once.
+pub const RETRY_BURST: u64 = 10;
+/// Hedges that a class may send at once.
+pub const HEDGE_BURST: u64 = 5;
+/// Longest latency that the histogram tells apart, microseconds.
+const LATENCY_MAX_US: u64 = 60_000_000;
+/// Answers before the percentile is used.
+const SAMPLES_MIN: u64 = 50;
+/// Answers after which the percentile is computed again.
+const REFRESH: u64 = 32;
+/// A histogram is forgotten after one to two of these.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// Token bucket that is filled by fresh traffic. It starts full, so after
+/// `n` fresh requests at most `burst + share * n` tokens were taken.
+#[derive(Debug)]
+pub struct Budget {
+    tokens: AtomicU64,
+    share: u64,
+    burst: u64,
+}
+
+impl Budget {
+    /// Returns the budget of retries of one class.
+    pub fn retry() -> Self {
+        Self::new(RETRY_SHARE, RETRY_BURST)
+    }
+
+    /// Returns the budget of hedged requests of one class.
+    pub fn hedge() -> Self {
+        Self::new(HEDGE_SHARE, HEDGE_BURST)
+    }
+
+    fn new(share: u64, burst: u64) -> Self {
+        Self {
+            tokens: AtomicU64::new(burst * TOKEN),
+            share,
+            burst: burst * TOKEN,
+        }
+    }
+
+    /// Counts a fresh request: one that is not itself a retry.
+    pub fn fresh(&self) {
+        let add = |tokens: u64| Some((tokens + self.share).min(self.burst));
+        let _ = self
+            .tokens
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+    }
+
+    /// Takes a token, or returns `false` if the budget is used up.
+    pub fn take(&self) -> bool {
+        self.tokens
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |tokens| {
+                tokens.checked_sub(TOKEN)
+            })
+            .is_ok()
+    }
+}
+
+/// Returns whether a request that ended with `verdict` and without an answer
+/// for its caller may be sent again.
+pub fn may_retry(idempotent: bool, verdict: Verdict) -> bool {
+    idempotent || verdict == Verdict::NotRun
+}
+
+/// Returns the attempts that an entry may make for a request, the first
+/// included. `left` is what the calling service passed on; without it, only a
+/// request from outside (`depth` 0) is retried, so that retries do not
+/// multiply along a call chain.
+pub fn attempts(left: Option<u32>, depth: u32) -> u32 {
+    match left {
+        Some(left) => left.clamp(1, ATTEMPTS),
+        None if depth == 0 => ATTEMPTS,
+        None => 1,
+    }
+}
+
+/// Returns whether a request may be hedged.
+pub fn may_hedge(idempotent: bool, length: document::Work) -> bool {
+    idempotent && length == document::Work::Short
+}
+
+/// Recent response times of one class.
+#[derive(Debug)]
+pub struct Latency {
+    current: Histogram<u64>,
+    previous: Histogram<u64>,
+    since: Duration,
+    added: u64,
+    hedge_us: AtomicU64,
+}
+
+impl Default for Latency {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Latency {
+    /// Returns a histogram without answers.
+    ///
+    /// # Panics
+    ///
+    /// Never: the bounds are constants that the histogram accepts.
+    pub fn new() -> Self {
+        let histogram = Histogram::new_with_bounds(1, LATENCY_MAX_US, 2)
+            .expect("the bounds of the histogram are valid");
+        Self {
+            current: histogram.clone(),
+            previous: histogram,
+            since: Duration::ZERO,
+            added: 0,
+            hedge_us: AtomicU64::new(0),
+        }
+    }
+
+    /// Adds the response time of an answered request.
+    pub fn add(&mut self, now: Duration, response: Duration) {
+        if now.saturating_sub(self.since) >= PERIOD {
+            std::mem::swap(&mut self.current, &mut self.previous);
+            self.current.reset();
+            self.since = now;
+        }
+        let us = response.as_micros() as u64;
+        self.current.saturating_record(us.clamp(1, LATENCY_MAX_US));
+        self.added += 1;
+        if self.added.is_multiple_of(REFRESH) {
+            let us = self.quantile_us(0.95).unwrap_or(0);
+            self.hedge_us.store(us, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the response time that `quantile` of the recent answers did not
+    /// exceed, microseconds.
+    fn quantile_us(&self, quantile: f64) -> Option<u64> {
+        let mut both = self.current.clone();
+        both.add(&self.previous).ok()?;
+        (both.len() >= SAMPLES_MIN).then(|| both.value_at_quantile(quantile))
+    }
+
+    /// Returns the wait before a hedged request: the 95th percentile, or
+    /// `None` before there are enough answers.
+    pub fn hedge_after(&self) -> Option<Duration> {
+        let us = self.hedge_us.load(Ordering::Relaxed);
+        (us > 0).then(|| Duration::from_micros(us))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/route/estimate.rs
@@ -0,0 +1,268 @@
+//! What a daemon knows of one host.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use savorylane_intent::document;
+use savorylane_wire::{Incarnation, Load};
+
+/// Unanswered short requests whose start times are kept. With more in flight,
+/// the age of the oldest one is that of the oldest that is kept, which is
+/// still a lower bound.
+const STARTS: usize = 16;
+/// Weight of a faster answer: an eighth. A slower one counts a quarter, so
+/// that a slow host is noticed within a few answers.
+const SHIFT_DOWN: u32 = 3;
+const SHIFT_UP: u32 = 2;
+/// A host starts with a share of the work that grows over this time.
+const SLOW_START_US: u64 = 5_000_000;
+/// Least share of a fresh host.
+const FIRST_SHARE: f64 = 0.05;
+/// First wait after a failure; doubles with each further one.
+const BACKOFF_US: u64 = 50_000;
+/// Greatest wait after failures.
+const BACKOFF_MAX_US: u64 = 2_000_000;
+
+/// How a request to a host ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The host answered; the time says how fast it is.
+    Answered,
+    /// The request was cancelled; its age is a lower bound.
+    Cancelled,
+    /// The connection failed or went silent.
+    Failed,
+    /// The host refused the request without running it.
+    Refused,
+}
+
+/// A request that was counted by [`Estimate::begin`]. It must be given back to
+/// [`Estimate::end`] exactly once.
+#[derive(Debug)]
+#[must_use]
+pub struct Ticket {
+    started_us: u64,
+    slot: Option<usize>,
+    length: document::Work,
+}
+
+/// What a daemon knows of one host, from its own requests and the load on
+/// their answers. Updated with atomics on the request path; fields that are
+/// read together may stem from two updates, which costs accuracy only.
+#[derive(Debug, Default)]
+pub struct Estimate {
+    running_short: AtomicU32,
+    running_long: AtomicU32,
+    /// Requests that were sent since the last report.
+    sent: AtomicU32,
+    reported: AtomicU32,
+    limit: AtomicU32,
+    service_us: AtomicU32,
+    reported_us: AtomicU64,
+    leaving: AtomicU32,
+    run_started_ms: AtomicU64,
+    run_nonce: AtomicU32,
+    short_us: AtomicU64,
+    long_us: AtomicU64,
+    /// Start times, 0 for a free place.
+    starts: [AtomicU64; STARTS],
+    failures: AtomicU32,
+    failed_us: AtomicU64,
+    first_seen_us: AtomicU64,
+    pub(super) probed_us: AtomicU64,
+}
+
+/// Returns microseconds, at least 1 because 0 means absent.
+pub(super) fn micros(now: Duration) -> u64 {
+    (now.as_micros() as u64).max(1)
+}
+
+impl Estimate {
+    /// Counts a request that is sent to the host.
+    pub fn begin(&self, now: Duration, length: document::Work) -> Ticket {
+        let started_us = micros(now);
+        self.seen(now);
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        let slot = match length {
+            document::Work::Short => {
+                self.running_short.fetch_add(1, Ordering::Relaxed);
+                self.starts.iter().position(|start| {
+                    start
+                        .compare_exchange(0, started_us, Ordering::Relaxed, Ordering::Relaxed)
+                        .is_ok()
+                })
+            }
+            document::Work::Long => {
+                self.running_long.fetch_add(1, Ordering::Relaxed);
+                None
+            }
+        };
+        Ticket {
+            started_us,
+            slot,
+            length,
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn end(&self, now: Duration, ticket: Ticket, outcome: Outcome) {
+        let now_us = micros(now);
+        if let Some(slot) = ticket.slot {
+            self.starts[slot].store(0, Ordering::Relaxed);
+        }
+        let (running, smoothed) = match ticket.length {
+            document::Work::Short => (&self.running_short, &self.short_us),
+            document::Work::Long => (&self.running_long, &self.long_us),
+        };
+        running.fetch_sub(1, Ordering::Relaxed);
+        let sample = now_us.saturating_sub(ticket.started_us).max(1);
+        let known = smoothed.load(Ordering::Relaxed);
+        match outcome {
+            Outcome::Answered => {
+                smoothed.store(smooth(known, sample), Ordering::Relaxed);
+                self.failures.store(0, Ordering::Relaxed);
+            }
+            Outcome::Cancelled if sample > known => {
+                smoothed.store(smooth(known, sample), Ordering::Relaxed);
+            }
+            Outcome::Cancelled | Outcome::Refused => {}
+            Outcome::Failed => {
+                self.failures.fetch_add(1, Ordering::Relaxed);
+                self.failed_us.store(now_us, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Takes the load that came with an answer. A report of an earlier run of
+    /// the host is ignored; one of a later run starts the estimate anew.
+    pub fn report(&self, now: Duration, load: &Load) {
+        let known = self.incarnation();
+        if load.incarnation < known {
+            return;
+        }
+        if load.incarnation > known {
+            self.restart(now, load.incarnation, known != Incarnation::default());
+        }
+        self.reported
+            .store(load.running.saturating_add(load.queued), Ordering::Relaxed);
+        self.limit.store(load.limit, Ordering::Relaxed);
+        self.service_us.store(load.service_us, Ordering::Relaxed);
+        self.sent.store(0, Ordering::Relaxed);
+        self.reported_us.store(micros(now), Ordering::Relaxed);
+        self.leaving
+            .store(u32::from(load.leaving), Ordering::Relaxed);
+    }
+
+    /// Notes that the host is known from `now`, for its slow start. Later
+    /// calls have no effect.
+    pub fn seen(&self, now: Duration) {
+        let _ = self.first_seen_us.compare_exchange(
+            0,
+            micros(now),
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+    }
+
+    fn restart(&self, now: Duration, run: Incarnation, known: bool) {
+        self.run_started_ms.store(run.started_ms, Ordering::Relaxed);
+        self.run_nonce.store(run.nonce, Ordering::Relaxed);
+        if known {
+            self.short_us.store(0, Ordering::Relaxed);
+            self.long_us.store(0, Ordering::Relaxed);
+            self.failures.store(0, Ordering::Relaxed);
+            self.first_seen_us.store(micros(now), Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the run of the host that reported last.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            started_ms: self.run_started_ms.load(Ordering::Relaxed),
+            nonce: self.run_nonce.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Returns the requests of this daemon that the host has not answered.
+    pub fn running(&self) -> u32 {
+        self.running_short.load(Ordering::Relaxed) + self.running_long.load(Ordering::Relaxed)
+    }
+
+    /// Says whether the host reported that it leaves.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed) != 0
+    }
+
+    /// Returns the smoothed response time, if an answer was measured.
+    pub fn response(&self, length: document::Work) -> Option<Duration> {
+        let us = match length {
+            document::Work::Short => self.short_us.load(Ordering::Relaxed),
+            document::Work::Long => self.long_us.load(Ordering::Relaxed),
+        };
+        (us > 0).then(|| Duration::from_micros(us))
+    }
+
+    /// Returns the age of the oldest unanswered short request that is kept.
+    pub fn oldest(&self, now: Duration) -> Option<Duration> {
+        let start = self
+            .starts
+            .iter()
+            .map(|start| start.load(Ordering::Relaxed))
+            .filter(|start| *start > 0)
+            .min()?;
+        Some(Duration::from_micros(micros(now).saturating_sub(start)))
+    }
+
+    /// Returns whether the host is backed off after failures.
+    pub fn backed_off(&self, now: Duration) -> bool {
+        let failures = self.failures.load(Ordering::Relaxed);
+        if failures == 0 {
+            return false;
+        }
+        let wait = (BACKOFF_US << (failures - 1).min(8)).min(BACKOFF_MAX_US);
+        micros(now) < self.failed_us.load(Ordering::Relaxed) + wait
+    }
+
+    /// Returns whether the last request failed.
+    pub(super) fn failing(&self) -> bool {
+        self.failures.load(Ordering::Relaxed) > 0
+    }
+
+    /// Returns the share of the work that the host may get, from a twentieth
+    /// when it is first seen to 1.
+    pub(super) fn share(&self, now: Duration) -> f64 {
+        let seen = self.first_seen_us.load(Ordering::Relaxed);
+        if seen == 0 {
+            return FIRST_SHARE;
+        }
+        let age = micros(now).saturating_sub(seen);
+        (age as f64 / SLOW_START_US as f64).clamp(FIRST_SHARE, 1.0)
+    }
+
+    /// Returns the expected requests at the host: the last report, drained at
+    /// the reported service time since, and what was sent since.
+    pub(super) fn outstanding(&self, now: Duration) -> f64 {
+        let own = f64::from(self.running());
+        let age_us = micros(now).saturating_sub(self.reported_us.load(Ordering::Relaxed));
+        let service_us = self.service_us.load(Ordering::Relaxed).max(1_000);
+        let kept = (-(age_us as f64) / (4.0 * f64::from(service_us))).exp();
+        let reported = f64::from(self.reported.load(Ordering::Relaxed)) * kept;
+        own.max(reported + f64::from(self.sent.load(Ordering::Relaxed)))
+    }
+
+    /// Returns the reported limit, if there is one.
+    pub(super) fn limit(&self) -> Option<f64> {
+        let limit = self.limit.load(Ordering::Relaxed);
+        (limit > 0).then_some(f64::from(limit))
+    }
+}
+
+fn smooth(known: u64, sample: u64) -> u64 {
+    if known == 0 {
+        sample
+    } else if sample > known {
+        known + ((sample - known) >> SHIFT_UP)
+    } else {
+        known - ((known - sample) >> SHIFT_DOWN)
+    }
+}
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -1,9 +1,32 @@
 //! Choice of the host that serves a request.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+mod estimate;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use rand::Rng;
 use rand::RngExt;
+use savorylane_intent::document;
+
+use estimate::micros;
+pub use estimate::{Estimate, Outcome, Ticket};
+
+/// A host whose latency is this many times the median is slow.
+const SLOW: f64 = 2.5;
+/// The oldest unanswered request counts from this many medians on; of
+/// exponential service times 1 in 55 takes longer.
+const AGED: f64 = 4.0;
+/// A slow host is probed at most this often by one entry.
+const PROBE_US: u64 = 100_000;
+/// Latency that is assumed before the first answer of any host, microseconds.
+const PRIOR_US: f64 = 5_000.0;
+/// Limit that is assumed before the first report.
+const PRIOR_LIMIT: f64 = 4.0;
+/// A farther host must be cheaper by this share and by [`MARGIN_US`].
+const MARGIN: f64 = 0.25;
+/// Least gain for which a request goes farther, microseconds.
+const MARGIN_US: f64 = 1_000.0;
 
 /// How far a host is from the daemon that chooses.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -18,27 +41,39 @@
     Far,
 }
 
-/// What a daemon knows of one host. Updated with atomics on the request path.
-#[derive(Debug, Default)]
-pub struct Estimate {
-    running: AtomicU32,
-}
-
-impl Estimate {
-    /// Counts a request that is sent to the host.
-    pub fn begin(&self) {
-        self.running.fetch_add(1, Ordering::Relaxed);
+impl Distance {
+    /// Returns the round-trip time that is assumed for the distance.
+    pub fn round_trip(self) -> Duration {
+        match self {
+            Self::Host => Duration::ZERO,
+            Self::DataCentre => Duration::from_micros(300),
+            Self::Region => Duration::from_millis(3),
+            Self::Far => Duration::from_millis(40),
+        }
     }
 
-    /// Counts the end of a request.
-    pub fn end(&self) {
-        self.running.fetch_sub(1, Ordering::Relaxed);
+    /// Hosts of one data centre compete without a margin.
+    fn rank(self) -> u8 {
+        match self {
+            Self::Host | Self::DataCentre => 0,
+            Self::Region => 1,
+            Self::Far => 2,
+        }
     }
+}
 
-    /// Returns the requests of this daemon that the host has not answered.
-    pub fn running(&self) -> u32 {
-        self.running.load(Ordering::Relaxed)
-    }
+/// How hosts are chosen. All but [`Policy::Savorylane`] are baselines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// The one of two random hosts with fewer own requests in flight.
+    LeastOutstanding,
+    /// A random host.
+    Random,
+    /// Each host in turn.
+    RoundRobin,
+    /// The host with the lowest expected cost.
+    #[default]
+    Savorylane,
 }
 
 /// A host that may serve the request.
@@ -50,21 +85,255 @@
     pub distance: Distance,
 }
 
-/// Returns the index of the candidate that serves the request, or `None` if
-/// there is none.
-pub fn choose<R: Rng>(rng: &mut R, candidates: &[Candidate<'_>]) -> Option<usize> {
-    if candidates.is_empty() {
+/// What a choice depends on beside the candidates.
+#[derive(Clone, Copy, Debug)]
+pub struct Context<'a> {
+    /// How hosts are chosen.
+    pub policy: Policy,
+    /// Next turn of [`Policy::RoundRobin`]; one counter per service.
+    pub turn: &'a AtomicUsize,
+    /// Length of the request.
+    pub length: document::Work,
+    /// Whether the request may run twice; only such requests probe slow hosts.
+    pub idempotent: bool,
+    /// Time that remains until the target of the class is missed.
+    pub slack: Duration,
+}
+
+/// The host that serves a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Set when the request probes a slow host: without an answer after
+    /// `after`, send it to candidate `index` too and take the first answer.
+    /// The entry must not cancel the probe by then, so that it measures the
+    /// host.
+    pub hedge: Option<Hedge>,
+}
+
+/// Second host of a request that probes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Hedge {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Wait before the second request.
+    pub after: Duration,
+}
+
+/// Cost of one candidate, microseconds.
+#[derive(Clone, Copy, Debug)]
+struct Cost {
+    index: usize,
+    rank: u8,
+    cost: f64,
+    slow: bool,
+}
+
+/// Returns the candidate that serves the request at `now`, or `None` if there
+/// is none that does not leave.
+pub fn choose<R: Rng>(
+    context: &Context<'_>,
+    now: Duration,
+    rng: &mut R,
+    candidates: &[Candidate<'_>],
+) -> Option<Choice> {
+    let usable = usable(now, rng, candidates, context.policy);
+    if usable.is_empty() {
         return None;
     }
-    let first = rng.random_range(0..candidates.len());
-    let second = rng.random_range(0..candidates.len());
-    let cost = |index: usize| {
-        let candidate = &candidates[index];
-        (candidate.estimate.running(), candidate.distance)
+    let pick = |rng: &mut R| usable[rng.random_range(0..usable.len())];
+    let index = match context.policy {
+        Policy::Savorylane => return Some(cheapest(context, now, rng, candidates, &usable)),
+        Policy::Random => pick(rng),
+        Policy::RoundRobin => usable[context.turn.fetch_add(1, Ordering::Relaxed) % usable.len()],
+        Policy::LeastOutstanding => {
+            let (first, second) = (pick(rng), pick(rng));
+            let running = |index: usize| candidates[index].estimate.running();
+            if running(second) < running(first) {
+                second
+            } else {
+                first
+            }
+        }
+    };
+    Some(Choice { index, hedge: None })
+}
+
+/// Returns the candidates that neither leave nor are backed off. When all
+/// are backed off, those that do not leave are tried all the same.
+fn usable<R: Rng>(
+    now: Duration,
+    rng: &mut R,
+    candidates: &[Candidate<'_>],
+    policy: Policy,
+) -> Vec<usize> {
+    let staying = (0..candidates.len())
+        .filter(|index| !candidates[*index].estimate.leaving())
+        .collect::<Vec<_>>();
+    let healthy = staying
+        .iter()
+        .copied()
+        .filter(|index| !candidates[*index].estimate.backed_off(now))
+        .collect::<Vec<_>>();
+    if healthy.is_empty() {
+        return staying;
+    }
+    if policy != Policy::Savorylane {
+        return healthy;
+    }
+    // A fresh host takes part in a share of the choices. Shares are relative,
+    // so that hosts that all are fresh serve everything.
+    let share = |index: usize| candidates[index].estimate.share(now);
+    let greatest = healthy
+        .iter()
+        .map(|index| share(*index))
+        .fold(0.0, f64::max);
+    healthy
+        .into_iter()
+        .filter(|index| {
+            let share = share(*index) / greatest;
+            share >= 1.0 || rng.random::<f64>() < share
+        })
+        .collect()
+}
+
+fn cheapest<R: Rng>(
+    context: &Context<'_>,
+    now: Duration,
+    rng: &mut R,
+    candidates: &[Candidate<'_>],
+    usable: &[usize],
+) -> Choice {
+    let median = median_us(context, candidates, usable);
+    let costs = usable
+        .iter()
+        .map(|index| cost(context, now, &candidates[*index], *index, median))
+        .collect::<Vec<_>>();
+    let best = best(context, rng, &costs);
+    let choice = Choice {
+        index: best.index,
+        hedge: None,
+    };
+    if !context.idempotent || context.length != document::Work::Short {
+        return choice;
+    }
+    let due = |cost: &&Cost| {
+        let estimate = candidates[cost.index].estimate;
+        cost.slow
+            && cost.index != best.index
+            && estimate.running() == 0
+            && micros(now) >= estimate.probed_us.load(Ordering::Relaxed) + PROBE_US
     };
-    Some(if cost(second) < cost(first) {
-        second
-    } else {
-        first
-    })
+    let Some(slow) = costs.iter().find(due) else {
+        return choice;
+    };
+    candidates[slow.index]
+        .estimate
+        .probed_us
+        .store(micros(now), Ordering::Relaxed);
+    Choice {
+        index: slow.index,
+        hedge: Some(Hedge {
+            index: best.index,
+            after: Duration::from_micros(median as u64)
+                + candidates[slow.index].distance.round_trip(),
+        }),
+    }
+}
+
+/// Returns the latency without the round trip, if one was measured.
+fn latency_us(context: &Context<'_>, candidate: &Candidate<'_>) -> Option<f64> {
+    let response = candidate.estimate.response(context.length)?;
+    let latency = response.saturating_sub(candidate.distance.round_trip());
+    Some((latency.as_micros() as f64).max(100.0))
+}
+
+/// Returns the lower median of the candidates' latencies.
+fn median_us(context: &Context<'_>, candidates: &[Candidate<'_>], usable: &[usize]) -> f64 {
+    let mut known = usable
+        .iter()
+        .filter_map(|index| latency_us(context, &candidates[*index]))
+        .collect::<Vec<_>>();
+    if known.is_empty() {
+        return PRIOR_US;
+    }
+    known.sort_by(f64::total_cmp);
+    known[(known.len() - 1) / 2]
+}
+
+fn cost(
+    context: &Context<'_>,
+    now: Duration,
+    candidate: &Candidate<'_>,
+    index: usize,
+    median: f64,
+) -> Cost {
+    let estimate = candidate.estimate;
+    let round_trip = candidate.distance.round_trip().as_micros() as f64;
+    let mut service = median;
+    // Noise of single answers must not spread the load unevenly, so a host
+    // counts as fast as the median unless it is clearly slow.
+    let measured = latency_us(context, candidate).unwrap_or(median);
+    if measured > SLOW * median {
+        service = measured;
+    }
+    let oldest = estimate.oldest(now).unwrap_or_default().as_micros() as f64 - round_trip;
+    if oldest > AGED * median {
+        service = service.max(oldest);
+    }
+    let slow = service > median || estimate.failing();
+    let limit = estimate.limit().unwrap_or(PRIOR_LIMIT);
+    let outstanding = estimate.outstanding(now);
+    let queued = (outstanding + 1.0 - limit).max(0.0);
+    // Other entries choose at the same moment, so a wait becomes likely before
+    // the last slot is taken.
+    let fill = outstanding / limit;
+    let wait = service * (queued / limit + 0.25 * fill * fill);
+    Cost {
+        index,
+        rank: candidate.distance.rank(),
+        cost: round_trip + wait + service,
+        slow,
+    }
+}
+
+/// Returns the nearest candidate, unless a farther one is cheaper by the
+/// margin or meets the target that the nearer one misses.
+fn best<R: Rng>(context: &Context<'_>, rng: &mut R, costs: &[Cost]) -> Cost {
+    let slack = context.slack.as_micros() as f64;
+    let mut chosen = None;
+    for rank in 0..=2 {
+        let Some(near) = lowest(rng, costs.iter().filter(|cost| cost.rank == rank)) else {
+            continue;
+        };
+        chosen = match chosen {
+            None => Some(near),
+            Some(kept) => Some(nearer(kept, near, slack)),
+        };
+    }
+    chosen.unwrap_or(costs[0])
+}
+
+fn nearer(near: Cost, far: Cost, slack: f64) -> Cost {
+    let saves = far.cost < near.cost * (1.0 - MARGIN) && far.cost + MARGIN_US < near.cost;
+    let rescues = near.cost > slack && far.cost <= slack;
+    if saves || rescues { far } else { near }
+}
+
+/// Returns the lowest cost, ties broken at random.
+fn lowest<'a, R: Rng>(rng: &mut R, costs: impl Iterator<Item = &'a Cost>) -> Option<Cost> {
+    let mut chosen: Option<Cost> = None;
+    let mut ties = 0;
+    for cost in costs {
+        match chosen {
+            Some(known) if cost.cost > known.cost => continue,
+            Some(known) if cost.cost == known.cost => ties += 1,
+            _ => ties = 1,
+        }
+        if ties == 1 || rng.random_range(0..ties) == 0 {
+            chosen = Some(*cost);
+        }
+    }
+    chosen
 }
