Route by measured cost, hedge and retry within budgets

Cause: the first request path chose by own requests in flight only and retried without a budget. Ruled out: ending a request's estimate when its body ends (a slow caller would make a host look slow); closing the gate on one broken connection (a single reset would refuse all waiting work), so the upstream is tried first. Change: dispatch uses policy::route and policy::retry, the gatekeeper keeps the gate's timers, requests are bound to the receiver's run.

--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -1,7 +1,5 @@
 //! A request on its way, and the refusal that may answer it.
 
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
 use std::str::FromStr;
 use std::time::{Duration, Instant};
@@ -10,7 +8,7 @@
 use http::{Method, Response, StatusCode, Uri};
 use savorylane_intent::document::{Class, Work};
 use savorylane_wire::{Verdict, header};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::body::{self, Body};
 
@@ -40,8 +38,12 @@
     pub caller: IpAddr,
     /// Moment after which the answer is of no use.
     pub deadline: Instant,
+    /// Moment at which the class's target is missed.
+    pub target: Instant,
     /// Calls above this one.
     pub depth: u32,
+    /// Attempts that the calling service left for this call.
+    pub attempts_left: Option<u32>,
     /// Idempotency key.
     pub key: Option<String>,
     /// Number of the attempt, from 1, if the caller marks attempts.
@@ -50,6 +52,19 @@
     pub home: Option<String>,
 }
 
+/// What stood in the way of a request. Entries decide by it whether another
+/// host may do better.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// The host or its upstream is away or leaves.
+    Away,
+    /// The host is loaded, or did not answer in time.
+    Busy,
+    /// The request itself is refused.
+    Request,
+}
+
 /// Answer that the system itself makes.
 #[derive(Clone, Debug)]
 pub struct Refusal {
@@ -59,15 +74,21 @@
     pub reason: String,
     /// Whether the request may have run.
     pub verdict: Verdict,
+    /// What stood in the way.
+    pub cause: Cause,
     /// Wait before another attempt is useful.
     pub retry_after: Option<Duration>,
 }
 
 /// Body of a refusal.
-#[derive(Serialize)]
-struct Explanation<'a> {
-    reason: &'a str,
-    verdict: Verdict,
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Explanation {
+    /// Reason for the caller, one line.
+    pub reason: String,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// What stood in the way.
+    pub cause: Cause,
 }
 
 impl Refusal {
@@ -77,6 +98,11 @@
             status,
             reason: reason.into(),
             verdict: Verdict::NotRun,
+            cause: if status.is_client_error() {
+                Cause::Request
+            } else {
+                Cause::Busy
+            },
             retry_after: None,
         }
     }
@@ -96,8 +122,9 @@
     /// Never: status, verdict and numbers are valid header values.
     pub fn answer(&self) -> Response<Body> {
         let explanation = Explanation {
-            reason: &self.reason,
+            reason: self.reason.clone(),
             verdict: self.verdict,
+            cause: self.cause,
         };
         let mut text = serde_json::to_vec(&explanation).expect("text is expressible in JSON");
         text.push(b'\n');
@@ -164,7 +191,9 @@
             class: class.clone(),
             caller,
             deadline: now + timeout,
+            target: now + Duration::from_millis(class.target.latency_ms.into()),
             depth,
+            attempts_left: number(&head.headers, header::ATTEMPTS_LEFT)?,
             key,
             attempt,
             home: text(&head.headers, header::HOME)?,
@@ -176,11 +205,9 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Returns a hash of the caller, by which callers share queues.
-    pub fn caller_hash(&self) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        self.caller.hash(&mut hasher);
-        hasher.finish()
+    /// Returns the time that remains at `now` until the target is missed.
+    pub fn slack(&self, now: Instant) -> Duration {
+        self.target.saturating_duration_since(now)
     }
 }
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -1,62 +1,52 @@
-//! Chooses a host for a request, sends it there and tries again where that is
-//! allowed.
+//! Chooses a host for a request, sends it there, and tries again or hedges
+//! where that is allowed.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+pub mod remote;
+pub mod table;
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
-use savorylane_intent::document::Work;
+use http::{HeaderMap, Response, StatusCode};
+use savorylane_intent::Snapshot;
 use savorylane_intent::hosts::{Host, State};
-use savorylane_intent::{Snapshot, hosts};
-use savorylane_policy::route::{self, Candidate, Distance, Estimate};
+use savorylane_policy::retry::{attempts, may_hedge, may_retry};
+use savorylane_policy::route::{self, Candidate, Distance, Estimate, Outcome, Ticket};
 use savorylane_wire::{Verdict, header};
 
-use crate::body::{Body, Observer, Replay, Watched};
-use crate::call::{Call, Refusal};
-use crate::edge::server::{PING_INTERVAL, PING_TIMEOUT};
-use crate::edge::upstream::target;
+use crate::body::{Body, Replay};
+use crate::call::{Call, Cause, Refusal};
 use crate::kernel::Context;
-
-/// Hosts that one request is sent to, at most.
-const ATTEMPTS_MAX: usize = 3;
-/// Time for a connection to another daemon to be opened.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+use remote::{Clients, Reply, value};
+use table::{Class, Table};
 
 /// Clients and estimates of the other daemons.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Dispatcher {
-    short: Client<HttpConnector, Body>,
-    long: Client<HttpConnector, Body>,
-    estimates: Mutex<HashMap<String, Arc<Estimate>>>,
-}
-
-impl Default for Dispatcher {
-    fn default() -> Self {
-        Self {
-            short: client(),
-            long: client(),
-            estimates: Mutex::default(),
-        }
-    }
+    /// Estimates and class state.
+    pub table: Table,
+    /// Clients of the other daemons.
+    pub clients: Clients,
 }
 
-/// Counts a request in its host's estimate until it ends.
-struct Pending(Arc<Estimate>);
+/// Result of one attempt.
+type Attempt = Pin<Box<dyn Future<Output = Result<Response<Body>, Refusal>> + Send>>;
 
-impl Drop for Pending {
-    fn drop(&mut self) {
-        self.0.end();
-    }
+/// Host of the next attempt, and the host that a hedge would go to.
+struct Plan {
+    host: usize,
+    hedge: Option<Hedge>,
 }
 
-impl Observer for Pending {
-    fn end(self, _whole: bool) {}
+/// When and where a second request is sent.
+struct Hedge {
+    host: Option<usize>,
+    after: Duration,
+    /// Whether the first request probes a slow host. It is then not counted in
+    /// the hedge budget and not cancelled, since it measures the host.
+    probe: bool,
 }
 
 /// Serves a call at one of the hosts of its service.
@@ -66,58 +56,191 @@
 /// Returns the refusal of the last attempt.
 pub async fn serve(
     context: &Arc<Context>,
-    snapshot: &Snapshot,
-    call: &Call,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
     body: &Replay,
 ) -> Result<Response<Body>, Refusal> {
-    let mut tried: Vec<&str> = Vec::new();
+    let class = context.dispatcher.table.class(&call.class.name);
+    if call.attempt.unwrap_or(1) == 1 {
+        class.retry.fresh();
+        class.hedge.fresh();
+    }
+    let most = attempts(call.attempts_left, call.depth) as usize;
+    let mut tried = Vec::new();
     let mut last = Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
-        format!("service {} has no host", call.class.service),
+        format!("service {} has no host that takes work", call.class.service),
     );
-    while tried.len() < ATTEMPTS_MAX {
-        let Some(host) = choose(context, snapshot, call, &tried) else {
+    while tried.len() < most {
+        let Some(plan) = plan(context, snapshot, call, &class, body, &tried) else {
             break;
         };
-        tried.push(&host.name);
-        last = match attempt(context, host, call, body.attempt()).await {
+        last = match one(context, snapshot, call, &class, body, plan, &mut tried).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        let repeatable = last.verdict == Verdict::NotRun || call.class.idempotent;
-        if !repeatable || !body.repeatable() || call.remaining(Instant::now()).is_zero() {
+        if !again(call, body, &class, &last) {
             break;
         }
+        context.metrics.attempted("retry");
     }
     Err(last)
 }
 
-fn choose<'a>(
+/// Says whether a refused call may be sent to another host.
+fn again(call: &Call, body: &Replay, class: &Class, last: &Refusal) -> bool {
+    if !may_retry(call.class.idempotent, last.verdict) || !body.repeatable() {
+        return false;
+    }
+    if call.remaining(Instant::now()).is_zero() {
+        return false;
+    }
+    // A host that is away did no work for the attempt, so the attempt takes
+    // nothing from the budget that protects loaded upstreams.
+    let free = last.cause == Cause::Away && last.verdict == Verdict::NotRun;
+    free || class.retry.take()
+}
+
+/// Makes one attempt and, where the plan says so, a hedge.
+async fn one(
+    context: &Arc<Context>,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
+    class: &Arc<Class>,
+    body: &Replay,
+    plan: Plan,
+    tried: &mut Vec<usize>,
+) -> Result<Response<Body>, Refusal> {
+    tried.push(plan.host);
+    let mut first = attempt(context, snapshot, call, class, plan.host, body.attempt());
+    let Some(hedge) = plan.hedge else {
+        return first.await;
+    };
+    tokio::select! {
+        result = &mut first => return result,
+        () = tokio::time::sleep(hedge.after) => {}
+    }
+    if !hedge.probe && !class.hedge.take() {
+        return first.await;
+    }
+    let host = hedge
+        .host
+        .or_else(|| Some(choose(context, snapshot, call, class, tried)?.index));
+    let Some(host) = host else {
+        return first.await;
+    };
+    context.metrics.attempted("hedge");
+    tried.push(host);
+    let second = attempt(context, snapshot, call, class, host, body.attempt());
+    let (result, loser) = race(first, second).await;
+    if let Some(loser) = loser
+        && hedge.probe
+    {
+        let context = Arc::clone(context);
+        tokio::spawn(async move {
+            if loser.await.is_ok() {
+                context.metrics.late();
+            }
+        });
+    }
+    result
+}
+
+/// Returns the first answer of two attempts and the attempt that still runs.
+/// A refusal counts only when the other attempt is refused too.
+async fn race(
+    first: Attempt,
+    second: Attempt,
+) -> (Result<Response<Body>, Refusal>, Option<Attempt>) {
+    use futures::future::{Either, select};
+    let (result, other) = match select(first, second).await {
+        Either::Left(ended) => ended,
+        Either::Right(ended) => ended,
+    };
+    match result {
+        Ok(answer) => (Ok(answer), Some(other)),
+        Err(_) => (other.await, None),
+    }
+}
+
+fn plan(
+    context: &Context,
+    snapshot: &Snapshot,
+    call: &Call,
+    class: &Class,
+    body: &Replay,
+    tried: &[usize],
+) -> Option<Plan> {
+    let choice = choose(context, snapshot, call, class, tried)?;
+    let mut hedge = None;
+    if may_hedge(call.class.idempotent, call.class.work) && body.complete() {
+        hedge = match choice.hedge {
+            Some(probe) => Some(Hedge {
+                host: Some(probe.index),
+                after: probe.after,
+                probe: true,
+            }),
+            None => class.latency().hedge_after().map(|after| Hedge {
+                host: None,
+                after,
+                probe: false,
+            }),
+        };
+    }
+    Some(Plan {
+        host: choice.index,
+        hedge,
+    })
+}
+
+/// Chooses among the hosts that were not tried; indices are positions among
+/// the hosts of the snapshot's list.
+fn choose(
     context: &Context,
-    snapshot: &'a Snapshot,
+    snapshot: &Snapshot,
     call: &Call,
-    tried: &[&str],
-) -> Option<&'a Host> {
-    let hosts: Vec<&Host> = snapshot
-        .hosts(&call.class.service)
-        .filter(|host| host.state == State::Live && !tried.contains(&host.name.as_str()))
+    class: &Class,
+    tried: &[usize],
+) -> Option<route::Choice> {
+    let usable = |index: &usize| {
+        let host = &snapshot.list.hosts[*index];
+        host.state == State::Live && !tried.contains(index) && context.routable(host)
+    };
+    let indices: Vec<usize> = snapshot
+        .indices(&call.class.service)
+        .iter()
+        .copied()
+        .filter(usable)
         .collect();
-    let estimates: Vec<Arc<Estimate>> = hosts
+    let estimates: Vec<Arc<Estimate>> = indices
         .iter()
-        .map(|host| context.dispatcher.estimate(&host.name))
+        .map(|&index| &snapshot.list.hosts[index].name)
+        .map(|name| context.dispatcher.table.estimate(name))
         .collect();
-    let candidates: Vec<Candidate<'_>> = hosts
+    let candidates: Vec<Candidate<'_>> = indices
         .iter()
         .zip(&estimates)
-        .map(|(host, estimate)| Candidate {
+        .map(|(&index, estimate)| Candidate {
             estimate,
-            distance: distance(context, host),
+            distance: distance(context, &snapshot.list.hosts[index]),
         })
         .collect();
-    route::choose(&mut rand::rng(), &candidates).map(|index| hosts[index])
+    let route = route::Context {
+        policy: context.settings.policy,
+        turn: &class.turn,
+        length: call.class.work,
+        idempotent: call.class.idempotent,
+        slack: call.slack(Instant::now()),
+    };
+    let mut choice = route::choose(&route, context.now(), &mut rand::rng(), &candidates)?;
+    choice.index = indices[choice.index];
+    if let Some(hedge) = &mut choice.hedge {
+        hedge.index = indices[hedge.index];
+    }
+    Some(choice)
 }
 
-fn distance(context: &Context, host: &hosts::Host) -> Distance {
+fn distance(context: &Context, host: &Host) -> Distance {
     let settings = &context.settings;
     if host.name == settings.host {
         Distance::Host
@@ -130,135 +253,82 @@
     }
 }
 
-async fn attempt(
-    context: &Arc<Context>,
-    host: &Host,
-    call: &Call,
-    body: Body,
-) -> Result<Response<Body>, Refusal> {
-    let estimate = context.dispatcher.estimate(&host.name);
-    estimate.begin();
-    let pending = Pending(estimate);
-    let answer = if host.name == context.settings.host {
-        context.gatekeeper.run(call, body).await?
-    } else {
-        send(context, host.data, call, body).await?
-    };
-    Ok(answer.map(|body| Watched::wrap(body, call.deadline, pending)))
+/// Counts a request in its host's estimate until its head came back or it was
+/// dropped.
+struct Pending {
+    context: Arc<Context>,
+    estimate: Arc<Estimate>,
+    ticket: Option<Ticket>,
+    outcome: Outcome,
 }
 
-async fn send(
-    context: &Context,
-    address: SocketAddr,
-    call: &Call,
-    body: Body,
-) -> Result<Response<Body>, Refusal> {
-    let mut request = Request::new(body);
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = target(address, &call.uri);
-    *request.headers_mut() = call.headers.clone();
-    let remaining = call.remaining(Instant::now());
-    let headers = request.headers_mut();
-    headers.insert(
-        header::TIMEOUT_MS,
-        HeaderValue::from((remaining.as_millis() as u64).max(1)),
-    );
-    headers.insert(header::CLASS, value(&call.class.name));
-    headers.insert(header::CALLER, value(&call.caller.to_string()));
-    headers.insert(header::FROM, value(&context.settings.host));
-    let client = match call.class.work {
-        Work::Short => &context.dispatcher.short,
-        Work::Long => &context.dispatcher.long,
-    };
-    let answer = match tokio::time::timeout(remaining, client.request(request)).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) if error.is_connect() => {
-            return Err(Refusal::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the host refuses connections",
-            ));
-        }
-        Ok(Err(_)) => {
-            return Err(Refusal::unknown(
-                StatusCode::BAD_GATEWAY,
-                "the connection to the host broke",
-            ));
-        }
-        Err(_) => {
-            return Err(Refusal::unknown(
-                StatusCode::GATEWAY_TIMEOUT,
-                "the host did not answer in time",
-            ));
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.estimate.end(self.context.now(), ticket, self.outcome);
         }
-    };
-    let verdict = answer
-        .headers()
-        .get(header::VERDICT)
-        .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.parse::<Verdict>().ok());
-    match verdict {
-        Some(Verdict::Ran) => Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync())),
-        Some(verdict) => Err(Refusal {
-            status: answer.status(),
-            reason: reason(answer).await,
-            verdict,
-            retry_after: None,
-        }),
-        None => Err(Refusal::unknown(
-            StatusCode::BAD_GATEWAY,
-            "the host answered without a verdict",
-        )),
     }
 }
 
-/// Reads the reason out of a refusal that another daemon made.
-async fn reason(answer: Response<hyper::body::Incoming>) -> String {
-    const REASON_BYTES: usize = 4096;
-    let body = http_body_util::Limited::new(answer.into_body(), REASON_BYTES);
-    let bytes = match body.collect().await {
-        Ok(collected) => collected.to_bytes(),
-        Err(_) => return "the host refused the request".into(),
-    };
-    serde_json::from_slice::<serde_json::Value>(&bytes)
-        .ok()
-        .and_then(|value| value.get("reason")?.as_str().map(str::to_owned))
-        .unwrap_or_else(|| "the host refused the request".into())
-}
-
-/// Returns a header value of `text`.
-///
-/// # Panics
-///
-/// Panics for text with control characters; names are checked on reading.
-fn value(text: &str) -> HeaderValue {
-    HeaderValue::from_str(text).expect("a checked name is a valid header value")
-}
-
-impl Dispatcher {
-    fn estimate(&self, host: &str) -> Arc<Estimate> {
-        let mut estimates = self
-            .estimates
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        if let Some(estimate) = estimates.get(host) {
-            return Arc::clone(estimate);
+/// Sends a call to one host.
+fn attempt(
+    context: &Arc<Context>,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
+    class: &Arc<Class>,
+    host: usize,
+    body: Body,
+) -> Attempt {
+    let (context, snapshot) = (Arc::clone(context), Arc::clone(snapshot));
+    let (call, class) = (Arc::clone(call), Arc::clone(class));
+    Box::pin(async move {
+        let host = &snapshot.list.hosts[host];
+        let estimate = context.dispatcher.table.estimate(&host.name);
+        let start = Instant::now();
+        let ticket = estimate.begin(context.now(), call.class.work);
+        let mut pending = Pending {
+            context: Arc::clone(&context),
+            estimate,
+            ticket: Some(ticket),
+            outcome: Outcome::Cancelled,
+        };
+        let reply = if host.name == context.settings.host {
+            let result = context.gatekeeper.run(&call, body).await;
+            let load = Some(context.load());
+            Reply { result, load }
+        } else {
+            let extra = addressed(&context, host, &pending.estimate);
+            context
+                .dispatcher
+                .clients
+                .send(host.data, &call, extra, body)
+                .await
+        };
+        if let Some(load) = &reply.load {
+            pending.estimate.report(context.now(), load);
         }
-        let estimate = Arc::<Estimate>::default();
-        estimates.insert(host.into(), Arc::clone(&estimate));
-        estimate
-    }
+        pending.outcome = match &reply.result {
+            Ok(_) => Outcome::Answered,
+            Err(refusal) if refusal.cause == Cause::Away => Outcome::Failed,
+            Err(refusal) if refusal.verdict == Verdict::NotRun => Outcome::Refused,
+            Err(_) => Outcome::Cancelled,
+        };
+        if reply.result.is_ok() {
+            class.latency().add(context.now(), start.elapsed());
+        }
+        reply.result
+    })
 }
 
-fn client() -> Client<HttpConnector, Body> {
-    let mut connector = HttpConnector::new();
-    connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    Client::builder(TokioExecutor::new())
-        .http2_only(true)
-        .timer(TokioTimer::new())
-        .pool_timer(TokioTimer::new())
-        .http2_keep_alive_interval(PING_INTERVAL)
-        .http2_keep_alive_timeout(PING_TIMEOUT)
-        .http2_keep_alive_while_idle(true)
-        .build(connector)
+/// Returns the headers that bind a request to a host's run, as far as the run
+/// is known.
+fn addressed(context: &Context, host: &Host, estimate: &Estimate) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let from = format!("{}/{}", context.settings.host, context.incarnation);
+    headers.insert(header::FROM, value(&from));
+    let run = estimate.incarnation();
+    if run.started_ms != 0 {
+        headers.insert(header::TO, value(&format!("{}/{run}", host.name)));
+    }
+    headers
 }
--- /dev/null
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -0,0 +1,184 @@
+//! Sends requests to the data ports of other daemons.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use savorylane_intent::document::Work;
+use savorylane_wire::{Load, Verdict, header};
+
+use crate::body::Body;
+use crate::call::{Call, Cause, Explanation, Refusal};
+use crate::edge::server::{PING_INTERVAL, PING_TIMEOUT};
+use crate::edge::upstream::target;
+
+/// Time for a connection to another daemon to be opened.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes of a refusal that are read.
+const REFUSAL_BYTES: usize = 4096;
+
+/// Clients of the other daemons. Short and long work never share a connection,
+/// so that an upload's bytes do not hold up short work.
+#[derive(Debug)]
+pub struct Clients {
+    short: Client<HttpConnector, Body>,
+    long: Client<HttpConnector, Body>,
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Self {
+            short: client(),
+            long: client(),
+        }
+    }
+}
+
+/// What came back from a daemon.
+pub struct Reply {
+    /// Answer of the upstream, or the refusal.
+    pub result: Result<Response<Body>, Refusal>,
+    /// Load that the gatekeeper reported.
+    pub load: Option<Load>,
+}
+
+impl Clients {
+    /// Sends a call with the additional headers `extra` to the daemon at
+    /// `address`.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        call: &Call,
+        extra: HeaderMap,
+        body: Body,
+    ) -> Reply {
+        let remaining = call.remaining(Instant::now());
+        let request = request(address, call, remaining, extra, body);
+        let client = match call.class.work {
+            Work::Short => &self.short,
+            Work::Long => &self.long,
+        };
+        let refusal = match tokio::time::timeout(remaining, client.request(request)).await {
+            Ok(Ok(answer)) => return read(answer).await,
+            Ok(Err(error)) if error.is_connect() => Refusal {
+                cause: Cause::Away,
+                ..Refusal::not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "the host refuses connections",
+                )
+            },
+            Ok(Err(error)) => {
+                log::debug!("request to {address} failed: {error}");
+                Refusal {
+                    cause: Cause::Away,
+                    ..Refusal::unknown(StatusCode::BAD_GATEWAY, "the connection to the host broke")
+                }
+            }
+            Err(_) => Refusal::unknown(
+                StatusCode::GATEWAY_TIMEOUT,
+                "the host did not answer in time",
+            ),
+        };
+        Reply {
+            result: Err(refusal),
+            load: None,
+        }
+    }
+}
+
+fn request(
+    address: SocketAddr,
+    call: &Call,
+    remaining: Duration,
+    extra: HeaderMap,
+    body: Body,
+) -> Request<Body> {
+    let mut request = Request::new(body);
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = target(address, &call.uri);
+    *request.version_mut() = http::Version::HTTP_2;
+    let mut headers = call.headers.clone();
+    headers.extend(extra);
+    headers.insert(
+        header::TIMEOUT_MS,
+        HeaderValue::from((remaining.as_millis() as u64).max(1)),
+    );
+    headers.insert(header::CLASS, value(&call.class.name));
+    headers.insert(header::CALLER, value(&call.caller.to_string()));
+    *request.headers_mut() = headers;
+    request
+}
+
+async fn read(answer: Response<Incoming>) -> Reply {
+    let load = parse::<Load>(answer.headers(), header::LOAD);
+    let verdict = parse::<Verdict>(answer.headers(), header::VERDICT);
+    let result = match verdict {
+        Some(Verdict::Ran) => {
+            let mut answer = answer;
+            answer.headers_mut().remove(header::LOAD);
+            Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync()))
+        }
+        Some(verdict) => Err(refusal(answer, verdict).await),
+        None => Err(Refusal::unknown(
+            StatusCode::BAD_GATEWAY,
+            "the host answered without a verdict",
+        )),
+    };
+    Reply { result, load }
+}
+
+/// Reads a refusal that another daemon made. The verdict stands in the head,
+/// so that a cut body loses the text only.
+async fn refusal(answer: Response<Incoming>, verdict: Verdict) -> Refusal {
+    let status = answer.status();
+    let wait = parse::<u64>(answer.headers(), header::RETRY_AFTER_MS);
+    let body = Limited::new(answer.into_body(), REFUSAL_BYTES)
+        .collect()
+        .await;
+    let explanation: Option<Explanation> = body
+        .ok()
+        .and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
+    let (reason, cause) = match explanation {
+        Some(explanation) => (explanation.reason, explanation.cause),
+        None => ("the host refused the request".into(), Cause::Busy),
+    };
+    Refusal {
+        status,
+        reason,
+        verdict,
+        cause,
+        retry_after: wait.map(Duration::from_millis),
+    }
+}
+
+fn parse<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Returns a header value of `text`.
+///
+/// # Panics
+///
+/// Panics for text with control characters; names are checked on reading.
+pub fn value(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("a checked name is a valid header value")
+}
+
+fn client() -> Client<HttpConnector, Body> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .http2_only(true)
+        .timer(TokioTimer::new())
+        .pool_timer(TokioTimer::new())
+        .http2_keep_alive_interval(PING_INTERVAL)
+        .http2_keep_alive_timeout(PING_TIMEOUT)
+        .http2_keep_alive_while_idle(true)
+        .build(connector)
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch/table.rs
@@ -0,0 +1,113 @@
+//! What this daemon knows of other hosts and of its classes.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::sync::atomic::AtomicUsize;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use savorylane_policy::retry::{Budget, Latency};
+use savorylane_policy::route::Estimate;
+
+/// Map that is read without a lock and copied when a key is new.
+#[derive(Debug)]
+struct Map<V>(ArcSwap<HashMap<String, Arc<V>>>);
+
+impl<V: Default> Map<V> {
+    fn get(&self, key: &str) -> Arc<V> {
+        if let Some(value) = self.0.load().get(key) {
+            return Arc::clone(value);
+        }
+        let fresh = Arc::<V>::default();
+        self.0.rcu(|map| {
+            let mut map = HashMap::clone(map);
+            map.entry(key.into()).or_insert_with(|| Arc::clone(&fresh));
+            map
+        });
+        self.0.load().get(key).map_or(fresh, Arc::clone)
+    }
+
+    fn retain<F: Fn(&str) -> bool>(&self, keep: F) {
+        if self.0.load().keys().all(|key| keep(key)) {
+            return;
+        }
+        self.0.rcu(|map| {
+            let mut map = HashMap::clone(map);
+            map.retain(|key, _| keep(key));
+            map
+        });
+    }
+}
+
+impl<V> Default for Map<V> {
+    fn default() -> Self {
+        Self(ArcSwap::default())
+    }
+}
+
+/// Budgets and latency of one class at this entry.
+#[derive(Debug)]
+pub struct Class {
+    /// Budget of retries.
+    pub retry: Budget,
+    /// Budget of hedges.
+    pub hedge: Budget,
+    /// Turn of the round-robin baseline.
+    pub turn: AtomicUsize,
+    latency: Mutex<Latency>,
+}
+
+impl Class {
+    /// Returns the recent response times.
+    pub fn latency(&self) -> MutexGuard<'_, Latency> {
+        self.latency.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Self {
+            retry: Budget::retry(),
+            hedge: Budget::hedge(),
+            turn: AtomicUsize::new(0),
+            latency: Mutex::default(),
+        }
+    }
+}
+
+/// Estimates by host and state by class.
+#[derive(Debug, Default)]
+pub struct Table {
+    estimates: Map<Estimate>,
+    classes: Map<Class>,
+}
+
+impl Table {
+    /// Returns the estimate of a host.
+    pub fn estimate(&self, host: &str) -> Arc<Estimate> {
+        self.estimates.get(host)
+    }
+
+    /// Returns the state of a class.
+    pub fn class(&self, class: &str) -> Arc<Class> {
+        self.classes.get(class)
+    }
+
+    /// Forgets hosts and classes that are no longer in force.
+    pub fn retain<H, C>(&self, host: H, class: C)
+    where
+        H: Fn(&str) -> bool,
+        C: Fn(&str) -> bool,
+    {
+        self.estimates.retain(host);
+        self.classes.retain(class);
+    }
+}
+
+/// Returns a hash of `value` that is the same within this process.
+pub fn hash<T: Hash + ?Sized>(value: &T) -> u64 {
+    use std::hash::{DefaultHasher, Hasher};
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -76,7 +76,7 @@
             format!("the body is larger than {limit} bytes"),
         ));
     }
-    let call = Call::read(&head, class, peer.ip(), Instant::now())?;
+    let call = Arc::new(Call::read(&head, class, peer.ip(), Instant::now())?);
     let body = Replay::open(body, limit);
     let mut record = Record {
         context: Arc::clone(context),
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
-use crate::call::{self, Call, Refusal};
+use crate::call::{self, Call, Cause, Refusal};
 use crate::edge::server;
 use crate::kernel::{Context, Plugin, Port};
 
@@ -50,9 +50,7 @@
         Ok(answer) => answer,
         Err(refusal) => refusal.answer(),
     };
-    let mut load = context.gatekeeper.load();
-    load.incarnation = context.incarnation;
-    if let Ok(value) = HeaderValue::from_str(&load.to_string()) {
+    if let Ok(value) = HeaderValue::from_str(&context.load().to_string()) {
         answer.headers_mut().insert(header::LOAD, value);
     }
     answer
@@ -75,6 +73,18 @@
             "this port serves daemons only; callers connect to the entry port",
         ));
     }
+    if let Some(to) = call::text(&head.headers, header::TO)? {
+        let own = format!("{}/{}", context.settings.host, context.incarnation);
+        if to != own {
+            return Err(Refusal {
+                cause: Cause::Away,
+                ..Refusal::not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "the request is meant for another run of this host",
+                )
+            });
+        }
+    }
     let name = call::text(&head.headers, header::CLASS)?.unwrap_or_default();
     let classes = &snapshot.document.classes;
     let Some(class) = classes.iter().find(|class| class.name == name) else {
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -76,8 +76,6 @@
 
 fn status(context: &Context) -> Status {
     let snapshot = context.config.snapshot();
-    let mut load = context.gatekeeper.load();
-    load.incarnation = context.incarnation;
     let hosts = snapshot.iter().flat_map(|snapshot| &snapshot.list.hosts);
     let hosts = hosts.map(|host| Host {
         name: host.name.clone(),
@@ -92,7 +90,7 @@
         version: context.config.version(),
         hosts_number: snapshot.as_ref().map_or(0, |snapshot| snapshot.list.number),
         reader: true,
-        load,
+        load: context.load(),
         hosts: hosts.collect(),
     }
 }
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -1,17 +1,22 @@
 //! Edge towards the host's upstream.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, Uri, uri};
 use http_body_util::BodyExt;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use savorylane_wire::header;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
 use crate::call::Call;
+use crate::kernel::{Context, Plugin};
 
 /// Idle connections are not reused after this time: they may have gone silent,
 /// and a new one costs about 1 ms.
@@ -62,6 +67,9 @@
         let remaining = call.remaining(Instant::now()).as_millis() as u64;
         headers.insert(header::TIMEOUT_MS, HeaderValue::from(remaining.max(1)));
         headers.insert(header::DEPTH, HeaderValue::from(call.depth + 1));
+        if let Some(left) = call.attempts_left {
+            headers.insert(header::ATTEMPTS_LEFT, HeaderValue::from(left));
+        }
         match self.client.request(request).await {
             Ok(answer) => Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync())),
             Err(error) if error.is_connect() => Err(Failure::Connect),
@@ -73,6 +81,29 @@
     }
 }
 
+impl Upstream {
+    /// Says whether the upstream takes a connection.
+    pub async fn reachable(&self) -> bool {
+        let connect = tokio::net::TcpStream::connect(self.address);
+        matches!(
+            tokio::time::timeout(CONNECT_TIMEOUT, connect).await,
+            Ok(Ok(_))
+        )
+    }
+}
+
+inventory::submit! {
+    Plugin { name: "upstream", order: 20, port: None, run }
+}
+
+fn run(
+    context: Arc<Context>,
+    _listener: Option<TcpListener>,
+    stop: CancellationToken,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move { context.gatekeeper.tend(stop).await })
+}
+
 /// Returns the absolute form of `uri` at `address`.
 ///
 /// # Panics
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -1,19 +1,29 @@
 //! Gatekeeper: admits requests to the host's upstream and makes the verdict.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use http::{HeaderValue, Response, StatusCode};
 use savorylane_policy::gate::{Action, Decision, Finish, Gate, Reason, Work};
 use savorylane_wire::{Load, Verdict, header};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
+use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Observer, Watched};
-use crate::call::{Call, Refusal};
+use crate::call::{Call, Cause, Refusal};
+use crate::dispatch::table::hash;
 use crate::edge::upstream::{self, Upstream};
 
+/// Wait between attempts to reach an upstream that is away.
+const CLOSED_RETRY: Duration = Duration::from_millis(50);
+/// Longest time between two looks at the gate's timers.
+const IDLE_WAKE: Duration = Duration::from_millis(100);
+/// Shortest time between two looks, so that a timer that is due now and cannot
+/// act does not take a whole core.
+const WAKE_MIN: Duration = Duration::from_millis(1);
+
 /// Gate of the host's upstream and the requests that wait at it.
 #[derive(Debug)]
 pub struct Gatekeeper {
@@ -21,6 +31,10 @@
     next_id: AtomicU64,
     inner: Mutex<Inner>,
     upstream: Upstream,
+    /// Wakes [`Gatekeeper::tend`] when a timer may have changed.
+    changed: Notify,
+    /// Set when a connection to the upstream broke.
+    suspicious: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -61,6 +75,8 @@
                 waiters: HashMap::new(),
             }),
             upstream,
+            changed: Notify::new(),
+            suspicious: AtomicBool::new(false),
         })
     }
 
@@ -77,13 +93,13 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(upstream::Failure::Connect)) => {
                 slot.finish = Finish::Died;
-                return Err(Refusal::not_run(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "the upstream refuses connections",
-                ));
+                self.changed.notify_one();
+                return Err(refuse(Reason::Closed, CLOSED_RETRY.as_millis() as u32));
             }
             Ok(Err(upstream::Failure::Broken)) => {
-                slot.finish = Finish::Died;
+                // One broken connection does not tell that the upstream died.
+                self.suspicious.store(true, Ordering::Relaxed);
+                self.changed.notify_one();
                 return Err(Refusal::unknown(
                     StatusCode::BAD_GATEWAY,
                     "the connection to the upstream broke",
@@ -124,16 +140,23 @@
             length: call.class.work,
             shed_order: call.class.shed_order,
             deadline: call.deadline.saturating_duration_since(self.start),
-            caller: call.caller_hash(),
+            caller: hash(&call.caller),
+            class: hash(&call.class.name),
+            alone: false,
         };
         let waiting = {
             let mut inner = self.lock();
             match inner.gate.arrive(now, work) {
                 Decision::Run => None,
-                Decision::Refuse(reason) => return Err(refuse(reason)),
+                Decision::Refuse(reason) => {
+                    let wait = inner.gate.retry_after_ms(&work);
+                    return Err(refuse(reason, wait));
+                }
                 Decision::Wait => {
                     let (wake, waiting) = oneshot::channel();
                     inner.waiters.insert(id, wake);
+                    // An arrival can displace waiting work.
+                    inner.pump(now);
                     Some(waiting)
                 }
             }
@@ -149,10 +172,46 @@
             return Ok(slot);
         };
         let remaining = call.remaining(Instant::now());
-        match tokio::time::timeout(remaining, waiting).await {
-            Ok(Ok(Ok(()))) => Ok(slot),
-            Ok(Ok(Err(reason))) => Err(refuse(reason)),
-            Ok(Err(_)) | Err(_) => Err(refuse(Reason::Deadline)),
+        let reason = match tokio::time::timeout(remaining, waiting).await {
+            Ok(Ok(Ok(()))) => return Ok(slot),
+            Ok(Ok(Err(reason))) => reason,
+            Ok(Err(_)) | Err(_) => Reason::Deadline,
+        };
+        let wait = self.lock().gate.retry_after_ms(&work);
+        Err(refuse(reason, wait))
+    }
+
+    /// Keeps the gate's timers, and tries the upstream while the gate is
+    /// closed, until `stop`.
+    pub async fn tend(&self, stop: CancellationToken) {
+        loop {
+            let wake = {
+                let mut inner = self.lock();
+                inner.pump(self.now());
+                inner.gate.wake()
+            };
+            let closed = self.lock().gate.closed();
+            let wait = match wake {
+                _ if closed => CLOSED_RETRY,
+                Some(at) => at.saturating_sub(self.now()).max(WAKE_MIN),
+                None => IDLE_WAKE,
+            };
+            tokio::select! {
+                () = tokio::time::sleep(wait.min(IDLE_WAKE)) => {}
+                () = self.changed.notified() => {}
+                () = stop.cancelled() => return,
+            }
+            if self.suspicious.swap(false, Ordering::Relaxed) || closed {
+                let up = self.upstream.reachable().await;
+                let mut inner = self.lock();
+                let now = self.now();
+                if up {
+                    inner.gate.reopen(now);
+                } else {
+                    inner.gate.close();
+                }
+                inner.pump(now);
+            }
         }
     }
 
@@ -161,34 +220,47 @@
         let mut inner = self.lock();
         inner.waiters.remove(&id);
         inner.gate.finish(now, id, finish);
-        while let Some(action) = inner.gate.next(now) {
+        inner.pump(now);
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Starts and refuses waiting requests.
+    fn pump(&mut self, now: Duration) {
+        while let Some(action) = self.gate.next(now) {
             let (id, result) = match action {
                 Action::Start(id) => (id, Ok(())),
                 Action::Refuse(id, reason) => (id, Err(reason)),
             };
-            let Some(wake) = inner.waiters.remove(&id) else {
-                inner.gate.finish(now, id, Finish::Cancelled);
+            let Some(wake) = self.waiters.remove(&id) else {
+                self.gate.finish(now, id, Finish::Cancelled);
                 continue;
             };
             // A receiver that is gone gives its slot back when it is dropped.
             let _ = wake.send(result);
         }
     }
-
-    fn now(&self) -> Duration {
-        self.start.elapsed()
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
-fn refuse(reason: Reason) -> Refusal {
-    let text = match reason {
-        Reason::Leaving => "the host leaves",
-        Reason::Full => "the queue of the upstream is full",
-        Reason::Deadline => "the deadline cannot be met",
+fn refuse(reason: Reason, wait_ms: u32) -> Refusal {
+    let (text, cause) = match reason {
+        Reason::Closed => ("the upstream is away", Cause::Away),
+        Reason::Deadline => ("the deadline cannot be met", Cause::Busy),
+        Reason::Full => ("the queue of the upstream is full", Cause::Busy),
+        Reason::Leaving => ("the host leaves", Cause::Away),
+        Reason::Shed => ("the upstream is overloaded", Cause::Busy),
     };
-    Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, text)
+    Refusal {
+        cause,
+        retry_after: (wait_ms > 0).then(|| Duration::from_millis(wait_ms.into())),
+        ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, text)
+    }
 }
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -3,11 +3,12 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use futures::future::BoxFuture;
-use savorylane_wire::Incarnation;
+use savorylane_intent::hosts;
 use savorylane_wire::control::Sender;
+use savorylane_wire::{Incarnation, Load};
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -32,6 +33,8 @@
 pub struct Context {
     /// Checked settings.
     pub settings: Settings,
+    /// Start of this run; `now` counts from it.
+    pub start: Instant,
     /// Identity of this run.
     pub incarnation: Incarnation,
     /// Configuration in force.
@@ -53,6 +56,23 @@
 }
 
 impl Context {
+    /// Returns the time since this run started.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Returns the load of this host's upstream.
+    pub fn load(&self) -> Load {
+        let mut load = self.gatekeeper.load();
+        load.incarnation = self.incarnation;
+        load
+    }
+
+    /// Says whether new work may be sent to a host.
+    pub fn routable(&self, host: &hosts::Host) -> bool {
+        host.state == hosts::State::Live
+    }
+
     /// Returns this daemon as the sender of a message.
     pub fn sender(&self) -> Sender {
         Sender {
@@ -141,6 +161,7 @@
     }
     let gatekeeper = Gatekeeper::open(settings.slots, Upstream::new(settings.upstream));
     let context = Arc::new(Context {
+        start: Instant::now(),
         incarnation: incarnation(),
         config: Store::default(),
         trail: Trail::default(),
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long};
+use savorylane_policy::route::Policy;
 use snafu::Snafu;
 
 /// Checked settings of a daemon.
@@ -46,6 +47,8 @@
     pub body_bytes: u64,
     /// Connections that one caller may open.
     pub caller_connections: usize,
+    /// How hosts are chosen.
+    pub policy: Policy,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
@@ -91,6 +94,7 @@
     drain_limit_s: String,
     body_mb: String,
     caller_connections: String,
+    policy: String,
     log_level: String,
     check: bool,
 }
@@ -219,6 +223,13 @@
         "Connections that one caller address may open",
         "256",
     );
+    let policy = optional(
+        "policy",
+        "SAVORYLANE_POLICY",
+        "NAME",
+        "How hosts are chosen: savorylane, or a baseline: random, round-robin, least-outstanding",
+        "savorylane",
+    );
     let log_level = optional(
         "log-level",
         "SAVORYLANE_LOG_LEVEL",
@@ -245,6 +256,7 @@
         drain_limit_s,
         body_mb,
         caller_connections,
+        policy,
         log_level,
         check
     })
@@ -273,6 +285,7 @@
         drain_limit: Duration::from_secs(number("drain-limit-s", &raw.drain_limit_s, 1, 3600)?),
         body_bytes: number::<u64>("body-mb", &raw.body_mb, 1, 4096)? * 1_000_000,
         caller_connections: number("caller-connections", &raw.caller_connections, 1, 65_536)?,
+        policy: policy(&raw.policy)?,
         log_level: raw.log_level.parse().map_err(|_| Fault {
             flag: "log-level",
             value: raw.log_level.clone(),
@@ -307,6 +320,20 @@
     })
 }
 
+fn policy(value: &str) -> Result<Policy, Fault> {
+    match value {
+        "savorylane" => Ok(Policy::Savorylane),
+        "random" => Ok(Policy::Random),
+        "round-robin" => Ok(Policy::RoundRobin),
+        "least-outstanding" => Ok(Policy::LeastOutstanding),
+        _ => Err(Fault {
+            flag: "policy",
+            value: value.into(),
+            accepted: "one of savorylane, random, round-robin, least-outstanding".into(),
+        }),
+    }
+}
+
 fn name(flag: &'static str, value: &str) -> Result<String, Fault> {
     let accepted = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
     if value.is_empty() || value.len() > 64 || !value.chars().all(accepted) {
--- a/crates/intent/src/snapshot/mod.rs
+++ b/crates/intent/src/snapshot/mod.rs
@@ -66,6 +66,11 @@
             .max_by_key(|class| class.path_prefix.len())
     }
 
+    /// Returns the positions in `list.hosts` of the hosts that run `service`.
+    pub fn indices(&self, service: &str) -> &[usize] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns the hosts that run `service`.
     pub fn hosts(&self, service: &str) -> impl Iterator<Item = &Host> {
         self.services
--- a/crates/wire/src/header/mod.rs
+++ b/crates/wire/src/header/mod.rs
@@ -8,6 +8,8 @@
 pub const HOME: &str = "savorylane-home";
 /// Time that remains for the request, in milliseconds.
 pub const TIMEOUT_MS: &str = "savorylane-timeout-ms";
+/// Attempts that a calling service leaves for the calls below it.
+pub const ATTEMPTS_LEFT: &str = "savorylane-attempts-left";
 /// Number of calls above this one.
 pub const DEPTH: &str = "savorylane-depth";
 /// Verdict of an answer.
