Add stand-ins for the platform and the upstreams

Cause: the daemon needs something to read, to watch and to hand work to.

Ruled out: closing the listener alone to refuse connections, because another process could take the port meanwhile. A bound socket that does not listen keeps the port, so that the kernel refuses connections in the period. Stale reads keyed by source address alone: all daemons of a test share 127.0.0.1, so the platform can also listen on several ports.

Change: `platform` serves values with reads, long-poll watches, faults and counters. `upstream` serves a fixed number of slots over HTTP/1.1 and HTTP/2, with slow, hanging, lying, draining, crashing and silent modes, and records each run by key.

Timers of tokio round up to 1 ms, so service times are up to 1 ms longer than drawn.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder of the first commit.
+//! Stand-ins for the systems around the daemons, for tests and examples only.
+//!
+//! Every server binds port 0 of 127.0.0.1, returns a running handle and stops
+//! when its cancellation token is cancelled.
+
+mod net;
+pub mod platform;
+pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/net/mod.rs
@@ -0,0 +1,246 @@
+//! Listening ports that can refuse, and connections that can be broken.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// A reserved loopback port.
+///
+/// The bound, not listening socket keeps the port while no listener is open:
+/// connections are then refused by the kernel, and no other process can take
+/// the port.
+#[derive(Debug)]
+pub(crate) struct Port {
+    _reservation: TcpSocket,
+    pub(crate) addr: SocketAddr,
+}
+
+impl Port {
+    /// Reserves a port and listens on it.
+    pub(crate) fn bind() -> io::Result<(Self, TcpListener)> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let addr = socket.local_addr()?;
+        let port = Self {
+            _reservation: socket,
+            addr,
+        };
+        let listener = port.listen()?;
+        Ok((port, listener))
+    }
+
+    pub(crate) fn listen(&self) -> io::Result<TcpListener> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.addr)?;
+        socket.listen(1024)
+    }
+}
+
+/// Traffic of one source address.
+#[derive(Debug, Default)]
+pub(crate) struct Meter {
+    pub(crate) calls: AtomicU64,
+    pub(crate) bytes: AtomicU64,
+}
+
+/// One accepted connection.
+#[derive(Debug)]
+pub(crate) struct Link {
+    pub(crate) peer: SocketAddr,
+    pub(crate) local: SocketAddr,
+    pub(crate) meter: Arc<Meter>,
+    closed: CancellationToken,
+    silent: AtomicBool,
+}
+
+/// The open connections of a server and whether it accepts more.
+#[derive(Debug)]
+pub(crate) struct Links {
+    refusing: watch::Sender<bool>,
+    open: Mutex<BTreeMap<u64, Arc<Link>>>,
+    meters: Mutex<BTreeMap<IpAddr, Arc<Meter>>>,
+    accepted: AtomicU64,
+    cancel: CancellationToken,
+}
+
+impl Links {
+    pub(crate) fn new(cancel: CancellationToken) -> Arc<Self> {
+        Arc::new(Self {
+            refusing: watch::Sender::new(false),
+            open: Mutex::default(),
+            meters: Mutex::default(),
+            accepted: AtomicU64::new(0),
+            cancel,
+        })
+    }
+
+    /// Starts or stops refusing connections. Open connections stay.
+    pub(crate) fn refuse(&self, refusing: bool) {
+        self.refusing.send_replace(refusing);
+    }
+
+    /// Closes all open connections without an answer.
+    pub(crate) fn close_all(&self) {
+        for link in self.open.lock().unwrap().values() {
+            link.closed.cancel();
+        }
+    }
+
+    /// Makes up to `count` open connections silent, oldest first.
+    pub(crate) fn silence(&self, count: usize) -> usize {
+        let open = self.open.lock().unwrap();
+        open.values()
+            .filter(|link| !link.silent.swap(true, Ordering::Relaxed))
+            .take(count)
+            .count()
+    }
+
+    pub(crate) fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn meters(&self) -> BTreeMap<IpAddr, Arc<Meter>> {
+        self.meters.lock().unwrap().clone()
+    }
+
+    fn add(&self, peer: SocketAddr, local: SocketAddr) -> (u64, Arc<Link>) {
+        let mut meters = self.meters.lock().unwrap();
+        let meter = meters.entry(peer.ip()).or_default().clone();
+        drop(meters);
+        let number = self.accepted.fetch_add(1, Ordering::Relaxed);
+        let link = Arc::new(Link {
+            peer,
+            local,
+            meter,
+            closed: self.cancel.child_token(),
+            silent: AtomicBool::new(false),
+        });
+        self.open.lock().unwrap().insert(number, link.clone());
+        (number, link)
+    }
+
+    /// Accepts connections on `port` until cancelled, each in its own task.
+    ///
+    /// Dropping a connection's future closes it and stops its work.
+    pub(crate) async fn accept<S, F>(self: Arc<Self>, bound: (Port, TcpListener), serve: S)
+    where
+        S: Fn(Tap) -> F,
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let (port, listener) = bound;
+        let mut listener = Some(listener);
+        let mut refusing = self.refusing.subscribe();
+        loop {
+            if *refusing.borrow_and_update() {
+                listener = None;
+            } else if listener.is_none() {
+                listener = Some(port.listen().expect("the port is reserved"));
+            }
+            loop {
+                let accepted = tokio::select! {
+                    biased;
+                    () = self.cancel.cancelled() => return,
+                    _ = refusing.changed() => break,
+                    accepted = next(listener.as_ref()) => accepted,
+                };
+                let Ok((stream, peer)) = accepted else {
+                    continue;
+                };
+                // Small answers must not wait for delayed acknowledgements.
+                let _ = stream.set_nodelay(true);
+                let (number, link) = self.add(peer, port.addr);
+                // `close_all` may have run between accepting and adding.
+                if *self.refusing.borrow() {
+                    link.closed.cancel();
+                }
+                let connection = serve(Tap {
+                    stream,
+                    link: link.clone(),
+                });
+                let links = self.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = link.closed.cancelled() => (),
+                        () = connection => (),
+                    }
+                    links.open.lock().unwrap().remove(&number);
+                });
+            }
+        }
+    }
+}
+
+async fn next(listener: Option<&TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// A connection that counts the bytes written and can go silent.
+///
+/// A silent connection stays open and neither reads nor writes again.
+#[derive(Debug)]
+pub(crate) struct Tap {
+    stream: TcpStream,
+    pub(crate) link: Arc<Link>,
+}
+
+impl Tap {
+    fn silent(&self) -> bool {
+        self.link.silent.load(Ordering::Relaxed)
+    }
+}
+
+impl AsyncRead for Tap {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // No waker is kept: only closing ends silence, and that drops the connection.
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for Tap {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        let meter = &self.link.meter;
+        meter.bytes.fetch_add(written as u64, Ordering::Relaxed);
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.silent() {
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,385 @@
+//! The platform: values that can be read and watched over HTTP/1.1.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use savorylane_intent::hosts::List;
+use savorylane_intent::{Document, Manifest};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::net::{Link, Links, Port, Tap};
+
+/// Header that carries the revision of the answered value.
+pub const REVISION: &str = "platform-revision";
+/// Path in front of every key.
+pub const PREFIX: &str = "/v1/values/";
+/// Key of the manifest.
+pub const INTENT: &str = "intent";
+/// Key of the host list.
+pub const HOSTS: &str = "hosts";
+/// Longest wait of a watch, in milliseconds.
+pub const WAIT_LIMIT_MS: u64 = 600_000;
+/// Revisions kept per key, for clients that are served an older state.
+const HISTORY: usize = 16;
+
+/// How the platform is out of service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Outage {
+    /// It serves.
+    #[default]
+    None,
+    /// Connections are closed and refused.
+    Refused,
+    /// Every call, waiting watches included, is answered 503.
+    Unavailable,
+}
+
+/// The clients that a fault applies to.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Clients {
+    /// All clients.
+    All,
+    /// Clients that connect from this address.
+    Source(IpAddr),
+    /// Clients that connect to this one of the platform's addresses.
+    Address(SocketAddr),
+}
+
+/// Faults in force. Several can be set together.
+#[derive(Clone, Debug, Default)]
+pub struct Faults {
+    /// Outage for all clients.
+    pub outage: Outage,
+    /// Clients that are served the state as of a revision.
+    pub stale: BTreeMap<Clients, u64>,
+    /// Parts are answered with the content of another part.
+    pub torn: bool,
+    /// Values are answered with their first half, with matching length.
+    pub truncated: bool,
+    /// Values are padded with spaces to this length in bytes; they stay valid JSON.
+    pub oversized: Option<usize>,
+    /// Wait before each answer.
+    pub slow: Duration,
+}
+
+/// Traffic of one source address.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Source {
+    /// Calls received.
+    pub calls: u64,
+    /// Bytes sent, with HTTP headers.
+    pub bytes: u64,
+}
+
+/// What the platform served so far.
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    /// Calls in each second since the start. A call that spans several
+    /// seconds, such as a waiting watch, counts once in each of them.
+    pub seconds: Vec<u64>,
+    /// Calls in progress.
+    pub waiting: u64,
+    /// Traffic by source address.
+    pub sources: BTreeMap<IpAddr, Source>,
+}
+
+impl Counters {
+    /// Returns the calls received.
+    pub fn calls(&self) -> u64 {
+        self.sources.values().map(|source| source.calls).sum()
+    }
+
+    /// Returns the bytes sent, with HTTP headers.
+    pub fn bytes(&self) -> u64 {
+        self.sources.values().map(|source| source.bytes).sum()
+    }
+}
+
+/// A running platform.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    /// Bound addresses. All serve the same values.
+    pub addrs: Vec<SocketAddr>,
+    state: Arc<State>,
+    links: Arc<Links>,
+}
+
+#[derive(Debug)]
+struct State {
+    /// Revisions of each key, oldest first.
+    values: Mutex<BTreeMap<String, Vec<(u64, Bytes)>>>,
+    faults: Mutex<Faults>,
+    /// Revision of the last change; also sent when the faults change.
+    changed: watch::Sender<u64>,
+    started: Instant,
+    seconds: Mutex<Vec<u64>>,
+    waiting: AtomicU64,
+}
+
+/// Starts a platform without values on `addresses` loopback ports.
+///
+/// # Errors
+///
+/// Returns the error of binding a port.
+pub fn spawn(addresses: usize, cancel: &CancellationToken) -> io::Result<Handle> {
+    let state = Arc::new(State {
+        values: Mutex::default(),
+        faults: Mutex::default(),
+        changed: watch::Sender::new(0),
+        started: Instant::now(),
+        seconds: Mutex::default(),
+        waiting: AtomicU64::new(0),
+    });
+    let links = Links::new(cancel.child_token());
+    let mut addrs = Vec::new();
+    for _ in 0..addresses {
+        let bound = Port::bind()?;
+        addrs.push(bound.0.addr);
+        let state = state.clone();
+        tokio::spawn(
+            links
+                .clone()
+                .accept(bound, move |tap| serve(state.clone(), tap)),
+        );
+    }
+    Ok(Handle {
+        addrs,
+        state,
+        links,
+    })
+}
+
+impl Handle {
+    /// Returns the first bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addrs[0]
+    }
+
+    /// Publishes `value` and returns its revision.
+    pub fn publish(&self, key: &str, value: impl Into<Bytes>) -> u64 {
+        let mut values = self.state.values.lock().unwrap();
+        let revision = *self.state.changed.borrow() + 1;
+        let history = values.entry(key.to_owned()).or_default();
+        history.push((revision, value.into()));
+        if history.len() > HISTORY {
+            history.remove(0);
+        }
+        self.state.changed.send_replace(revision);
+        revision
+    }
+
+    /// Publishes the parts of `document`, then its manifest, and returns the
+    /// revision of the manifest.
+    ///
+    /// # Panics
+    ///
+    /// Never: a manifest is always expressible in JSON.
+    pub fn publish_document(&self, document: &Document) -> u64 {
+        let (manifest, parts) = Manifest::split(document);
+        for (key, value) in parts {
+            self.publish(&key, value);
+        }
+        self.publish(INTENT, serde_json::to_vec(&manifest).unwrap())
+    }
+
+    /// Publishes the host list and returns its revision.
+    ///
+    /// # Panics
+    ///
+    /// Never: a host list is always expressible in JSON.
+    pub fn publish_hosts(&self, list: &List) -> u64 {
+        self.publish(HOSTS, serde_json::to_vec(list).unwrap())
+    }
+
+    /// Returns the revision of the last change.
+    pub fn revision(&self) -> u64 {
+        *self.state.changed.borrow()
+    }
+
+    /// Changes the faults in force by `change`.
+    pub fn fault(&self, change: impl FnOnce(&mut Faults)) {
+        let mut faults = self.state.faults.lock().unwrap();
+        change(&mut faults);
+        let refused = faults.outage == Outage::Refused;
+        drop(faults);
+        self.links.refuse(refused);
+        if refused {
+            self.links.close_all();
+        }
+        // Waiting watches look at the faults again.
+        self.state.changed.send_modify(|_| ());
+    }
+
+    /// Serves the state as it is now to `clients`, whatever is published later.
+    pub fn freeze(&self, clients: Clients) {
+        let revision = self.revision();
+        self.fault(|faults| {
+            faults.stale.insert(clients, revision);
+        });
+    }
+
+    /// Returns what was served so far.
+    pub fn counters(&self) -> Counters {
+        let sources = self.links.meters().into_iter().map(|(ip, meter)| {
+            let source = Source {
+                calls: meter.calls.load(Ordering::Relaxed),
+                bytes: meter.bytes.load(Ordering::Relaxed),
+            };
+            (ip, source)
+        });
+        Counters {
+            seconds: self.state.seconds.lock().unwrap().clone(),
+            waiting: self.state.waiting.load(Ordering::Relaxed),
+            sources: sources.collect(),
+        }
+    }
+}
+
+/// Counts a call from its start until it is dropped.
+struct Call(Arc<State>, Instant);
+
+impl Call {
+    fn begin(state: &Arc<State>) -> Self {
+        state.waiting.fetch_add(1, Ordering::Relaxed);
+        Self(state.clone(), Instant::now())
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        let Self(state, began) = self;
+        state.waiting.fetch_sub(1, Ordering::Relaxed);
+        let first = (*began - state.started).as_secs() as usize;
+        let last = state.started.elapsed().as_secs() as usize;
+        let mut seconds = state.seconds.lock().unwrap();
+        if seconds.len() <= last {
+            seconds.resize(last + 1, 0);
+        }
+        for second in &mut seconds[first..=last] {
+            *second += 1;
+        }
+    }
+}
+
+impl State {
+    /// Returns the value that `link` gets for `key`, with the faults applied.
+    fn read(&self, link: &Link, key: &str) -> Option<(u64, Bytes)> {
+        let faults = self.faults.lock().unwrap().clone();
+        let limit = [
+            Clients::All,
+            Clients::Source(link.peer.ip()),
+            Clients::Address(link.local),
+        ]
+        .iter()
+        .filter_map(|clients| faults.stale.get(clients))
+        .min()
+        .copied()
+        .unwrap_or(u64::MAX);
+        let values = self.values.lock().unwrap();
+        let history = values.get(key)?;
+        let (revision, value) = history.iter().rfind(|(r, _)| *r <= limit)?;
+        let mut value = value.clone();
+        if faults.torn && key.starts_with("intent/") {
+            let others = values
+                .iter()
+                .filter(|(other, _)| other.starts_with("intent/") && *other != key);
+            let other = others.filter_map(|(_, history)| history.last()).max();
+            value = other.map_or_else(Bytes::new, |(_, value)| value.clone());
+        }
+        if faults.truncated {
+            value.truncate(value.len() / 2);
+        }
+        if let Some(length) = faults.oversized {
+            let mut padded = value.to_vec();
+            padded.resize(length.max(value.len()), b' ');
+            value = padded.into();
+        }
+        Some((*revision, value))
+    }
+
+    async fn answer(self: Arc<Self>, link: Arc<Link>, request: Request<Incoming>) -> Answer {
+        let _call = Call::begin(&self);
+        link.meter.calls.fetch_add(1, Ordering::Relaxed);
+        if request.method() != Method::GET {
+            return empty(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        let Some(key) = request.uri().path().strip_prefix(PREFIX) else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        let Ok((after, wait)) = parse(request.uri().query().unwrap_or_default()) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let deadline = Instant::now() + wait;
+        let mut changed = self.changed.subscribe();
+        let slow = self.faults.lock().unwrap().slow;
+        if !slow.is_zero() {
+            sleep(slow).await;
+        }
+        loop {
+            changed.borrow_and_update();
+            if self.faults.lock().unwrap().outage != Outage::None {
+                return empty(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            match (self.read(&link, key), after) {
+                (None, None) => return empty(StatusCode::NOT_FOUND),
+                (Some((revision, value)), after) if after.is_none_or(|n| revision > n) => {
+                    let mut answer = Response::new(Full::new(value));
+                    answer.headers_mut().insert(REVISION, revision.into());
+                    return answer;
+                }
+                _ => (),
+            }
+            if timeout_at(deadline, changed.changed()).await.is_err() {
+                return empty(StatusCode::NOT_MODIFIED);
+            }
+        }
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn empty(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// Parses the query into the revision to wait for and the longest wait.
+fn parse(query: &str) -> Result<(Option<u64>, Duration), std::num::ParseIntError> {
+    let mut after = None;
+    let mut wait = 0;
+    for (name, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+        match name {
+            "after" => after = Some(value.parse()?),
+            "wait_ms" => wait = value.parse::<u64>()?.min(WAIT_LIMIT_MS),
+            _ => (),
+        }
+    }
+    Ok((after, Duration::from_millis(wait)))
+}
+
+async fn serve(state: Arc<State>, tap: Tap) {
+    let link = tap.link.clone();
+    let service = service_fn(move |request| {
+        let answer = state.clone().answer(link.clone(), request);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    // A client that closes its connection during a watch is no error here.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(tap), service)
+        .await;
+}
--- /dev/null
+++ b/crates/standin/src/upstream/mod.rs
@@ -0,0 +1,387 @@
+//! An upstream with a fixed number of slots, over HTTP/1.1 and HTTP/2.
+
+pub mod answer;
+pub mod record;
+pub mod settings;
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use savorylane_wire::header;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::net::{Links, Port, Tap};
+pub use record::{Counts, Record};
+pub use settings::{Service, Settings, Time};
+
+/// Header with the id of a request; the same on every attempt.
+pub const REQUEST_ID: &str = "request-id";
+/// Header `true` on the answers of an upstream that drains.
+pub const DRAINING: &str = "upstream-draining";
+/// Path of the health report.
+pub const HEALTH: &str = "/health";
+
+/// How the upstream behaves. It can be changed at run time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mode {
+    /// Factor on service times; running work is affected at once.
+    pub slow: f64,
+    /// Requests are accepted and never answered; running work stands still.
+    pub hang: bool,
+    /// The health report says that all is well, also during a hang.
+    pub lie: bool,
+    /// Moment at which a drain began. Draining upstreams still run what they
+    /// are given, and record it.
+    pub drain: Option<Instant>,
+    /// Requests that wait for a slot before others are answered 503.
+    pub queue: usize,
+}
+
+impl Default for Mode {
+    fn default() -> Self {
+        Self {
+            slow: 1.0,
+            hang: false,
+            lie: false,
+            drain: None,
+            queue: usize::MAX,
+        }
+    }
+}
+
+/// Health report, in JSON. The status is 503 while the upstream drains.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Health {
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that wait for a slot.
+    pub queued: usize,
+    /// Slots.
+    pub slots: usize,
+    /// Whether the upstream drains.
+    pub draining: bool,
+}
+
+/// A running upstream.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    /// Bound address.
+    pub addr: SocketAddr,
+    /// What was run; possibly shared with other upstreams.
+    pub record: Arc<Record>,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    record: Arc<Record>,
+    links: Arc<Links>,
+    mode: watch::Sender<Mode>,
+    slots: Semaphore,
+    queued: Mutex<usize>,
+    rng: Mutex<ChaCha8Rng>,
+    started: Mutex<Instant>,
+}
+
+/// Starts an upstream that counts its runs in `record`.
+///
+/// # Errors
+///
+/// Returns the error of binding the port.
+pub fn spawn(
+    settings: Settings,
+    record: &Arc<Record>,
+    cancel: &CancellationToken,
+) -> io::Result<Handle> {
+    let bound = Port::bind()?;
+    let addr = bound.0.addr;
+    let links = Links::new(cancel.child_token());
+    let state = Arc::new(State {
+        record: record.clone(),
+        links: links.clone(),
+        mode: watch::Sender::new(Mode::default()),
+        slots: Semaphore::new(settings.slots),
+        queued: Mutex::default(),
+        rng: Mutex::new(ChaCha8Rng::seed_from_u64(settings.seed)),
+        started: Mutex::new(Instant::now()),
+        settings,
+    });
+    let server = state.clone();
+    tokio::spawn(links.accept(bound, move |tap| serve(server.clone(), tap)));
+    Ok(Handle {
+        addr,
+        record: record.clone(),
+        state,
+    })
+}
+
+impl Handle {
+    /// Changes the mode in force by `change`.
+    pub fn mode(&self, change: impl FnOnce(&mut Mode)) {
+        self.state.mode.send_modify(change);
+    }
+
+    /// Begins to drain.
+    pub fn drain(&self) {
+        self.mode(|mode| mode.drain = Some(Instant::now()));
+    }
+
+    /// Makes up to `count` open connections silent, oldest first, and returns
+    /// how many. They stay silent; new connections work.
+    pub fn silence(&self, count: usize) -> usize {
+        self.state.links.silence(count)
+    }
+
+    /// Crashes the upstream as a crash marker does.
+    pub fn crash(&self) {
+        self.state.crash();
+    }
+
+    /// Returns the connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.state.links.accepted()
+    }
+
+    /// Returns the true state, whatever the health report says.
+    pub fn health(&self) -> Health {
+        self.state.health()
+    }
+}
+
+/// Counts a request as queued until it is dropped.
+struct Queued<'a>(&'a State);
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        *self.0.queued.lock().unwrap() -= 1;
+    }
+}
+
+/// Counts a run as stopped unless it completed before it was dropped.
+struct Run<'a> {
+    record: &'a Record,
+    completed: bool,
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        let completed = self.completed;
+        self.record.change(|counts| match completed {
+            true => counts.completed += 1,
+            false => counts.stopped += 1,
+        });
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+fn status(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+impl State {
+    fn health(&self) -> Health {
+        Health {
+            running: self.settings.slots - self.slots.available_permits(),
+            queued: *self.queued.lock().unwrap(),
+            slots: self.settings.slots,
+            draining: self.mode.borrow().drain.is_some(),
+        }
+    }
+
+    /// Closes all connections, which stops their work, and refuses new ones
+    /// for the crash period. The upstream then starts cold.
+    fn crash(self: &Arc<Self>) {
+        self.record.change(|counts| counts.crashes += 1);
+        self.links.refuse(true);
+        self.links.close_all();
+        let state = self.clone();
+        tokio::spawn(async move {
+            sleep(state.settings.crash_period).await;
+            *state.started.lock().unwrap() = Instant::now();
+            state.links.refuse(false);
+        });
+    }
+
+    /// Returns the factor on service times now; infinite during a hang.
+    fn factor(&self, mode: &Mode) -> f64 {
+        if mode.hang {
+            return f64::INFINITY;
+        }
+        let settings = &self.settings;
+        let age = self.started.lock().unwrap().elapsed();
+        let cold = match age < settings.cold_period {
+            true => 1.0 - age.as_secs_f64() / settings.cold_period.as_secs_f64(),
+            false => 0.0,
+        };
+        mode.slow * (1.0 + cold * (settings.cold_factor - 1.0))
+    }
+
+    /// Waits until `time` has been worked off at the factor in force.
+    async fn work(&self, time: Duration) {
+        let mut modes = self.mode.subscribe();
+        let mut left = time;
+        loop {
+            let factor = self.factor(&modes.borrow_and_update());
+            let began = Instant::now();
+            if factor.is_infinite() {
+                // Fails only when the state is dropped, which `self` prevents.
+                let _ = modes.changed().await;
+                continue;
+            }
+            tokio::select! {
+                () = sleep(left.mul_f64(factor)) => return,
+                _ = modes.changed() => {
+                    left = left.saturating_sub(began.elapsed().div_f64(factor));
+                }
+            }
+        }
+    }
+
+    fn report(&self) -> Answer {
+        let mode = *self.mode.borrow();
+        let health = match mode.lie {
+            true => Health {
+                slots: self.settings.slots,
+                ..Health::default()
+            },
+            false => self.health(),
+        };
+        let body = serde_json::to_vec(&health).expect("a report is expressible in JSON");
+        let mut answer = Response::new(Full::new(body.into()));
+        if health.draining {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        answer
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let mode = *self.mode.borrow();
+        if request.uri().path() == HEALTH {
+            if mode.hang && !mode.lie {
+                std::future::pending::<()>().await;
+            }
+            return self.report();
+        }
+        let mut answer = self.serve(request, &mode).await;
+        if mode.drain.is_some() {
+            let headers = answer.headers_mut();
+            headers.insert(DRAINING, HeaderValue::from_static("true"));
+        }
+        answer
+    }
+
+    async fn serve(self: &Arc<Self>, request: Request<Incoming>, mode: &Mode) -> Answer {
+        let text = |name: &str| {
+            let value = request.headers().get(name)?.to_str().ok()?;
+            Some(value.to_owned())
+        };
+        let id = text(REQUEST_ID).unwrap_or_default();
+        let key = text(header::IDEMPOTENCY_KEY).unwrap_or_else(|| id.clone());
+        let timeout = text(header::TIMEOUT_MS).and_then(|ms| ms.parse().ok());
+        // A day stands for no timeout.
+        let timeout = Duration::from_millis(timeout.unwrap_or(86_400_000));
+        let deadline = Instant::now() + timeout;
+        let path = request.uri().path().to_owned();
+        let services = self.settings.services.iter();
+        let Some(service) = services
+            .filter(|service| path.starts_with(&service.path_prefix))
+            .max_by_key(|service| service.path_prefix.len())
+        else {
+            return status(StatusCode::NOT_FOUND);
+        };
+        self.record.change(|counts| {
+            counts.received += 1;
+            if let Some(began) = mode.drain {
+                counts.late.push(record::Late {
+                    request: id.clone(),
+                    after: began.elapsed(),
+                });
+            }
+        });
+        let queued = {
+            let mut queued = self.queued.lock().unwrap();
+            if *queued >= mode.queue && self.slots.available_permits() == 0 {
+                self.record.change(|counts| counts.shed += 1);
+                return status(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            *queued += 1;
+            Queued(self)
+        };
+        // The semaphore is fair: permits go to the requests in order.
+        let Ok(slot) = timeout_at(deadline, self.slots.acquire()).await else {
+            self.record.change(|counts| counts.expired += 1);
+            return status(StatusCode::GATEWAY_TIMEOUT);
+        };
+        drop(queued);
+        let _slot = slot.expect("the slots are never closed");
+        // The slot is held while the body arrives, as by a thread per request.
+        let body = match timeout_at(deadline, request.into_body().collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) => return status(StatusCode::BAD_REQUEST),
+            Err(_) => {
+                self.record.change(|counts| counts.expired += 1);
+                return status(StatusCode::GATEWAY_TIMEOUT);
+            }
+        };
+        let running = self.health().running;
+        self.record.change(|counts| {
+            *counts.runs.entry(key).or_default() += 1;
+            counts.order.push(id.clone());
+            counts.started += 1;
+            counts.most_running = counts.most_running.max(running);
+        });
+        let mut run = Run {
+            record: &self.record,
+            completed: false,
+        };
+        if self.marked(&path, &body) {
+            self.crash();
+            // The connection is closed before this could answer.
+            std::future::pending::<()>().await;
+        }
+        let time = service.time.draw(&mut *self.rng.lock().unwrap());
+        if timeout_at(deadline, self.work(time)).await.is_err() {
+            return status(StatusCode::GATEWAY_TIMEOUT);
+        }
+        run.completed = true;
+        Response::new(Full::new(answer::write(&id, &body, service.fill).into()))
+    }
+
+    fn marked(&self, path: &str, body: &[u8]) -> bool {
+        let marker = self.settings.crash_marker.as_bytes();
+        !marker.is_empty()
+            && (path.as_bytes().windows(marker.len()).any(|w| w == marker)
+                || body.windows(marker.len()).any(|w| w == marker))
+    }
+}
+
+async fn serve(state: Arc<State>, tap: Tap) {
+    sleep(state.settings.connect).await;
+    let service = service_fn(move |request| {
+        let answer = state.clone().answer(request);
+        async { Ok::<_, Infallible>(answer.await) }
+    });
+    // A client that closes its connection during a request is no error here.
+    let _ = auto::Builder::new(TokioExecutor::new())
+        .serve_connection(TokioIo::new(tap), service)
+        .await;
+}
--- /dev/null
+++ b/crates/standin/tests/upstream.rs
@@ -0,0 +1,123 @@
+//! The stand-in upstream's slots and faults.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{send, until};
+use savorylane_standin::upstream::{self, Record, Settings, answer};
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+fn spawn(settings: Settings) -> (upstream::Handle, CancellationToken) {
+    let cancel = CancellationToken::new();
+    let record = Arc::new(Record::default());
+    let upstream = upstream::spawn(settings, &record, &cancel).unwrap();
+    (upstream, cancel)
+}
+
+/// Guards against an upstream that reorders its queue or runs more than its
+/// slots, which would hide head-of-line blocking.
+#[tokio::test]
+async fn slots_are_first_come_first_served() {
+    let (upstream, cancel) = spawn(Settings {
+        slots: 1,
+        ..Settings::default()
+    });
+    upstream.mode(|mode| mode.hang = true);
+    let addr = upstream.addr;
+    let mut callers = Vec::new();
+    for n in 0..6 {
+        callers.push(tokio::spawn(async move {
+            send(addr, n % 2 == 0, "/", &n.to_string(), "body").await
+        }));
+        until("a request in the queue", || {
+            let health = upstream.health();
+            health.running + health.queued == n + 1
+        })
+        .await;
+    }
+    upstream.mode(|mode| mode.hang = false);
+    for (n, caller) in callers.into_iter().enumerate() {
+        let body = caller.await.unwrap().unwrap().into_body();
+        assert_eq!(answer::check(&n.to_string(), b"body", &body), Ok(()));
+        assert!(answer::check("other", b"body", &body).is_err());
+        assert!(answer::check(&n.to_string(), b"body", &body[..body.len() - 1]).is_err());
+    }
+    let counts = upstream.record.counts();
+    assert_eq!(counts.order, ["0", "1", "2", "3", "4", "5"]);
+    assert_eq!(counts.most_running, 1);
+    cancel.cancel();
+}
+
+/// Guards against a crash that leaves other work running or stays unnoticed,
+/// over both protocols: a verdict about such work could not be checked.
+#[tokio::test]
+async fn crash_marker_stops_all_work() {
+    let (upstream, cancel) = spawn(Settings::default());
+    let addr = upstream.addr;
+    upstream.mode(|mode| mode.hang = true);
+    let others = [false, true].map(|http2| {
+        tokio::spawn(async move {
+            send(addr, http2, "/", &http2.to_string(), "")
+                .await
+                .is_err()
+        })
+    });
+    until("running work", || upstream.health().running == 2).await;
+    assert!(
+        send(addr, false, "/", "bad", "a crash-marker")
+            .await
+            .is_err()
+    );
+    for other in others {
+        assert!(other.await.unwrap());
+    }
+    until("stopped work", || upstream.record.counts().stopped == 3).await;
+    let counts = upstream.record.counts();
+    assert_eq!((counts.crashes, counts.completed), (1, 0));
+    assert_eq!(upstream.record.runs("bad"), 1);
+    upstream.mode(|mode| mode.hang = false);
+    until("an accepted connection", || {
+        std::net::TcpStream::connect(addr).is_ok()
+    })
+    .await;
+    assert_eq!(
+        send(addr, false, "/", "next", "").await.unwrap().status(),
+        200
+    );
+    cancel.cancel();
+}
+
+/// Guards against a silence that also ends the connection or stops new ones,
+/// and against work that goes on after its caller closed the connection.
+#[tokio::test]
+async fn connection_goes_silent_while_new_ones_work() {
+    let (upstream, cancel) = spawn(Settings::default());
+    let addr = upstream.addr;
+    upstream.mode(|mode| mode.hang = true);
+    let mut silent =
+        tokio::spawn(async move { send(addr, false, "/", "silent", "").await.is_ok() });
+    until("running work", || upstream.health().running == 1).await;
+    assert_eq!(upstream.silence(usize::MAX), 1);
+    upstream.mode(|mode| mode.hang = false);
+    assert_eq!(
+        send(addr, false, "/", "new", "").await.unwrap().status(),
+        200
+    );
+    until("completed work", || upstream.record.counts().completed == 2).await;
+    let waited = timeout(Duration::from_millis(50), &mut silent).await;
+    assert!(
+        waited.is_err(),
+        "a silent connection neither answers nor ends"
+    );
+
+    upstream.mode(|mode| mode.hang = true);
+    let left = tokio::spawn(async move { send(addr, false, "/", "left", "").await.is_ok() });
+    until("running work", || upstream.health().running == 1).await;
+    left.abort();
+    until("stopped work", || upstream.record.counts().stopped == 1).await;
+    assert_eq!(upstream.health().running, 0);
+    cancel.cancel();
+}
