Test two daemons in separate processes, one of them killed

Cause: nothing showed that the path works outside one process. The first run of the test waited for ever, because the daemon printed one port fewer than the test read; the daemon now ends the list with a line 'ready'.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,9 +1,10 @@
 //! The daemon's binary: reads settings, starts the kernel, waits for a signal.
 
+use std::io::Write;
 use std::process::ExitCode;
 
 use bpaf::{Args, ParseFailure};
-use savorylane_daemon::logs;
+use savorylane_daemon::{Handle, logs};
 use savorylane_daemon::settings::{self, Command};
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -58,6 +59,16 @@
     })
 }
 
+/// Prints the bound addresses, then `ready`, for whoever started the process
+/// with port 0. A closed standard output is no reason to end.
+fn announce(handle: &Handle) {
+    let mut out = std::io::stdout().lock();
+    for (port, address) in &handle.addresses {
+        let _ = writeln!(out, "{port} {address}");
+    }
+    let _ = writeln!(out, "ready");
+}
+
 async fn run(command: Command) -> ExitCode {
     let signals = (
         signal(SignalKind::terminate()),
@@ -74,9 +85,7 @@
             return ExitCode::FAILURE;
         }
     };
-    for (port, address) in &handle.addresses {
-        println!("{port} {address}");
-    }
+    announce(&handle);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,160 @@
+//! Helpers of the process tests.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use savorylane_intent::document::{Class, Document, Service, Target, Work};
+use savorylane_intent::hosts::{Host, List, State};
+
+/// Longest wait for a condition; a loaded machine needs some of it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A daemon in a process of its own; killed when dropped.
+pub struct Daemon {
+    /// The process.
+    pub child: Child,
+    /// Bound addresses by flag.
+    pub addresses: BTreeMap<String, SocketAddr>,
+    /// Name of the host.
+    pub host: String,
+}
+
+impl Daemon {
+    /// Starts the built binary with ports that the system picks.
+    pub fn start(host: &str, data_centre: &str, more: &[String]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_savorylaned"))
+            .args(["--host", host, "--region", "north"])
+            .args(["--data-centre", data_centre, "--service", "stock"])
+            .args(["--entry", "127.0.0.1:0", "--data", "127.0.0.1:0"])
+            .args(["--control", "127.0.0.1:0", "--operator", "127.0.0.1:0"])
+            .args(["--log-level", "warn", "--first-start"])
+            .args(more)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the built daemon starts");
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let lines = BufReader::new(stdout).lines().map_while(Result::ok);
+        let addresses = lines
+            .take_while(|line| line != "ready")
+            .map(|line| {
+                let (port, address) = line.split_once(' ').expect("a port and an address");
+                (port.to_owned(), address.parse().expect("an address"))
+            })
+            .collect();
+        Self {
+            child,
+            addresses,
+            host: host.into(),
+        }
+    }
+
+    /// Returns the entry of a host list.
+    pub fn listed(&self, data_centre: &str) -> Host {
+        Host {
+            name: self.host.clone(),
+            region: "north".into(),
+            data_centre: data_centre.into(),
+            service: "stock".into(),
+            entry: self.addresses["entry"],
+            data: self.addresses["data"],
+            control: self.addresses["control"],
+            operator: self.addresses["operator"],
+            state: State::Live,
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a document with one short class.
+pub fn document(number: u64) -> Document {
+    Document {
+        number,
+        deployment: "test".into(),
+        services: vec![Service {
+            name: "stock".into(),
+        }],
+        classes: vec![Class {
+            name: "check".into(),
+            service: "stock".into(),
+            path_prefix: "/stock/".into(),
+            methods: vec!["GET".into()],
+            work: Work::Short,
+            idempotent: true,
+            target: Target {
+                latency_ms: 200,
+                quantile: 0.99,
+                success: 0.999,
+            },
+            shed_order: 0,
+        }],
+    }
+}
+
+/// Returns a host list of `hosts`.
+pub fn list(number: u64, hosts: Vec<Host>) -> List {
+    List { number, hosts }
+}
+
+/// An answer that was read whole.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Value of the verdict header.
+    pub verdict: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Sends a GET request and reads the whole answer.
+pub async fn get(address: SocketAddr, path: &str) -> Result<Answer, String> {
+    let client: Client<HttpConnector, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let request = Request::get(format!("http://{address}{path}"))
+        .header("x-request-id", path)
+        .body(Full::default())
+        .map_err(|error| error.to_string())?;
+    let answer = client
+        .request(request)
+        .await
+        .map_err(|error| error.to_string())?;
+    let status = answer.status();
+    let verdict = answer.headers().get("savorylane-verdict");
+    let verdict = verdict.and_then(|value| value.to_str().ok());
+    let verdict = verdict.unwrap_or_default().to_owned();
+    let body = answer.into_body().collect().await;
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    Ok(Answer {
+        status,
+        verdict,
+        body,
+    })
+}
+
+/// Repeats a GET request until it is answered with success.
+pub async fn get_until_ok(address: SocketAddr, path: &str) -> Answer {
+    let start = Instant::now();
+    loop {
+        let answer = get(address, path).await;
+        match answer {
+            Ok(answer) if answer.status == StatusCode::OK => return answer,
+            last => assert!(start.elapsed() < PATIENCE, "no success in time: {last:?}"),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/process.rs
@@ -0,0 +1,47 @@
+//! The built daemon as separate processes.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{Daemon, document, get, get_until_ok, list};
+use http::StatusCode;
+use savorylane_standin::upstream::Record;
+use savorylane_standin::{platform, upstream};
+use tokio_util::sync::CancellationToken;
+
+/// Guards against a path that works within one process only, and against an
+/// entry that keeps sending to a host that was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_daemon_does_not_stop_the_service() {
+    let cancel = CancellationToken::new();
+    let record = Arc::new(Record::default());
+    let platform = platform::spawn(1, &cancel).unwrap();
+    let mut daemons = Vec::new();
+    let mut upstreams = Vec::new();
+    for host in ["a1", "b1"] {
+        let upstream = upstream::spawn(upstream::Settings::default(), &record, &cancel).unwrap();
+        let more = [
+            format!("--platform={}", platform.addr()),
+            format!("--upstream={}", upstream.addr),
+        ];
+        daemons.push(Daemon::start(host, &host[..1], &more));
+        upstreams.push(upstream);
+    }
+    let hosts = daemons.iter().map(|daemon| daemon.listed(&daemon.host[..1]));
+    platform.publish_hosts(&list(1, hosts.collect()));
+    platform.publish_document(&document(1));
+
+    let entry = daemons[0].addresses["entry"];
+    let answer = get_until_ok(entry, "/stock/first").await;
+    assert_eq!(answer.verdict, "ran");
+    let other = get(entry, "/elsewhere").await.unwrap();
+    assert_eq!(other.status, StatusCode::NOT_FOUND);
+    assert_eq!(other.verdict, "not-run");
+
+    daemons.remove(1);
+    for number in 0..50 {
+        let answer = get(entry, &format!("/stock/{number}")).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    }
+}
