Validate intent fully and add deltas, transfers and adoption

Cause: validate() checked only names that appear twice and dangling services.

Ruled out: - Shares with any number of decimals. The default float parser of serde_json is not exact. A version is remembered only when content with that hash is invalid; a faulty manifest is remembered under its own hash. - Refusing equal addresses of two hosts. The host list lags, and may hold a host whose address its replacement has taken over. - A hash over the JSON text alone in transfers: a flipped kind byte would make an intact document look invalid.

Conclusion: the crate is complete as a pure library; daemons can use adopt::Store for offers from the platform and from peers.

--- /dev/null
+++ b/crates/intent/src/delta/mod.rs
@@ -0,0 +1,313 @@
+//! Differences between documents: deltas that turn one into another, and
+//! changes as operators and the audit log read them.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{Class, Document, Service, Target};
+use crate::fault::Fault;
+use crate::version::Version;
+
+/// What turns the document of version `base` into that of `version`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Delta {
+    /// Version that the delta applies to.
+    pub base: Version,
+    /// Version of the result.
+    pub version: Version,
+    /// Deployment of the result.
+    pub deployment: String,
+    /// Services that only the result holds.
+    pub added_services: Vec<Service>,
+    /// Names of the services that only the base holds.
+    pub removed_services: Vec<String>,
+    /// Classes that only the result holds.
+    pub added_classes: Vec<Class>,
+    /// Classes that both hold, as the result has them.
+    pub changed_classes: Vec<Class>,
+    /// Names of the classes that only the base holds.
+    pub removed_classes: Vec<String>,
+}
+
+impl Delta {
+    /// Returns the delta from `base` to `next`.
+    pub fn between(base: &Document, next: &Document) -> Self {
+        let mut delta = Self {
+            base: base.version(),
+            version: next.version(),
+            deployment: next.deployment.clone(),
+            added_services: Vec::new(),
+            removed_services: Vec::new(),
+            added_classes: Vec::new(),
+            changed_classes: Vec::new(),
+            removed_classes: Vec::new(),
+        };
+        for pair in pairs(&base.services, &next.services, |service| &service.name) {
+            match pair {
+                (Some(_), Some(_)) | (None, None) => {}
+                (None, Some(new)) => delta.added_services.push(new.clone()),
+                (Some(old), None) => delta.removed_services.push(old.name.clone()),
+            }
+        }
+        for pair in pairs(&base.classes, &next.classes, |class| &class.name) {
+            match pair {
+                (None, None) => {}
+                (Some(old), Some(new)) if old == new => {}
+                (Some(_), Some(new)) => delta.changed_classes.push(new.clone()),
+                (None, Some(new)) => delta.added_classes.push(new.clone()),
+                (Some(old), None) => delta.removed_classes.push(old.name.clone()),
+            }
+        }
+        delta
+    }
+
+    /// Applies the delta to `base` and returns the checked result.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::Mismatch`] if `base` or the result has another hash
+    /// than the delta states, [`Fault::Value`] or [`Fault::Duplicate`] for an
+    /// edit that does not fit the base, or the fault that
+    /// [`Document::check`] finds.
+    pub fn apply(&self, base: &Document) -> Result<Document, Fault> {
+        let document = self.edit(base)?;
+        document.check()?;
+        Ok(document)
+    }
+
+    /// Returns the result of the delta, whose version is as the delta states,
+    /// but whose fields are not checked yet.
+    pub(crate) fn edit(&self, base: &Document) -> Result<Document, Fault> {
+        matches("base", self.base, base.version())?;
+        let mut services: BTreeMap<&str, &Service> = BTreeMap::new();
+        for service in &base.services {
+            services.insert(&service.name, service);
+        }
+        let mut classes: BTreeMap<&str, &Class> = BTreeMap::new();
+        for class in &base.classes {
+            classes.insert(&class.name, class);
+        }
+        for name in &self.removed_services {
+            known("removed_services", name, services.remove(name.as_str()))?;
+        }
+        for service in &self.added_services {
+            new(
+                "added_services",
+                &service.name,
+                services.insert(&service.name, service),
+            )?;
+        }
+        for name in &self.removed_classes {
+            known("removed_classes", name, classes.remove(name.as_str()))?;
+        }
+        for class in &self.changed_classes {
+            known(
+                "changed_classes",
+                &class.name,
+                classes.insert(&class.name, class),
+            )?;
+        }
+        for class in &self.added_classes {
+            new(
+                "added_classes",
+                &class.name,
+                classes.insert(&class.name, class),
+            )?;
+        }
+        let mut document = Document {
+            number: self.version.number,
+            deployment: self.deployment.clone(),
+            services: services.into_values().cloned().collect(),
+            classes: classes.into_values().cloned().collect(),
+        };
+        document.sort();
+        matches("result", self.version, document.version())?;
+        Ok(document)
+    }
+}
+
+fn matches(what: &str, expected: Version, found: Version) -> Result<(), Fault> {
+    if expected.hash != found.hash {
+        return Err(Fault::Mismatch {
+            what: what.into(),
+            expected: expected.hash,
+            found: found.hash,
+        });
+    }
+    if expected.number != found.number {
+        return Err(Fault::value(
+            format_args!("{what}.number"),
+            format!("`{}`", expected.number),
+            format!("accepted is the document's number, {}", found.number),
+        ));
+    }
+    Ok(())
+}
+
+fn known<Item>(field: &str, name: &str, previous: Option<Item>) -> Result<(), Fault> {
+    match previous {
+        Some(_) => Ok(()),
+        None => Err(Fault::value(
+            field,
+            crate::bound::quote(name),
+            "accepted are names of the base document",
+        )),
+    }
+}
+
+fn new<Item>(field: &str, name: &str, previous: Option<Item>) -> Result<(), Fault> {
+    match previous {
+        None => Ok(()),
+        Some(_) => Err(Fault::Duplicate {
+            field: field.into(),
+            name: name.into(),
+        }),
+    }
+}
+
+/// Pairs the items of two lists by name, in order of the names.
+fn pairs<'a, Item>(
+    old: &'a [Item],
+    new: &'a [Item],
+    name: impl Fn(&Item) -> &str,
+) -> Vec<(Option<&'a Item>, Option<&'a Item>)> {
+    let mut pairs: BTreeMap<&str, (Option<&Item>, Option<&Item>)> = BTreeMap::new();
+    for item in old {
+        pairs.entry(name(item)).or_default().0 = Some(item);
+    }
+    for item in new {
+        pairs.entry(name(item)).or_default().1 = Some(item);
+    }
+    pairs.into_values().collect()
+}
+
+/// One change from a document to the next.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "change")]
+pub enum Change {
+    /// The deployment was renamed.
+    Deployment {
+        /// Old name.
+        from: String,
+        /// New name.
+        to: String,
+    },
+    /// A service was added.
+    ServiceAdded {
+        /// Its name.
+        service: String,
+    },
+    /// A service was removed.
+    ServiceRemoved {
+        /// Its name.
+        service: String,
+    },
+    /// A class and its target were added.
+    TargetSet {
+        /// Name of the class.
+        class: String,
+        /// The target.
+        target: Target,
+    },
+    /// The target of a class was changed.
+    TargetChanged {
+        /// Name of the class.
+        class: String,
+        /// Old target.
+        from: Target,
+        /// New target.
+        to: Target,
+    },
+    /// A class and its target were removed.
+    TargetWithdrawn {
+        /// Name of the class.
+        class: String,
+        /// The last target.
+        target: Target,
+    },
+    /// A field of a class other than its target was changed.
+    ClassChanged {
+        /// Name of the class.
+        class: String,
+        /// Name of the field.
+        field: String,
+        /// Old value.
+        from: String,
+        /// New value.
+        to: String,
+    },
+}
+
+/// Returns the changes from `old`, or from no document, to `new`.
+pub fn changes(old: Option<&Document>, new: &Document) -> Vec<Change> {
+    let mut changes = Vec::new();
+    if let Some(old) = old
+        && old.deployment != new.deployment
+    {
+        changes.push(Change::Deployment {
+            from: old.deployment.clone(),
+            to: new.deployment.clone(),
+        });
+    }
+    let services = old.map_or(&[][..], |old| &old.services);
+    for pair in pairs(services, &new.services, |service| &service.name) {
+        match pair {
+            (Some(_), Some(_)) | (None, None) => {}
+            (None, Some(new)) => changes.push(Change::ServiceAdded {
+                service: new.name.clone(),
+            }),
+            (Some(old), None) => changes.push(Change::ServiceRemoved {
+                service: old.name.clone(),
+            }),
+        }
+    }
+    let classes = old.map_or(&[][..], |old| &old.classes);
+    for pair in pairs(classes, &new.classes, |class| &class.name) {
+        match pair {
+            (None, None) => {}
+            (Some(old), Some(new)) => changed(&mut changes, old, new),
+            (None, Some(new)) => changes.push(Change::TargetSet {
+                class: new.name.clone(),
+                target: new.target,
+            }),
+            (Some(old), None) => changes.push(Change::TargetWithdrawn {
+                class: old.name.clone(),
+                target: old.target,
+            }),
+        }
+    }
+    changes
+}
+
+fn changed(changes: &mut Vec<Change>, old: &Class, new: &Class) {
+    if old.target != new.target {
+        changes.push(Change::TargetChanged {
+            class: new.name.clone(),
+            from: old.target,
+            to: new.target,
+        });
+    }
+    for ((field, from), (_, to)) in fields(old).into_iter().zip(fields(new)) {
+        if from != to {
+            changes.push(Change::ClassChanged {
+                class: new.name.clone(),
+                field: field.into(),
+                from,
+                to,
+            });
+        }
+    }
+}
+
+fn fields(class: &Class) -> [(&'static str, String); 6] {
+    [
+        ("service", class.service.clone()),
+        ("path_prefix", class.path_prefix.clone()),
+        ("methods", class.methods.join(",")),
+        ("work", class.work.to_string()),
+        ("idempotent", class.idempotent.to_string()),
+        ("shed_order", class.shed_order.to_string()),
+    ]
+}
--- a/crates/intent/src/document/mod.rs
+++ b/crates/intent/src/document/mod.rs
@@ -1,17 +1,20 @@
 //! The intent document that operators publish.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
+use crate::bound;
 use crate::fault::Fault;
 use crate::version::{Hash, Version};
 
 /// Services and classes of work, with a target for each class.
 ///
 /// Invariant of a value that [`validate`] returned: every class names a
-/// service of the document, names are unique, and both lists are sorted by
-/// name.
+/// service of the document, names are unique, no two classes share a path
+/// prefix and a method, all values are within [`bound`], and both lists are
+/// sorted by name.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
@@ -51,7 +54,8 @@
     pub name: String,
     /// Service that runs the work.
     pub service: String,
-    /// Requests whose path starts with this belong to the class.
+    /// Requests whose path starts with this belong to the class; the longest
+    /// prefix among the classes with the request's method wins.
     pub path_prefix: String,
     /// Upper-case HTTP methods that belong to the class.
     pub methods: Vec<String>,
@@ -72,22 +76,32 @@
 pub struct Target {
     /// Latency that `quantile` of the answers must not exceed, milliseconds.
     pub latency_ms: u32,
-    /// Share of the answers within `latency_ms`, above 0 and below 1.
+    /// Share of the answers within `latency_ms`, above 0 and below 1;
+    /// at most 6 decimals.
     pub quantile: f64,
-    /// Share of the requests that must be answered with success, 0 to 1.
+    /// Share of the requests that must be answered with success, 0 to 1;
+    /// at most 6 decimals.
     pub success: f64,
 }
 
 impl Document {
-    /// Returns the canonical bytes: compact JSON, lists sorted by name.
+    /// Sorts services and classes by name, and the methods of each class.
+    pub fn sort(&mut self) {
+        self.services.sort();
+        self.classes.sort_by(|a, b| a.name.cmp(&b.name));
+        for class in &mut self.classes {
+            class.methods.sort();
+        }
+    }
+
+    /// Returns the canonical bytes: compact JSON with all lists sorted.
     ///
     /// # Panics
     ///
     /// Never: the document holds no value that JSON cannot express.
     pub fn canonical(&self) -> Vec<u8> {
         let mut sorted = self.clone();
-        sorted.services.sort();
-        sorted.classes.sort_by(|a, b| a.name.cmp(&b.name));
+        sorted.sort();
         serde_json::to_vec(&sorted).expect("a document is always expressible in JSON")
     }
 
@@ -98,9 +112,160 @@
             hash: Hash::of(&self.canonical()),
         }
     }
+
+    /// Returns the class called `name`.
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        self.classes.iter().find(|class| class.name == name)
+    }
+
+    /// Checks all fields and references; [`validate`] accepts the document's
+    /// canonical bytes exactly when this succeeds.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`Fault`] found.
+    pub fn check(&self) -> Result<(), Fault> {
+        bound::range("number", self.number, &bound::NUMBERS)?;
+        bound::name("deployment", &self.deployment)?;
+        bound::count("services", self.services.len(), bound::SERVICES)?;
+        bound::count("classes", self.classes.len(), bound::CLASSES)?;
+        let mut services = BTreeSet::new();
+        for (at, service) in self.services.iter().enumerate() {
+            bound::name(format_args!("services[{at}].name"), &service.name)?;
+            if !services.insert(service.name.as_str()) {
+                return Err(Fault::Duplicate {
+                    field: "services".into(),
+                    name: service.name.clone(),
+                });
+            }
+        }
+        let mut names = BTreeSet::new();
+        let mut routes = BTreeMap::new();
+        for (at, class) in self.classes.iter().enumerate() {
+            class.check(&format!("classes[{at}]"))?;
+            if !names.insert(class.name.as_str()) {
+                return Err(Fault::Duplicate {
+                    field: "classes".into(),
+                    name: class.name.clone(),
+                });
+            }
+            if !services.contains(class.service.as_str()) {
+                return Err(Fault::Dangling {
+                    class: class.name.clone(),
+                    service: class.service.clone(),
+                });
+            }
+            for method in &class.methods {
+                let route = (class.path_prefix.as_str(), method.as_str());
+                if let Some(other) = routes.insert(route, class.name.as_str()) {
+                    return Err(Fault::Ambiguous {
+                        class: class.name.clone(),
+                        other: other.into(),
+                        prefix: class.path_prefix.clone(),
+                        method: method.clone(),
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Class {
+    /// Checks the fields of the class; `field` is its path in error texts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`Fault`] found.
+    pub fn check(&self, field: &str) -> Result<(), Fault> {
+        bound::name(format_args!("{field}.name"), &self.name)?;
+        bound::name(format_args!("{field}.service"), &self.service)?;
+        if !bound::is_prefix(&self.path_prefix) {
+            return Err(Fault::value(
+                format_args!("{field}.path_prefix"),
+                bound::quote(&self.path_prefix),
+                bound::PREFIX_FORM,
+            ));
+        }
+        let field_methods = format!("{field}.methods");
+        let accepted = || {
+            let methods = bound::METHODS.join(", ");
+            format!("accepted are one or more of {methods}, each once")
+        };
+        if self.methods.is_empty() {
+            return Err(Fault::value(&field_methods, "an empty list", accepted()));
+        }
+        let mut methods = BTreeSet::new();
+        for method in &self.methods {
+            if !bound::METHODS.contains(&method.as_str()) || !methods.insert(method) {
+                return Err(Fault::value(
+                    &field_methods,
+                    bound::quote(method),
+                    accepted(),
+                ));
+            }
+        }
+        self.target.check(&format!("{field}.target"))
+    }
 }
 
-/// Parses and checks a document.
+impl Target {
+    /// Checks the ranges of the target; `field` is its path in error texts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`Fault`] found.
+    pub fn check(&self, field: &str) -> Result<(), Fault> {
+        bound::range(
+            format_args!("{field}.latency_ms"),
+            self.latency_ms,
+            &bound::LATENCY_MS,
+        )?;
+        if !is_share(self.quantile) || self.quantile <= 0.0 || self.quantile >= 1.0 {
+            return Err(Fault::value(
+                format_args!("{field}.quantile"),
+                format!("`{}`", self.quantile),
+                "accepted are numbers above 0 and below 1 with at most 6 decimals",
+            ));
+        }
+        if !is_share(self.success) || !(0.0..=1.0).contains(&self.success) {
+            return Err(Fault::value(
+                format_args!("{field}.success"),
+                format!("`{}`", self.success),
+                "accepted are numbers from 0 to 1 with at most 6 decimals",
+            ));
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Work {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Short => "short",
+            Self::Long => "long",
+        })
+    }
+}
+
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            latency_ms,
+            quantile,
+            success,
+        } = self;
+        write!(f, "{latency_ms} ms at {quantile}, success {success}")
+    }
+}
+
+/// Returns whether `value` is a multiple of the smallest step. Negative zero
+/// is refused, since it equals zero but has other canonical bytes.
+fn is_share(value: f64) -> bool {
+    value.is_sign_positive() && (value * bound::SHARE_STEPS).round() / bound::SHARE_STEPS == value
+}
+
+/// Parses and checks a document, and sorts its lists.
 ///
 /// The result depends on `bytes` alone.
 ///
@@ -108,35 +273,9 @@
 ///
 /// Returns the first [`Fault`] found.
 pub fn validate(bytes: &[u8]) -> Result<Document, Fault> {
-    let mut document: Document =
-        serde_json::from_slice(bytes).map_err(|error| Fault::Malformed {
-            reason: error.to_string(),
-        })?;
-    let mut services = BTreeSet::new();
-    for service in &document.services {
-        if !services.insert(service.name.as_str()) {
-            return Err(Fault::Duplicate {
-                field: "services".into(),
-                name: service.name.clone(),
-            });
-        }
-    }
-    let mut classes = BTreeSet::new();
-    for class in &document.classes {
-        if !classes.insert(class.name.as_str()) {
-            return Err(Fault::Duplicate {
-                field: "classes".into(),
-                name: class.name.clone(),
-            });
-        }
-        if !services.contains(class.service.as_str()) {
-            return Err(Fault::Dangling {
-                class: class.name.clone(),
-                service: class.service.clone(),
-            });
-        }
-    }
-    document.services.sort();
-    document.classes.sort_by(|a, b| a.name.cmp(&b.name));
+    bound::size("document", bytes.len(), bound::DOCUMENT_BYTES)?;
+    let mut document: Document = bound::parse(bytes)?;
+    document.check()?;
+    document.sort();
     Ok(document)
 }
--- a/crates/intent/src/fault/mod.rs
+++ b/crates/intent/src/fault/mod.rs
@@ -15,7 +15,7 @@
         reason: String,
     },
     /// A hash is not 64 hexadecimal digits.
-    #[snafu(display("hash `{text}` is not 64 hexadecimal digits"))]
+    #[snafu(display("hash `{text}` is not accepted; accepted are 64 hexadecimal digits"))]
     Hash {
         /// The refused text, shortened.
         text: String,
@@ -41,19 +41,56 @@
         accepted: String,
     },
     /// A class routes to a service that the document does not hold.
-    #[snafu(display("classes[{class}]: service `{service}` is not in `services`"))]
+    #[snafu(display(
+        "classes[{class}].service: `{service}` is not accepted; accepted are the names in `services`"
+    ))]
     Dangling {
         /// Name of the class.
         class: String,
         /// The missing service.
         service: String,
     },
-    /// A name stands twice.
-    #[snafu(display("{field}: `{name}` stands twice"))]
+    /// A name appears twice in a list.
+    #[snafu(display("{field}: `{name}` appears twice; accepted are unique names"))]
     Duplicate {
         /// The list that holds the name.
         field: String,
         /// The name.
         name: String,
     },
+    /// Two classes claim the same requests.
+    #[snafu(display(
+        "classes[{class}].path_prefix: `{prefix}` with method `{method}` already belongs to class `{other}`; accepted is one class for each prefix and method"
+    ))]
+    Ambiguous {
+        /// Name of the later class.
+        class: String,
+        /// Name of the class that holds the prefix and method.
+        other: String,
+        /// The prefix.
+        prefix: String,
+        /// The method.
+        method: String,
+    },
+    /// A transfer cannot be unpacked.
+    #[snafu(display("transfer: {reason}"))]
+    Transfer {
+        /// What was found and what is accepted.
+        reason: String,
+    },
+}
+
+impl Fault {
+    /// Returns a [`Fault::Value`].
+    pub fn value(
+        field: impl std::fmt::Display,
+        value: impl Into<String>,
+        accepted: impl Into<String>,
+    ) -> Self {
+        Self::Value {
+            field: field.to_string(),
+            value: value.into(),
+            accepted: accepted.into(),
+        }
+    }
 }
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -1,10 +1,14 @@
 //! The platform's list of hosts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer, Serialize};
 
+use crate::bound;
 use crate::fault::Fault;
+use crate::manifest::VALUE_BYTES;
 
 /// The host list. It lags behind what the hosts do.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -39,26 +43,98 @@
     /// Service that the host's upstream runs.
     pub service: String,
     /// Where callers connect.
+    #[serde(deserialize_with = "address")]
     pub entry: SocketAddr,
     /// Where other daemons send requests.
+    #[serde(deserialize_with = "address")]
     pub data: SocketAddr,
     /// Where other daemons send control messages.
+    #[serde(deserialize_with = "address")]
     pub control: SocketAddr,
     /// Where operators connect.
+    #[serde(deserialize_with = "address")]
     pub operator: SocketAddr,
     /// State as the platform reports it.
     pub state: State,
 }
 
-/// Parses and checks a host list.
+fn address<'de, Source: Deserializer<'de>>(source: Source) -> Result<SocketAddr, Source::Error> {
+    let text = String::deserialize(source)?;
+    text.parse().map_err(|_| {
+        let value = bound::quote(&text);
+        Source::Error::custom(format!("{value} is not accepted; accepted is IP:PORT"))
+    })
+}
+
+impl Host {
+    /// Returns the host's addresses with the names of their fields.
+    pub fn addresses(&self) -> [(&'static str, SocketAddr); 4] {
+        [
+            ("entry", self.entry),
+            ("data", self.data),
+            ("control", self.control),
+            ("operator", self.operator),
+        ]
+    }
+
+    /// Checks the fields of the host; `field` is its path in error texts.
+    fn check(&self, field: &str) -> Result<(), Fault> {
+        bound::name(format_args!("{field}.name"), &self.name)?;
+        bound::name(format_args!("{field}.region"), &self.region)?;
+        bound::name(format_args!("{field}.data_centre"), &self.data_centre)?;
+        bound::name(format_args!("{field}.service"), &self.service)?;
+        let addresses = self.addresses();
+        for (at, (port, address)) in addresses.iter().enumerate() {
+            let accepted = if address.port() == 0 {
+                "accepted are ports 1 to 65535"
+            } else if address.ip().is_unspecified() || address.ip().is_multicast() {
+                "accepted are addresses of one host"
+            } else if addresses[..at].iter().any(|(_, other)| other == address) {
+                "accepted are four different addresses for the ports of a host"
+            } else {
+                continue;
+            };
+            return Err(Fault::value(
+                format_args!("{field}.{port}"),
+                format!("`{address}`"),
+                accepted,
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// Parses and checks a host list, and sorts it by name.
+///
+/// Two hosts may have the same address: the list lags, and may still hold a
+/// host whose address its replacement took over. Requests name the host and
+/// incarnation that they are for, so that the wrong daemon refuses them.
+/// Services that no document holds are accepted, since documents and host
+/// lists change independently.
 ///
 /// # Errors
 ///
 /// Returns the first [`Fault`] found.
 pub fn parse(bytes: &[u8]) -> Result<List, Fault> {
-    let mut list: List = serde_json::from_slice(bytes).map_err(|error| Fault::Malformed {
-        reason: error.to_string(),
-    })?;
+    bound::size("hosts", bytes.len(), VALUE_BYTES)?;
+    let mut list: List = bound::parse(bytes)?;
+    bound::range("number", list.number, &bound::LIST_NUMBERS)?;
+    bound::count("hosts", list.hosts.len(), bound::HOSTS)?;
+    let mut regions = BTreeMap::new();
+    for (at, host) in list.hosts.iter().enumerate() {
+        host.check(&format!("hosts[{at}]"))?;
+        let region = regions.entry(&host.data_centre).or_insert(&host.region);
+        if *region != &host.region {
+            return Err(Fault::value(
+                format_args!("hosts[{at}].region"),
+                bound::quote(&host.region),
+                format!(
+                    "accepted is `{region}`, which an earlier host of data centre `{}` has",
+                    host.data_centre
+                ),
+            ));
+        }
+    }
     list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
     for pair in list.hosts.windows(2) {
         if pair[0].name == pair[1].name {
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -4,13 +4,18 @@
 //! The crate does no I/O. Validation depends on nothing but the document, so
 //! that every daemon accepts or refuses the same versions.
 
+pub mod adopt;
+pub mod bound;
+pub mod delta;
 pub mod document;
 pub mod fault;
 pub mod hosts;
 pub mod manifest;
 pub mod snapshot;
+pub mod transfer;
 pub mod version;
 
+pub use delta::Delta;
 pub use document::Document;
 pub use fault::Fault;
 pub use manifest::Manifest;
--- a/crates/intent/src/manifest/mod.rs
+++ b/crates/intent/src/manifest/mod.rs
@@ -1,7 +1,10 @@
 //! Manifest that binds the platform values of one document together.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
+use crate::bound;
 use crate::document::{self, Document};
 use crate::fault::Fault;
 use crate::version::{Hash, Version};
@@ -32,15 +35,46 @@
 }
 
 impl Manifest {
-    /// Parses a manifest.
+    /// Parses and checks a manifest.
     ///
     /// # Errors
     ///
-    /// Returns [`Fault::Malformed`] for other content.
+    /// Returns the first [`Fault`] found.
     pub fn parse(bytes: &[u8]) -> Result<Self, Fault> {
-        serde_json::from_slice(bytes).map_err(|error| Fault::Malformed {
-            reason: error.to_string(),
-        })
+        bound::size("manifest", bytes.len(), VALUE_BYTES)?;
+        let manifest: Self = bound::parse(bytes)?;
+        bound::range("number", manifest.number, &bound::NUMBERS)?;
+        bound::count("parts", manifest.parts.len(), bound::PARTS)?;
+        if manifest.parts.is_empty() {
+            let accepted = format!("accepted are 1 to {} parts", bound::PARTS);
+            return Err(Fault::value("parts", "an empty list", accepted));
+        }
+        let mut keys = BTreeSet::new();
+        for (at, part) in manifest.parts.iter().enumerate() {
+            if !is_key(&part.key) {
+                return Err(Fault::value(
+                    format_args!("parts[{at}].key"),
+                    bound::quote(&part.key),
+                    "accepted are 1 to 256 of a-z, 0-9, `-`, `_`, `.` and `/`, other than `intent` and `hosts`",
+                ));
+            }
+            if !keys.insert(part.key.as_str()) {
+                return Err(Fault::Duplicate {
+                    field: "parts".into(),
+                    name: part.key.clone(),
+                });
+            }
+        }
+        Ok(manifest)
+    }
+
+    /// Returns the manifest as compact JSON: the platform value `intent`.
+    ///
+    /// # Panics
+    ///
+    /// Never: the manifest holds no value that JSON cannot express.
+    pub fn to_json(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a manifest is always expressible in JSON")
     }
 
     /// Returns the version that the manifest announces.
@@ -80,31 +114,62 @@
     /// Returns [`Fault::Mismatch`] for a torn read, or the fault that
     /// [`document::validate`] finds.
     pub fn join(&self, values: &[&[u8]]) -> Result<Document, Fault> {
-        let mut bytes = Vec::new();
+        let document = document::validate(&self.concat(values)?)?;
+        self.confirm(&document)?;
+        Ok(document)
+    }
+
+    /// Checks that `document` has the version that the manifest announces.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::Mismatch`] or [`Fault::Value`] for another version.
+    pub fn confirm(&self, document: &Document) -> Result<(), Fault> {
+        check("document", self.hash, &document.canonical())?;
+        if document.number != self.number {
+            return Err(Fault::value(
+                "number",
+                format!("`{}`", self.number),
+                format!("accepted is the document's number, {}", document.number),
+            ));
+        }
+        Ok(())
+    }
+
+    /// Concatenates `values` after checking the hash and size of each.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::Mismatch`] for a torn read and [`Fault::Value`] for a
+    /// wrong number of values or values that are too large.
+    pub fn concat(&self, values: &[&[u8]]) -> Result<Vec<u8>, Fault> {
         if values.len() != self.parts.len() {
-            return Err(Fault::Value {
-                field: "parts".into(),
-                value: values.len().to_string(),
-                accepted: format!("the manifest names {}", self.parts.len()),
-            });
+            return Err(Fault::value(
+                "parts",
+                format!("{} values", values.len()),
+                format!("accepted are the {} of the manifest", self.parts.len()),
+            ));
         }
         for (part, value) in self.parts.iter().zip(values) {
             check(&part.key, part.hash, value)?;
-            bytes.extend_from_slice(value);
         }
-        let document = document::validate(&bytes)?;
-        check("document", self.hash, &document.canonical())?;
-        if document.number != self.number {
-            return Err(Fault::Value {
-                field: "number".into(),
-                value: document.number.to_string(),
-                accepted: format!("the manifest states {}", self.number),
-            });
+        for (part, value) in self.parts.iter().zip(values) {
+            bound::size(&part.key, value.len(), VALUE_BYTES)?;
         }
-        Ok(document)
+        let bytes = values.concat();
+        bound::size("document", bytes.len(), bound::DOCUMENT_BYTES)?;
+        Ok(bytes)
     }
 }
 
+fn is_key(text: &str) -> bool {
+    (1..=bound::KEY_BYTES).contains(&text.len())
+        && !matches!(text, "hosts" | "intent")
+        && text.bytes().all(|byte| {
+            byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_./".contains(&byte)
+        })
+}
+
 fn check(what: &str, expected: Hash, bytes: &[u8]) -> Result<(), Fault> {
     let found = Hash::of(bytes);
     if found != expected {
--- a/crates/intent/src/snapshot/mod.rs
+++ b/crates/intent/src/snapshot/mod.rs
@@ -20,26 +20,31 @@
     pub list: List,
     /// Indices into `list.hosts`, by service.
     pub services: BTreeMap<String, Vec<usize>>,
+    /// Classes in order of their path prefixes.
+    pub routes: Vec<Route>,
+}
+
+/// A class in the order of path prefixes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Index into `document.classes`.
+    pub class: usize,
+    /// Index of the nearest earlier route whose path prefix is a prefix of
+    /// this one's, or the same.
+    pub parent: Option<usize>,
 }
 
 impl Snapshot {
-    /// Builds a snapshot.
+    /// Builds a snapshot; sorts `document` and `list` by name.
     ///
     /// # Panics
     ///
     /// Panics if a class names a service that the document does not hold;
     /// [`crate::document::validate`] refuses such a document.
-    pub fn build(document: Document, list: List) -> Self {
-        let mut services: BTreeMap<String, Vec<usize>> = document
-            .services
-            .iter()
-            .map(|service| (service.name.clone(), Vec::new()))
-            .collect();
-        for (index, host) in list.hosts.iter().enumerate() {
-            if let Some(hosts) = services.get_mut(&host.service) {
-                hosts.push(index);
-            }
-        }
+    pub fn build(mut document: Document, mut list: List) -> Self {
+        document.sort();
+        list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        let services = services(&document, &list);
         for class in &document.classes {
             assert!(
                 services.contains_key(&class.service),
@@ -50,6 +55,7 @@
         }
         Self {
             version: document.version(),
+            routes: routes(&document.classes),
             document,
             list,
             services,
@@ -58,12 +64,39 @@
 
     /// Returns the class with the longest matching prefix for a request.
     pub fn class(&self, method: &str, path: &str) -> Option<&Class> {
-        self.document
-            .classes
-            .iter()
-            .filter(|class| path.starts_with(&class.path_prefix))
-            .filter(|class| class.methods.iter().any(|m| m == method))
-            .max_by_key(|class| class.path_prefix.len())
+        let index = self.class_index(method, path)?;
+        Some(&self.document.classes[index])
+    }
+
+    /// Returns the index of a request's class in `document.classes`.
+    ///
+    /// All prefixes of `path` sort between the shortest of them and `path`,
+    /// and each is also a prefix of the last route at or before `path`. A
+    /// binary search and a walk along the parents therefore find the longest.
+    pub fn class_index(&self, method: &str, path: &str) -> Option<usize> {
+        let classes = &self.document.classes;
+        let after = self
+            .routes
+            .partition_point(|route| classes[route.class].path_prefix.as_str() <= path);
+        let mut next = after.checked_sub(1);
+        while let Some(at) = next {
+            let route = self.routes[at];
+            let class = &classes[route.class];
+            if path.starts_with(&class.path_prefix) && class.methods.iter().any(|m| m == method) {
+                return Some(route.class);
+            }
+            next = route.parent;
+        }
+        None
+    }
+
+    /// Returns the class called `name`.
+    pub fn class_named(&self, name: &str) -> Option<&Class> {
+        let classes = &self.document.classes;
+        let index = classes
+            .binary_search_by(|class| class.name.as_str().cmp(name))
+            .ok()?;
+        Some(&classes[index])
     }
 
     /// Returns the hosts that run `service`.
@@ -77,6 +110,61 @@
 
     /// Returns the host called `name`.
     pub fn host(&self, name: &str) -> Option<&Host> {
-        self.list.hosts.iter().find(|host| host.name == name)
+        let index = self.host_index(name)?;
+        Some(&self.list.hosts[index])
+    }
+
+    /// Returns the index of the host called `name` in `list.hosts`.
+    pub fn host_index(&self, name: &str) -> Option<usize> {
+        self.list
+            .hosts
+            .binary_search_by(|host| host.name.as_str().cmp(name))
+            .ok()
+    }
+
+    /// Returns a snapshot of the same document with another host list.
+    ///
+    /// Does not hash the document again, as [`Snapshot::build`] does.
+    pub fn with_list(&self, mut list: List) -> Self {
+        list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        Self {
+            version: self.version,
+            services: services(&self.document, &list),
+            routes: self.routes.clone(),
+            document: self.document.clone(),
+            list,
+        }
+    }
+}
+
+fn services(document: &Document, list: &List) -> BTreeMap<String, Vec<usize>> {
+    let mut services: BTreeMap<String, Vec<usize>> = document
+        .services
+        .iter()
+        .map(|service| (service.name.clone(), Vec::new()))
+        .collect();
+    for (index, host) in list.hosts.iter().enumerate() {
+        if let Some(hosts) = services.get_mut(&host.service) {
+            hosts.push(index);
+        }
+    }
+    services
+}
+
+fn routes(classes: &[Class]) -> Vec<Route> {
+    let mut order: Vec<usize> = (0..classes.len()).collect();
+    order.sort_by(|&a, &b| classes[a].path_prefix.cmp(&classes[b].path_prefix));
+    let mut routes: Vec<Route> = Vec::with_capacity(order.len());
+    for class in order {
+        let prefix = &classes[class].path_prefix;
+        let mut parent = routes.len().checked_sub(1);
+        while let Some(at) = parent {
+            if prefix.starts_with(&classes[routes[at].class].path_prefix) {
+                break;
+            }
+            parent = routes[at].parent;
+        }
+        routes.push(Route { class, parent });
     }
+    routes
 }
--- /dev/null
+++ b/crates/intent/tests/suite/limits.rs
@@ -0,0 +1,245 @@
+//! Bounds of sizes and memories, and the design size.
+
+use std::io::Write;
+
+use savorylane_intent::adopt::{BASES, Outcome, REFUSED, Store};
+use savorylane_intent::delta::Change;
+use savorylane_intent::hosts::{self, Host, List, State};
+use savorylane_intent::transfer::{self, Content};
+use savorylane_intent::{Document, Fault, Hash, Manifest, Snapshot, bound, document, manifest};
+
+use crate::sample;
+
+/// Returns a document with all counts and fields at their bounds.
+fn largest() -> Document {
+    let mut document = sample::sized(*bound::NUMBERS.end(), bound::SERVICES, 4);
+    document.deployment = "d".repeat(bound::NAME_BYTES);
+    let long = |name: &str| format!("{name:x<width$}", width = bound::NAME_BYTES);
+    for service in &mut document.services {
+        service.name = long(&service.name);
+    }
+    for class in &mut document.classes {
+        class.path_prefix = format!(
+            "{:~<width$}",
+            class.path_prefix,
+            width = bound::PREFIX_BYTES
+        );
+        class.name = long(&class.name);
+        class.service = long(&class.service);
+        class.methods = bound::METHODS.map(String::from).to_vec();
+        class.target.latency_ms = *bound::LATENCY_MS.end();
+        class.target.quantile = 0.999_999;
+        class.target.success = 0.999_999;
+        class.shed_order = u8::MAX;
+    }
+    document.sort();
+    document
+}
+
+fn host_list(count: usize) -> List {
+    let address = |at: usize, port| {
+        format!("10.0.{}.{}:{port}", at / 250, at % 250)
+            .parse()
+            .expect("a socket address")
+    };
+    let host = |at: usize| Host {
+        name: format!("host-{at:04}"),
+        region: format!("region-{}", at % 2),
+        data_centre: format!("region-{}-{}", at % 2, at % 4),
+        service: format!("s{}", at % 200),
+        entry: address(at, 7000),
+        data: address(at, 7001),
+        control: address(at, 7002),
+        operator: address(at, 7003),
+        state: State::Live,
+    };
+    List {
+        number: 1,
+        hosts: (0..count).map(host).collect(),
+    }
+}
+
+/// Guards against a document that passes the checks in one layout and is too
+/// large in another, and against a transfer that cannot carry it.
+#[test]
+fn largest_document_fits_all_bounds() {
+    let largest = largest();
+    let bytes = largest.canonical();
+    println!("largest document: {} bytes", bytes.len());
+    assert_eq!(document::validate(&bytes), Ok(largest.clone()));
+    let (manifest, values) = Manifest::split(&largest);
+    assert!(manifest.parts.len() <= bound::PARTS);
+    assert_eq!(Manifest::parse(&manifest.to_json()), Ok(manifest.clone()));
+    let views: Vec<&[u8]> = values.iter().map(|(_, value)| value.as_slice()).collect();
+    assert_eq!(manifest.join(&views), Ok(largest.clone()));
+
+    // Replaces every service and class by another, which makes the largest delta.
+    let mut other = largest.clone();
+    other
+        .services
+        .iter_mut()
+        .for_each(|service| service.name.replace_range(..1, "t"));
+    for class in &mut other.classes {
+        class.name.replace_range(..1, "t");
+        class.service.replace_range(..1, "t");
+    }
+    let content = Content::Delta(Box::new(savorylane_intent::Delta::between(
+        &largest, &other,
+    )));
+    assert_eq!(transfer::decode(&transfer::encode(&content)), Ok(content));
+}
+
+/// Guards against counts and sizes without a bound.
+#[test]
+fn larger_values_are_refused() {
+    let text = |result: Result<Document, Fault>| result.expect_err("too large").to_string();
+    let services = sample::sized(1, bound::SERVICES + 1, 0);
+    assert_eq!(
+        text(document::validate(&services.canonical())),
+        "services: 601 entries is not accepted; accepted are at most 600"
+    );
+    let classes = sample::sized(1, 1, bound::CLASSES + 1);
+    assert_eq!(
+        text(document::validate(&classes.canonical())),
+        "classes: 2401 entries is not accepted; accepted are at most 2400"
+    );
+    assert_eq!(
+        text(document::validate(&vec![b' '; bound::DOCUMENT_BYTES + 1])),
+        "document: 2000001 bytes is not accepted; accepted are at most 2000000"
+    );
+    let hosts = serde_json::to_vec(&host_list(bound::HOSTS + 1)).expect("valid JSON");
+    assert_eq!(
+        hosts::parse(&hosts).expect_err("too many").to_string(),
+        "hosts: 3301 entries is not accepted; accepted are at most 3300"
+    );
+    let hosts = vec![b' '; manifest::VALUE_BYTES + 1];
+    assert_eq!(
+        hosts::parse(&hosts).expect_err("too large").to_string(),
+        "hosts: 1000001 bytes is not accepted; accepted are at most 1000000"
+    );
+}
+
+/// Guards against a small message that inflates without limit.
+#[test]
+fn inflation_is_bounded() {
+    let zeros = vec![0; 64 << 20];
+    let mut bytes = vec![1];
+    bytes.extend_from_slice(&Hash::of(&zeros).0);
+    let mut encoder = flate2::write::DeflateEncoder::new(bytes, flate2::Compression::best());
+    encoder.write_all(&zeros).expect("memory takes all writes");
+    let bomb = encoder.finish().expect("memory takes all writes");
+    assert!(bomb.len() < 100_000);
+    assert_eq!(
+        transfer::decode(&bomb).expect_err("too large").to_string(),
+        "transfer: 2000002 bytes is not accepted; accepted are at most 2000001"
+    );
+}
+
+/// Guards against a change that costs more than one second of a daemon's
+/// control budget, 6 KB, at the design size of 200 services and 1,100 hosts.
+#[test]
+fn one_change_at_the_design_size_is_small() {
+    let old = sample::sized(1, 200, 4);
+    let mut new = old.clone();
+    new.number = 2;
+    new.classes[17].target.latency_ms = 50;
+    let mut sender = Store::default();
+    sender.offer_document(old.clone());
+    let mut receiver = sender.clone();
+    let whole = transfer::encode(&sender.content(None).expect("a document is in force"));
+    sender.offer_document(new.clone());
+    let content = sender.content(receiver.version().map(|version| version.hash));
+    let delta = transfer::encode(&content.expect("a document is in force"));
+    println!("document: {} bytes", old.canonical().len());
+    println!("transfers: whole {}, delta {}", whole.len(), delta.len());
+    assert!(delta.len() < 6_000);
+    let Outcome::Adopted { changes, .. } = receiver.offer_transfer(&delta) else {
+        panic!("the delta must be adopted");
+    };
+    assert!(matches!(&changes[..], [Change::TargetChanged { to, .. }] if to.latency_ms == 50));
+
+    let bytes = serde_json::to_vec(&host_list(1_100)).expect("valid JSON");
+    println!("host list: {} bytes", bytes.len());
+    let snapshot = Snapshot::build(new, hosts::parse(&bytes).expect("valid"));
+    assert_eq!(snapshot.hosts("s7").count(), 6);
+    assert_eq!(
+        snapshot.host("host-0999").map(|host| host.name.as_str()),
+        Some("host-0999")
+    );
+    assert!(snapshot.host("host-1100").is_none());
+    let class = snapshot.class("GET", "/s7/c3/x").expect("a class");
+    assert_eq!(snapshot.class_named("s7-c3"), Some(class));
+    let fewer = snapshot.with_list(host_list(200));
+    assert_eq!(
+        (fewer.version, fewer.hosts("s7").count()),
+        (snapshot.version, 1)
+    );
+}
+
+/// Guards against a faulty manifest that blocks a good document of the same
+/// version, and against reading a refused version again and again.
+#[test]
+fn only_proven_versions_are_refused_for_good() {
+    let good = sample::sized(5, 1, 1);
+    let mut store = Store::default();
+
+    // The manifest states the good hash, but its parts hold another document.
+    let (mut faulty, values) = sample::split(&sample::sized(4, 1, 1), 1_000);
+    faulty.number = 5;
+    faulty.hash = good.version().hash;
+    let outcome = store.offer_parts(&faulty, &[&values[0]]);
+    assert!(matches!(outcome, Outcome::Refused { .. }), "{outcome:?}");
+    assert!(!store.wants_manifest(&faulty));
+    assert!(store.wants(good.version()));
+
+    // The manifest states a greater number than the document.
+    let (mut faulty, values) = sample::split(&good, 1_000);
+    faulty.number = 6;
+    let outcome = store.offer_parts(&faulty, &[&values[0]]);
+    assert!(matches!(outcome, Outcome::Refused { .. }), "{outcome:?}");
+    assert!(store.wants(good.version()));
+
+    // The parts have the stated hash and are invalid.
+    let mut bad = sample::sized(7, 1, 1);
+    bad.classes[0].target.quantile = 1.0;
+    let (manifest, values) = sample::split(&bad, 1_000);
+    let outcome = store.offer_parts(&manifest, &[&values[0]]);
+    assert!(matches!(outcome, Outcome::Refused { .. }), "{outcome:?}");
+    assert!(!store.wants(bad.version()));
+    assert_eq!(store.version(), None);
+
+    // The same document from a peer, as a whole and as a delta.
+    store.offer_document(good.clone());
+    bad.number = 8;
+    store.offer_transfer(&transfer::encode(&Content::Document(bad.clone().into())));
+    assert!(!store.wants(bad.version()));
+    bad.number = 9;
+    let delta = savorylane_intent::Delta::between(&good, &bad);
+    store.offer_transfer(&transfer::encode(&Content::Delta(Box::new(delta))));
+    assert!(!store.wants(bad.version()));
+    assert_eq!(store.version(), Some(good.version()));
+}
+
+/// Guards against memories that grow with the number of offers.
+#[test]
+fn memories_are_bounded() {
+    let mut store = Store::default();
+    for number in 1..=20 {
+        store.offer_document(sample::sized(number, 1, 1));
+    }
+    assert_eq!(store.bases.len(), BASES);
+    let numbers: Vec<u64> = store.bases.iter().map(|base| base.version.number).collect();
+    assert_eq!(numbers, [19, 18, 17, 16]);
+    for number in 0..REFUSED as u64 + 10 {
+        let mut bad = sample::sized(100 + number, 1, 1);
+        bad.deployment.clear();
+        store.offer_document(bad);
+    }
+    assert_eq!(store.refused.len(), REFUSED);
+
+    // A delta against a document that was dropped asks for the whole one.
+    let (old, new) = (sample::sized(1, 1, 1), sample::sized(30, 1, 1));
+    let delta = savorylane_intent::Delta::between(&old, &new);
+    let outcome = store.offer_transfer(&transfer::encode(&Content::Delta(Box::new(delta))));
+    assert!(matches!(outcome, Outcome::Baseless { .. }), "{outcome:?}");
+}
--- /dev/null
+++ b/crates/intent/tests/suite/main.rs
@@ -0,0 +1,5 @@
+//! Tests of documents, deltas, transfers, adoption and snapshots.
+
+mod limits;
+mod properties;
+mod sample;
