Add the operators' client: target, validate, diff and split

Cause: operators had no tool to edit a document, check it as the daemons do, or cut it into platform values.

Ruled out: - Values parsed by bpaf itself: its errors name the value but not the flag, and a value from the environment looks like a typed one.

Change: binary `savorylane` with `target set|change|withdraw`, `validate`, `diff` and `split`, tables or `--output json`, exit code 1 for a refused document or a failed read or write and 2 for a bad setting. Files are written under another name and renamed. The placeholder library of the crate is gone. The commands that talk to a daemon will be further modules of `command`.

Conclusion: the commands without a daemon are complete.

--- /dev/null
+++ b/crates/client/src/command/target/mod.rs
@@ -0,0 +1,90 @@
+//! `target`: edits the target of a class and writes the next version.
+
+use std::path::Path;
+
+use savorylane_intent::Document;
+use savorylane_intent::document::Service;
+use snafu::ResultExt;
+
+use crate::fault::{Fault, RefusedSnafu};
+use crate::file;
+use crate::report::{Changes, Output};
+use crate::settings::Edit;
+
+/// Edits the document of `input` and writes it to `out` with the next number.
+///
+/// The changes go to standard error, since the document may go to standard
+/// output. Nothing is written if the edit or its result is refused.
+///
+/// # Errors
+///
+/// Returns [`Fault::Edit`] if the edit does not fit the document,
+/// [`Fault::Refused`] if the document or the result is invalid, or
+/// [`Fault::File`].
+pub(crate) fn run(
+    output: Output,
+    input: &Path,
+    out: &Path,
+    class: &str,
+    edit: &Edit,
+) -> Result<(), Fault> {
+    let old = file::read(input)?;
+    let mut new = old.clone();
+    apply(&mut new, class, edit)?;
+    new.sort();
+    if new == old {
+        return Err(Fault::edit(class, "the edit changes nothing"));
+    }
+    new.number += 1;
+    new.check().context(RefusedSnafu {
+        file: "the edited document",
+    })?;
+    let mut bytes = serde_json::to_vec_pretty(&new).expect("a document is expressible in JSON");
+    bytes.push(b'\n');
+    file::write(out, &bytes)?;
+    eprint!("{}", Changes::between(&old, &new).text(output));
+    Ok(())
+}
+
+fn apply(document: &mut Document, name: &str, edit: &Edit) -> Result<(), Fault> {
+    let found = document.classes.iter().position(|class| class.name == name);
+    let held = |at: Option<usize>| {
+        at.ok_or_else(|| {
+            let names: Vec<&str> = document.classes.iter().map(|c| c.name.as_str()).collect();
+            let names = names.join(", ");
+            Fault::edit(name, format!("not in the document; accepted are: {names}"))
+        })
+    };
+    match edit {
+        Edit::Set { class, add_service } => {
+            if found.is_some() {
+                let reason = "already in the document; `target change` edits it";
+                return Err(Fault::edit(name, reason));
+            }
+            let known = document.services.iter().any(|s| s.name == class.service);
+            if *add_service && !known {
+                document.services.push(Service {
+                    name: class.service.clone(),
+                });
+            }
+            document.classes.push(class.clone());
+        }
+        Edit::Change(change) => {
+            let at = held(found)?;
+            change.apply(&mut document.classes[at]);
+        }
+        Edit::Withdraw { remove_service } => {
+            let at = held(found)?;
+            let service = document.classes.remove(at).service;
+            if !remove_service {
+                return Ok(());
+            }
+            if let Some(other) = document.classes.iter().find(|c| c.service == service) {
+                let reason = format!("class `{}` also uses service `{service}`", other.name);
+                return Err(Fault::edit(name, reason));
+            }
+            document.services.retain(|s| s.name != service);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/client/src/command/validate/mod.rs
@@ -0,0 +1,50 @@
+//! `validate`: checks a document and shows its version.
+
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::fault::Fault;
+use crate::file;
+use crate::report::{self, Output};
+
+#[derive(Serialize)]
+struct Summary {
+    deployment: String,
+    number: u64,
+    hash: String,
+    services: usize,
+    classes: usize,
+    /// Size in canonical form.
+    bytes: usize,
+}
+
+/// Checks the document of `path` and prints a summary.
+///
+/// # Errors
+///
+/// Returns [`Fault::Refused`] for an invalid document, or [`Fault::File`].
+pub(crate) fn run(output: Output, path: &Path) -> Result<(), Fault> {
+    let document = file::read(path)?;
+    let version = document.version();
+    let summary = Summary {
+        number: version.number,
+        hash: version.hash.to_string(),
+        services: document.services.len(),
+        classes: document.classes.len(),
+        bytes: document.canonical().len(),
+        deployment: document.deployment,
+    };
+    let text = match output {
+        Output::Json => report::json(&summary),
+        Output::Human => report::table(&[
+            ["deployment".into(), summary.deployment],
+            ["number".into(), summary.number.to_string()],
+            ["hash".into(), summary.hash],
+            ["services".into(), summary.services.to_string()],
+            ["classes".into(), summary.classes.to_string()],
+            ["bytes".into(), summary.bytes.to_string()],
+        ]),
+    };
+    file::write(Path::new("-"), text.as_bytes())
+}
--- /dev/null
+++ b/crates/client/src/fault/mod.rs
@@ -0,0 +1,101 @@
+//! Reasons for which a run fails.
+
+use std::process::ExitCode;
+
+use savorylane_intent::bound;
+use snafu::Snafu;
+
+use crate::report::Output;
+
+/// Exit code for a bad setting.
+pub(crate) const BAD_SETTING: u8 = 2;
+
+/// Exit code for all other faults.
+const FAILED: u8 = 1;
+
+/// Reason for which a run fails.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub(crate) enum Fault {
+    /// A setting has a value that is not accepted.
+    #[snafu(display("{flag}: {value} is not accepted; {accepted}"))]
+    Setting {
+        /// Flag of the setting.
+        flag: String,
+        /// The refused value, quoted.
+        value: String,
+        /// What is accepted.
+        accepted: String,
+    },
+    /// A setting is missing.
+    #[snafu(display("{flag}: no value is given; {accepted}"))]
+    Missing {
+        /// Flag of the setting.
+        flag: String,
+        /// What is accepted.
+        accepted: String,
+    },
+    /// A file or stream cannot be read or written.
+    #[snafu(display("{file}: {source}"))]
+    File {
+        /// Name of the file or stream.
+        file: String,
+        /// Error of the system.
+        source: std::io::Error,
+    },
+    /// A document is refused.
+    #[snafu(display("{file}: {source}"))]
+    Refused {
+        /// Name of the file or stream.
+        file: String,
+        /// Reason.
+        source: savorylane_intent::Fault,
+    },
+    /// The edit does not fit the document.
+    #[snafu(display("class `{class}`: {reason}"))]
+    Edit {
+        /// Name of the class.
+        class: String,
+        /// What does not fit, and what is accepted.
+        reason: String,
+    },
+}
+
+impl Fault {
+    /// Returns a [`Fault::Setting`].
+    pub(crate) fn setting(flag: &str, value: &str, accepted: &str) -> Self {
+        Self::Setting {
+            flag: flag.into(),
+            value: bound::quote(value),
+            accepted: accepted.into(),
+        }
+    }
+
+    /// Returns a [`Fault::Missing`].
+    pub(crate) fn missing(flag: &str, accepted: &str) -> Self {
+        Self::Missing {
+            flag: flag.into(),
+            accepted: accepted.into(),
+        }
+    }
+
+    /// Returns a [`Fault::Edit`].
+    pub(crate) fn edit(class: &str, reason: impl Into<String>) -> Self {
+        Self::Edit {
+            class: class.into(),
+            reason: reason.into(),
+        }
+    }
+
+    /// Prints the fault to standard error and returns the exit code.
+    pub(crate) fn report(&self, output: Output) -> ExitCode {
+        match output {
+            Output::Human => eprintln!("Error: {self}"),
+            Output::Json => eprintln!("{}", serde_json::json!({ "error": self.to_string() })),
+        }
+        match self {
+            Self::Missing { .. } | Self::Setting { .. } => ExitCode::from(BAD_SETTING),
+            Self::Edit { .. } | Self::File { .. } | Self::Refused { .. } => ExitCode::from(FAILED),
+        }
+    }
+}
--- /dev/null
+++ b/crates/client/src/file/mod.rs
@@ -0,0 +1,74 @@
+//! Reads and writes of documents; `-` is a standard stream.
+
+use std::fs::{self, File};
+use std::io::{self, Read, Write};
+use std::path::Path;
+
+use savorylane_intent::{Document, bound, document};
+use snafu::ResultExt;
+
+use crate::fault::{Fault, FileSnafu, RefusedSnafu};
+
+/// Reads and checks a document.
+///
+/// # Errors
+///
+/// Returns [`Fault::File`] if it cannot be read and [`Fault::Refused`] if it
+/// is invalid.
+pub(crate) fn read(path: &Path) -> Result<Document, Fault> {
+    let file = label(path, "standard input");
+    let mut bytes = Vec::new();
+    // One byte more than is accepted, so that a longer input is refused
+    // without being read to its end.
+    let limit = bound::DOCUMENT_BYTES as u64 + 1;
+    let result = match is_stream(path) {
+        true => io::stdin().take(limit).read_to_end(&mut bytes),
+        false => File::open(path).and_then(|file| file.take(limit).read_to_end(&mut bytes)),
+    };
+    result.context(FileSnafu { file: &file })?;
+    document::validate(&bytes).context(RefusedSnafu { file })
+}
+
+/// Writes `bytes` to a file or to standard output.
+///
+/// A file is written under another name first and then renamed, so that a
+/// reader never sees a part of it.
+///
+/// # Errors
+///
+/// Returns [`Fault::File`] if it cannot be written.
+pub(crate) fn write(path: &Path, bytes: &[u8]) -> Result<(), Fault> {
+    let file = label(path, "standard output");
+    let result = match is_stream(path) {
+        true => io::stdout().write_all(bytes),
+        false => replace(path, bytes),
+    };
+    result.context(FileSnafu { file })
+}
+
+fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let Some(name) = path.file_name() else {
+        return Err(io::Error::from(io::ErrorKind::IsADirectory));
+    };
+    let mut partial = std::ffi::OsString::from(".");
+    partial.push(name);
+    partial.push(".partial");
+    let partial = path.with_file_name(partial);
+    let result = fs::write(&partial, bytes).and_then(|()| fs::rename(&partial, path));
+    if result.is_err() {
+        // The first error is the one to report.
+        let _ = fs::remove_file(&partial);
+    }
+    result
+}
+
+fn is_stream(path: &Path) -> bool {
+    path.as_os_str() == "-"
+}
+
+fn label(path: &Path, stream: &str) -> String {
+    match is_stream(path) {
+        true => stream.into(),
+        false => path.display().to_string(),
+    }
+}
--- a/crates/client/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder of the first commit.
--- /dev/null
+++ b/crates/client/src/main.rs
@@ -0,0 +1,40 @@
+//! Operators' client of savorylane: edits, checks, compares and splits intent
+//! documents.
+//!
+//! The exit code is 0 for success, 1 for a refused document or a failed read
+//! or write, and 2 for a bad setting.
+
+mod arguments;
+mod command;
+mod fault;
+mod file;
+mod report;
+mod settings;
+
+use std::process::ExitCode;
+
+use bpaf::{Args, ParseFailure};
+
+/// Width of help texts and of errors in arguments, in columns.
+const WIDTH: usize = 100;
+
+fn main() -> ExitCode {
+    let arguments = match arguments::arguments().run_inner(Args::current_args()) {
+        Ok(arguments) => arguments,
+        Err(failure) => {
+            failure.print_message(WIDTH);
+            return match failure {
+                ParseFailure::Stderr(_) => ExitCode::from(fault::BAD_SETTING),
+                ParseFailure::Completion(_) | ParseFailure::Stdout(..) => ExitCode::SUCCESS,
+            };
+        }
+    };
+    let settings = match settings::check(arguments) {
+        Ok(settings) => settings,
+        Err(fault) => return fault.report(report::Output::Human),
+    };
+    match command::run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => fault.report(settings.output),
+    }
+}
--- /dev/null
+++ b/crates/client/src/report/mod.rs
@@ -0,0 +1,111 @@
+//! Results as tables for people and as JSON for programs.
+
+use savorylane_intent::document::Target;
+use savorylane_intent::{Document, Version, delta};
+use serde::Serialize;
+
+/// Form of the result.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Output {
+    /// Tables.
+    Human,
+    /// One line of JSON.
+    Json,
+}
+
+/// Changes from one version to another.
+#[derive(Debug, Serialize)]
+pub(crate) struct Changes {
+    /// Earlier version.
+    pub(crate) from: Version,
+    /// Later version.
+    pub(crate) to: Version,
+    /// Whether a daemon with the earlier version adopts the later one.
+    pub(crate) adopted: bool,
+    /// The changes.
+    pub(crate) changes: Vec<delta::Change>,
+}
+
+impl Changes {
+    /// Compares two documents.
+    pub(crate) fn between(old: &Document, new: &Document) -> Self {
+        let (from, to) = (old.version(), new.version());
+        Self {
+            from,
+            to,
+            adopted: from < to,
+            changes: delta::changes(Some(old), new),
+        }
+    }
+
+    /// Returns the text of the result, with a final line break.
+    pub(crate) fn text(&self, output: Output) -> String {
+        if output == Output::Json {
+            return json(self);
+        }
+        let mut text = format!("version {} -> {}\n", self.from, self.to);
+        if self.to < self.from {
+            text += "daemons with the first version ignore the second, which is lower\n";
+        }
+        if self.changes.is_empty() {
+            return text + "no changes\n";
+        }
+        let mut rows = vec![["CHANGE", "NAME", "FROM", "TO"].map(String::from)];
+        rows.extend(self.changes.iter().map(row));
+        text + &table(&rows)
+    }
+}
+
+fn row(change: &delta::Change) -> [String; 4] {
+    let cells =
+        |change: &str, name: &str, from: &str, to: &str| [change, name, from, to].map(String::from);
+    let target = Target::to_string;
+    match change {
+        delta::Change::Deployment { from, to } => cells("deployment changed", "", from, to),
+        delta::Change::ServiceAdded { service } => cells("service added", service, "", ""),
+        delta::Change::ServiceRemoved { service } => cells("service removed", service, "", ""),
+        delta::Change::TargetSet { class, target: to } => {
+            cells("target set", class, "", &target(to))
+        }
+        delta::Change::TargetChanged { class, from, to } => {
+            cells("target changed", class, &target(from), &target(to))
+        }
+        delta::Change::TargetWithdrawn {
+            class,
+            target: from,
+        } => cells("target withdrawn", class, &target(from), ""),
+        delta::Change::ClassChanged {
+            class,
+            field,
+            from,
+            to,
+        } => cells(&format!("{field} changed"), class, from, to),
+    }
+}
+
+/// Returns `rows` with aligned columns.
+pub(crate) fn table<const COLUMNS: usize>(rows: &[[String; COLUMNS]]) -> String {
+    let mut text = String::new();
+    let widths: [usize; COLUMNS] = std::array::from_fn(|column| {
+        let cells = rows.iter().map(|row| row[column].chars().count());
+        cells.max().unwrap_or(0)
+    });
+    for row in rows {
+        let mut line = String::new();
+        for (cell, width) in row.iter().zip(widths) {
+            line += &format!("{cell:width$}  ");
+        }
+        text += line.trim_end();
+        text.push('\n');
+    }
+    text
+}
+
+/// Returns `value` as one line of JSON.
+///
+/// # Panics
+///
+/// Panics if JSON cannot express the value; all values of this crate can be.
+pub(crate) fn json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).expect("the value is expressible in JSON") + "\n"
+}
