--- a/crates/intent/src/document/mod.rs
+++ b/crates/intent/src/document/mod.rs
@@ -267,7 +267,9 @@
 
 /// Parses and checks a document, and sorts its lists.
 ///
-/// The result depends on `bytes` alone.
+/// The result depends on `bytes` alone. An object may also be written as the
+/// list of its values in the order of the fields, since serde reads both; the
+/// canonical form has objects only.
 ///
 /// # Errors
 ///
