Add the delay relay, load generator, report and deployments

Cause: the figures of the design need links with latency, callers that do not wait for answers, and the two deployments at their size of today.

Ruled out: starting requests by tokio's timer, which would start them up to 1 ms late; a thread of its own does. Service times left to tokio's timer: the capacity would be below that of the settings. Each run now takes off what earlier runs took too long.

Change: `delay` relays TCP with latency, bandwidth, cuts and silence. `load` sends Poisson arrivals, counts latency from the intended start and resends keys through another entry. `report` writes JSON lines and a table.

--- /dev/null
+++ b/crates/standin/src/delay/mod.rs
@@ -0,0 +1,228 @@
+//! A TCP relay that models a link between data centres or regions.
+//!
+//! Single delays are up to 1 ms too short or too long; their mean is about right.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, split};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until};
+use tokio_util::sync::CancellationToken;
+
+use crate::net::{Links, Port, Tap};
+
+/// Bytes read at a time; also the unit in which connections share a link.
+const CHUNK: usize = 16 * 1024;
+/// Chunks in flight per connection and direction, before reading stops.
+const IN_FLIGHT: usize = 1024;
+
+/// Mean lateness of tokio's timer: the timer and the poll below it both round
+/// up to whole milliseconds.
+const TIMER_LAG: Duration = Duration::from_millis(1);
+
+/// Waits until `time`, up to the timer's resolution.
+async fn wait_until(time: Instant) {
+    if time > Instant::now() {
+        sleep_until(time - TIMER_LAG).await;
+    }
+}
+
+/// Settings of a link.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Where connections are relayed to.
+    pub target: SocketAddr,
+    /// One-way latency.
+    pub delay: Duration,
+    /// Limit of each direction over all connections, in bytes per second.
+    pub bandwidth: Option<f64>,
+}
+
+/// Bytes relayed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counters {
+    /// Bytes from the connecting side to the target.
+    pub forward: u64,
+    /// Bytes from the target to the connecting side.
+    pub backward: u64,
+    /// Connections accepted.
+    pub connections: u64,
+}
+
+/// A running link.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    /// Bound address.
+    pub addr: SocketAddr,
+    state: Arc<State>,
+    links: Arc<Links>,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    forward: Direction,
+    backward: Direction,
+    /// Number of the next connection.
+    next: AtomicU64,
+    /// Connections with a smaller number are silent.
+    silent: AtomicU64,
+}
+
+#[derive(Debug)]
+struct Direction {
+    bytes: AtomicU64,
+    /// When the bytes accepted so far have left.
+    free: Mutex<Instant>,
+}
+
+impl Direction {
+    fn new() -> Self {
+        Self {
+            bytes: AtomicU64::new(0),
+            free: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Counts `length` bytes and returns when they have left.
+    fn depart(&self, length: usize, bandwidth: Option<f64>) -> Instant {
+        self.bytes.fetch_add(length as u64, Ordering::Relaxed);
+        let now = Instant::now();
+        let Some(bandwidth) = bandwidth else {
+            return now;
+        };
+        let mut free = self.free.lock().unwrap();
+        *free = now.max(*free) + Duration::from_secs_f64(length as f64 / bandwidth);
+        *free
+    }
+}
+
+/// Starts a link.
+///
+/// # Errors
+///
+/// Returns the error of binding the port.
+pub fn spawn(settings: Settings, cancel: &CancellationToken) -> io::Result<Handle> {
+    let bound = Port::bind()?;
+    let addr = bound.0.addr;
+    let links = Links::new(cancel.child_token());
+    let state = Arc::new(State {
+        settings,
+        forward: Direction::new(),
+        backward: Direction::new(),
+        next: AtomicU64::new(0),
+        silent: AtomicU64::new(0),
+    });
+    let relay = state.clone();
+    tokio::spawn(links.clone().accept(bound, move |tap| {
+        let number = relay.next.fetch_add(1, Ordering::Relaxed);
+        let relay = relay.clone();
+        async move {
+            // An error of either side closes both sides.
+            let _ = relay.connect(number, tap).await;
+        }
+    }));
+    Ok(Handle { addr, state, links })
+}
+
+impl Handle {
+    /// Closes all connections and refuses new ones until healed.
+    pub fn cut(&self) {
+        self.links.refuse(true);
+        self.links.close_all();
+    }
+
+    /// Ends a cut. Silent connections stay silent.
+    pub fn heal(&self) {
+        self.links.refuse(false);
+    }
+
+    /// Makes the open connections silent: bytes are accepted and not forwarded.
+    pub fn silence(&self) {
+        let next = self.state.next.load(Ordering::Relaxed);
+        self.state.silent.store(next, Ordering::Relaxed);
+    }
+
+    /// Returns what was relayed so far.
+    pub fn counters(&self) -> Counters {
+        Counters {
+            forward: self.state.forward.bytes.load(Ordering::Relaxed),
+            backward: self.state.backward.bytes.load(Ordering::Relaxed),
+            connections: self.links.accepted(),
+        }
+    }
+}
+
+impl State {
+    async fn connect(&self, number: u64, near: Tap) -> io::Result<()> {
+        // The kernel completes the handshake on loopback at once; over the
+        // modelled link it takes a round trip.
+        wait_until(Instant::now() + 2 * self.settings.delay).await;
+        let far = TcpStream::connect(self.settings.target).await?;
+        far.set_nodelay(true)?;
+        let (near_read, near_write) = split(near);
+        let (far_read, far_write) = split(far);
+        tokio::try_join!(
+            self.pump(number, &self.forward, near_read, far_write),
+            self.pump(number, &self.backward, far_read, near_write),
+        )?;
+        Ok(())
+    }
+
+    fn silent(&self, number: u64) -> bool {
+        number < self.silent.load(Ordering::Relaxed)
+    }
+
+    async fn pump(
+        &self,
+        number: u64,
+        direction: &Direction,
+        mut read: impl AsyncRead + Unpin,
+        mut write: impl AsyncWrite + Unpin,
+    ) -> io::Result<()> {
+        let (sender, mut receiver) = mpsc::channel::<(Instant, Bytes)>(IN_FLIGHT);
+        let reader = async move {
+            loop {
+                let mut buffer = BytesMut::with_capacity(CHUNK);
+                let length = read.read_buf(&mut buffer).await?;
+                if self.silent(number) && length > 0 {
+                    continue;
+                }
+                let departure = direction.depart(length, self.settings.bandwidth);
+                let arrival = departure + self.settings.delay;
+                // An empty chunk stands for the end of the stream.
+                if sender.send((arrival, buffer.freeze())).await.is_err() || length == 0 {
+                    return Ok(());
+                }
+                if self.settings.bandwidth.is_some() {
+                    wait_until(departure).await;
+                }
+            }
+        };
+        let writer = async move {
+            while let Some((arrival, bytes)) = receiver.recv().await {
+                wait_until(arrival).await;
+                if self.silent(number) {
+                    // The other side learns nothing, not even of an end.
+                    if bytes.is_empty() {
+                        std::future::pending::<()>().await;
+                    }
+                    continue;
+                }
+                if bytes.is_empty() {
+                    return write.shutdown().await;
+                }
+                write.write_all(&bytes).await?;
+            }
+            Ok(())
+        };
+        tokio::try_join!(reader, writer)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standin/src/deployment/mod.rs
@@ -0,0 +1,300 @@
+//! The two deployments that figures are measured on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Method;
+use savorylane_intent::Document;
+use savorylane_intent::document::{Class, Service, Target, Work};
+use savorylane_intent::hosts::{Host, State};
+
+use crate::load::{self, Keys, Rate};
+use crate::upstream::{self, Time};
+
+/// One-way latency between data centres of a region.
+pub const DATA_CENTRE_DELAY: Duration = Duration::from_micros(1_500);
+/// One-way latency between regions.
+pub const REGION_DELAY: Duration = Duration::from_millis(20);
+/// One-way latency to callers.
+pub const CALLER_DELAY: Duration = Duration::from_millis(10);
+/// Bandwidth of each pair of regions and direction, in bytes per second (4 Gbit/s).
+pub const REGION_BANDWIDTH: f64 = 500e6;
+/// Median service time of short work.
+pub const SHORT: Duration = Duration::from_millis(4);
+/// Median service time of long work: 100 times the short work.
+pub const LONG: Duration = Duration::from_millis(400);
+/// Shape of the service times. The 99th percentile is twice the median.
+pub const SIGMA: f64 = 0.3;
+
+/// A data centre and its region.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct DataCentre {
+    /// Unique name.
+    pub name: &'static str,
+    /// Region.
+    pub region: &'static str,
+}
+
+/// A deployment at its size of today, which can be scaled by its hosts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Deployment {
+    /// Data centres. The platform is in the region of the first.
+    pub data_centres: Vec<DataCentre>,
+    /// Services and classes with their targets, as document number 1.
+    pub document: Document,
+    /// Upstream hosts.
+    pub hosts: usize,
+    /// Slots of an upstream.
+    pub slots: usize,
+    /// Connections of callers to an upstream.
+    pub connections: usize,
+}
+
+/// Where a host stands and what it runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Unique name.
+    pub name: String,
+    /// Data centre and region.
+    pub data_centre: DataCentre,
+    /// Service of the upstream.
+    pub service: String,
+}
+
+impl Place {
+    /// Returns the entry of the host list; `ports` are entry, data, control
+    /// and operator.
+    pub fn host(&self, ports: [SocketAddr; 4]) -> Host {
+        let [entry, data, control, operator] = ports;
+        Host {
+            name: self.name.clone(),
+            region: self.data_centre.region.into(),
+            data_centre: self.data_centre.name.into(),
+            service: self.service.clone(),
+            entry,
+            data,
+            control,
+            operator,
+            state: State::Live,
+        }
+    }
+}
+
+/// Returns the deployment of Testata.
+pub fn testata() -> Deployment {
+    let classes = vec![
+        short("browse", "catalogo", "GET"),
+        short("confirm", "ordini", "POST"),
+        short("preview", "grafica", "GET"),
+        long("upload", "grafica", "POST"),
+        long("replace", "grafica", "PUT"),
+    ];
+    let centres = [
+        ["mi-a", "lombardy"],
+        ["bg-b", "lombardy"],
+        ["vr-a", "veneto"],
+        ["pd-b", "veneto"],
+        ["to-a", "piedmont"],
+        ["no-b", "piedmont"],
+    ];
+    deployment(
+        "testata",
+        ["catalogo", "ordini", "grafica"],
+        classes,
+        centres,
+        6,
+        120,
+    )
+}
+
+/// Returns the deployment of Skräpplock.
+pub fn skrapplock() -> Deployment {
+    let classes = vec![
+        short("stock", "lager", "GET"),
+        short("book", "utlan", "POST"),
+        short("view", "rapport", "GET"),
+        long("report", "rapport", "POST"),
+        long("replace", "rapport", "PUT"),
+    ];
+    let centres = [
+        ["sv-a", "svealand"],
+        ["sv-b", "svealand"],
+        ["go-a", "gotaland"],
+        ["go-b", "gotaland"],
+        ["no-a", "norrland"],
+        ["no-b", "norrland"],
+    ];
+    deployment(
+        "skrapplock",
+        ["lager", "utlan", "rapport"],
+        classes,
+        centres,
+        18,
+        110,
+    )
+}
+
+fn deployment(
+    name: &str,
+    services: [&str; 3],
+    classes: Vec<Class>,
+    centres: [[&'static str; 2]; 6],
+    slots: usize,
+    connections: usize,
+) -> Deployment {
+    let services = services.map(|name| Service { name: name.into() });
+    Deployment {
+        data_centres: centres
+            .map(|[name, region]| DataCentre { name, region })
+            .to_vec(),
+        document: Document {
+            number: 1,
+            deployment: name.into(),
+            services: services.to_vec(),
+            classes,
+        },
+        hosts: 18,
+        slots,
+        connections,
+    }
+}
+
+/// Short reads are shed before short writes, whose loss costs more.
+fn short(name: &str, service: &str, method: &str) -> Class {
+    let idempotent = method == "GET";
+    class(
+        name,
+        service,
+        method,
+        Work::Short,
+        idempotent,
+        u8::from(idempotent),
+    )
+}
+
+fn long(name: &str, service: &str, method: &str) -> Class {
+    class(name, service, method, Work::Long, method == "PUT", 2)
+}
+
+fn class(
+    name: &str,
+    service: &str,
+    method: &str,
+    work: Work,
+    idempotent: bool,
+    shed_order: u8,
+) -> Class {
+    let latency_ms = match work {
+        Work::Short => 100,
+        Work::Long => 5_000,
+    };
+    Class {
+        name: name.into(),
+        service: service.into(),
+        path_prefix: format!("/{service}/"),
+        methods: vec![method.into()],
+        work,
+        idempotent,
+        target: Target {
+            latency_ms,
+            quantile: 0.99,
+            success: 0.999,
+        },
+        shed_order,
+    }
+}
+
+impl Deployment {
+    /// Returns the places of `hosts` hosts. Services, and the data centres of
+    /// each service, are filled in turn.
+    pub fn places(&self, hosts: usize) -> Vec<Place> {
+        let services = &self.document.services;
+        let place = |n: usize| {
+            let service = &services[n % services.len()].name;
+            let round = n / services.len();
+            let data_centre = self.data_centres[round % self.data_centres.len()];
+            Place {
+                name: format!("{service}-{}-{round}", data_centre.name),
+                data_centre,
+                service: service.clone(),
+            }
+        };
+        (0..hosts).map(place).collect()
+    }
+
+    /// Returns the number of hosts in each data centre out of `hosts`.
+    pub fn hosts_per_data_centre(&self, hosts: usize) -> Vec<(DataCentre, usize)> {
+        let places = self.places(hosts);
+        let count = |centre: &DataCentre| {
+            let there = places.iter().filter(|place| place.data_centre == *centre);
+            (*centre, there.count())
+        };
+        self.data_centres.iter().map(count).collect()
+    }
+
+    /// Returns the one-way latency between two data centres.
+    pub fn delay(a: DataCentre, b: DataCentre) -> Duration {
+        if a == b {
+            return Duration::ZERO;
+        }
+        match a.region == b.region {
+            true => DATA_CENTRE_DELAY,
+            false => REGION_DELAY,
+        }
+    }
+
+    /// Returns the settings of an upstream. Requests with a body of a long
+    /// class take [`LONG`], others [`SHORT`]; load paths tell them apart.
+    pub fn upstream(&self, service: &str, seed: u64) -> upstream::Settings {
+        let row = |path: String, median| upstream::Service {
+            path_prefix: path,
+            time: Time::LogNormal(median, SIGMA),
+            fill: 256,
+        };
+        upstream::Settings {
+            slots: self.slots,
+            services: vec![
+                row(format!("/{service}/short/"), SHORT),
+                row(format!("/{service}/long/"), LONG),
+            ],
+            seed,
+            ..upstream::Settings::default()
+        }
+    }
+
+    /// Returns the short requests per second that one upstream can serve.
+    pub fn capacity(&self) -> f64 {
+        // Mean of the log-normal distribution.
+        let mean = SHORT.as_secs_f64() * (SIGMA * SIGMA / 2.0).exp();
+        self.slots as f64 / mean
+    }
+
+    /// Returns load of the class `name` at `rate`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the document does not hold the class.
+    pub fn load(&self, name: &str, rate: Rate) -> load::Class {
+        let mut classes = self.document.classes.iter();
+        let class = classes
+            .find(|class| class.name == name)
+            .expect("the class is one of the document");
+        let method = Method::from_bytes(class.methods[0].as_bytes()).expect("a valid method");
+        let (kind, body, timeout) = match class.work {
+            Work::Short => ("short", 512, Duration::from_secs(1)),
+            Work::Long => ("long", 256 * 1024, Duration::from_secs(10)),
+        };
+        load::Class {
+            name: name.into(),
+            path: format!("{}{kind}/{name}", class.path_prefix),
+            body: if method == Method::GET { 0 } else { body },
+            method,
+            timeout,
+            keys: match class.idempotent {
+                true => Keys::None,
+                false => Keys::Opaque,
+            },
+            rate,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/load/mod.rs
@@ -0,0 +1,194 @@
+//! Callers: an open-loop load generator.
+//!
+//! Requests start at their intended time, whatever became of earlier ones.
+
+pub mod plan;
+pub mod results;
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use savorylane_wire::header;
+use tokio::runtime;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::upstream::{REQUEST_ID, answer};
+pub use plan::{Arrival, Class, Keys, Plan, Rate, Resend};
+pub use results::{End, Figures, Outcome, Results};
+
+/// Longest sleep between two looks at the cancellation token.
+const SLICE: Duration = Duration::from_millis(50);
+
+type Caller = Client<HttpConnector, Full<Bytes>>;
+
+/// Starts a run. It ends after the plan's duration and the timeouts of the
+/// last requests; cancelling stops further requests from being started.
+///
+/// # Panics
+///
+/// Panics if the plan has no entry or no caller.
+pub fn spawn(plan: Plan, cancel: &CancellationToken) -> JoinHandle<Results> {
+    assert!(plan.callers > 0, "the plan has no caller");
+    let arrivals = plan.arrivals();
+    let callers: Vec<Caller> = (0..plan.callers).map(|n| caller(n, plan.http2)).collect();
+    let plan = Arc::new(plan);
+    let cancel = cancel.clone();
+    let runtime = runtime::Handle::current();
+    let started = Instant::now();
+    tokio::spawn(async move {
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let starter = {
+            let plan = plan.clone();
+            // A thread of its own: tokio's timer would start requests up to
+            // 1 ms late, which the latency from the intended start would show.
+            tokio::task::spawn_blocking(move || {
+                for (n, arrival) in arrivals.into_iter().enumerate() {
+                    while let Some(wait) = arrival.at.checked_sub(started.elapsed()) {
+                        thread::sleep(wait.min(SLICE));
+                        if cancel.is_cancelled() {
+                            return;
+                        }
+                    }
+                    let caller = callers[n % callers.len()].clone();
+                    let call = call(plan.clone(), caller, n, arrival, started);
+                    let sender = sender.clone();
+                    runtime.spawn(async move { sender.send(call.await) });
+                }
+            })
+        };
+        let mut outcomes = Vec::new();
+        // Ends when the starter and all calls have dropped their senders.
+        while let Some(outcome) = receiver.recv().await {
+            outcomes.push(outcome);
+        }
+        starter.await.expect("the starter does not panic");
+        let classes = plan.classes.iter().enumerate();
+        Results {
+            classes: classes
+                .map(|(index, class)| Figures::of(&class.name, index, &outcomes))
+                .collect(),
+            outcomes,
+            elapsed: started.elapsed(),
+        }
+    })
+}
+
+fn caller(number: u8, http2: bool) -> Caller {
+    let mut connector = HttpConnector::new();
+    // 127.0.0.0/8 is loopback; daemons tell callers apart by address.
+    connector.set_local_address(Some(Ipv4Addr::new(127, 0, 1, number).into()));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .http2_only(http2)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+/// How one attempt ended.
+struct Attempt {
+    end: End,
+    headers: HeaderMap,
+}
+
+async fn call(
+    plan: Arc<Plan>,
+    caller: Caller,
+    number: usize,
+    arrival: Arrival,
+    started: Instant,
+) -> Outcome {
+    let class = &plan.classes[arrival.class];
+    let id = format!("{}-{number}", plan.seed);
+    let key = match class.keys {
+        Keys::None => None,
+        Keys::Opaque => Some(format!("key-{id}")),
+        Keys::Timed => {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH);
+            let ms = now.unwrap_or_default().as_millis();
+            Some(format!("{ms}-{id}"))
+        }
+    };
+    let body: Bytes = id.bytes().cycle().take(class.body).collect();
+    let mut attempts = 0;
+    loop {
+        let entry = (arrival.entry + attempts as usize) % plan.entries.len();
+        attempts += 1;
+        let mut request = Request::builder()
+            .method(&class.method)
+            .uri(format!("http://{}{}", plan.entries[entry], class.path))
+            .header(REQUEST_ID, &id)
+            .header(header::TIMEOUT_MS, class.timeout.as_millis().to_string());
+        if let Some(key) = &key {
+            request = request.header(header::IDEMPOTENCY_KEY, key);
+            if plan.resend.mark {
+                request = request.header(header::ATTEMPT, attempts);
+            }
+            if let Some(home) = &plan.home {
+                request = request.header(header::HOME, home);
+            }
+        }
+        let request = request
+            .body(Full::new(body.clone()))
+            .expect("the plan holds valid paths and names");
+        let began = Instant::now();
+        let attempt = timeout(class.timeout, attempt(&caller, request, &id, &body)).await;
+        let Attempt { end, headers } = attempt.unwrap_or(Attempt {
+            end: End::Timeout,
+            headers: HeaderMap::new(),
+        });
+        let last = began.elapsed();
+        let broken = matches!(end, End::Cut | End::Timeout);
+        if broken && key.is_some() && attempts < plan.resend.attempts {
+            sleep(plan.resend.wait).await;
+            continue;
+        }
+        let verdict = headers.get(header::VERDICT);
+        return Outcome {
+            class: arrival.class,
+            key: key.unwrap_or(id),
+            start: arrival.at,
+            latency: started.elapsed().saturating_sub(arrival.at),
+            last,
+            end,
+            verdict: verdict.and_then(|value| value.to_str().ok()?.parse().ok()),
+            attempts,
+        };
+    }
+}
+
+async fn attempt(caller: &Caller, request: Request<Full<Bytes>>, id: &str, body: &[u8]) -> Attempt {
+    let cut = Attempt {
+        end: End::Cut,
+        headers: HeaderMap::new(),
+    };
+    let Ok(answer) = caller.request(request).await else {
+        return cut;
+    };
+    let (parts, content) = answer.into_parts();
+    let Ok(content) = content.collect().await else {
+        return cut;
+    };
+    let verdict = parts.headers.get(header::VERDICT);
+    let refused = verdict.is_some_and(|verdict| verdict == "not-run");
+    let end = match parts.status {
+        StatusCode::OK if answer::check(id, body, &content.to_bytes()).is_err() => End::Wrong,
+        StatusCode::OK => End::Done,
+        _ if refused => End::Refused,
+        _ => End::Failed,
+    };
+    Attempt {
+        end,
+        headers: parts.headers,
+    }
+}
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -36,6 +36,10 @@
 /// Path of the health report.
 pub const HEALTH: &str = "/health";
 
+/// Most time that one run passes on to later runs. Tokio's timer is up to
+/// 1 ms late; more comes from a pause of the process and is not made up.
+const LAG_LIMIT: Duration = Duration::from_millis(2);
+
 /// How the upstream behaves. It can be changed at run time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Mode {
@@ -97,6 +101,8 @@
     queued: Mutex<usize>,
     rng: Mutex<ChaCha8Rng>,
     started: Mutex<Instant>,
+    /// Time that earlier runs took too long because of the timer's resolution.
+    lag: Mutex<Duration>,
 }
 
 /// Starts an upstream that counts its runs in `record`.
@@ -120,6 +126,7 @@
         queued: Mutex::default(),
         rng: Mutex::new(ChaCha8Rng::seed_from_u64(settings.seed)),
         started: Mutex::new(Instant::now()),
+        lag: Mutex::default(),
         settings,
     });
     let server = state.clone();
@@ -247,9 +254,23 @@
                 let _ = modes.changed().await;
                 continue;
             }
+            let wall = left.mul_f64(factor);
+            // What earlier runs took too long is taken off, so that the mean
+            // service time, and with it the capacity, is that of the settings.
+            let early = {
+                let mut lag = self.lag.lock().unwrap();
+                let early = (*lag).min(wall);
+                *lag -= early;
+                early
+            };
             tokio::select! {
-                () = sleep(left.mul_f64(factor)) => return,
+                () = sleep(wall - early) => {
+                    let late = (began.elapsed() + early).saturating_sub(wall);
+                    *self.lag.lock().unwrap() += late.min(LAG_LIMIT);
+                    return;
+                }
                 _ = modes.changed() => {
+                    *self.lag.lock().unwrap() += early;
                     left = left.saturating_sub(began.elapsed().div_f64(factor));
                 }
             }
