Count calls in progress in the platform's calls per second

Cause: a call entered the counts per second only when it ended, so that a standing watch was missing from them until it was answered.

Ruled out: a task that samples the open calls once a second, because it would miss short calls.

Change: begun and ended calls are counted per second, and the calls in progress are derived from both. Tests for it, for the modes of the upstream and for callers that leave over HTTP/1.1 and HTTP/2.

--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -126,7 +126,7 @@
     /// Revision of the last change; also sent when the faults change.
     changed: watch::Sender<u64>,
     started: Instant,
-    seconds: Mutex<Vec<u64>>,
+    seconds: Mutex<Seconds>,
     waiting: AtomicU64,
 }
 
@@ -241,41 +241,68 @@
             };
             (ip, source)
         });
+        // Adds the seconds since the last call began or ended.
+        self.state.count(|_, _| ());
         Counters {
-            seconds: self.state.seconds.lock().unwrap().clone(),
+            seconds: self.state.seconds.lock().unwrap().calls(),
             waiting: self.state.waiting.load(Ordering::Relaxed),
             sources: sources.collect(),
         }
     }
 }
 
+/// Calls that began and ended in each second since the start.
+#[derive(Debug, Default)]
+struct Seconds {
+    began: Vec<u64>,
+    ended: Vec<u64>,
+}
+
+impl Seconds {
+    /// Returns the calls that were in progress at some time of each second.
+    fn calls(&self) -> Vec<u64> {
+        let mut open = 0;
+        let seconds = self.began.iter().zip(&self.ended);
+        seconds
+            .map(|(began, ended)| {
+                let calls = open + began;
+                open = calls - ended;
+                calls
+            })
+            .collect()
+    }
+}
+
 /// Counts a call from its start until it is dropped.
-struct Call(Arc<State>, Instant);
+struct Call(Arc<State>);
 
 impl Call {
     fn begin(state: &Arc<State>) -> Self {
         state.waiting.fetch_add(1, Ordering::Relaxed);
-        Self(state.clone(), Instant::now())
+        state.count(|seconds, now| seconds.began[now] += 1);
+        Self(state.clone())
     }
 }
 
 impl Drop for Call {
     fn drop(&mut self) {
-        let Self(state, began) = self;
+        let Self(state) = self;
         state.waiting.fetch_sub(1, Ordering::Relaxed);
-        let first = (*began - state.started).as_secs() as usize;
-        let last = state.started.elapsed().as_secs() as usize;
-        let mut seconds = state.seconds.lock().unwrap();
-        if seconds.len() <= last {
-            seconds.resize(last + 1, 0);
-        }
-        for second in &mut seconds[first..=last] {
-            *second += 1;
-        }
+        state.count(|seconds, now| seconds.ended[now] += 1);
     }
 }
 
 impl State {
+    /// Changes the counts by `change`, which is given the index of this second.
+    fn count(&self, change: impl FnOnce(&mut Seconds, usize)) {
+        let mut seconds = self.seconds.lock().unwrap();
+        let now = self.started.elapsed().as_secs() as usize;
+        let length = seconds.began.len().max(now + 1);
+        seconds.began.resize(length, 0);
+        seconds.ended.resize(length, 0);
+        change(&mut seconds, now);
+    }
+
     /// Returns the value that `link` gets for `key`, with the faults applied.
     fn read(&self, link: &Link, key: &str) -> Option<(u64, Bytes)> {
         let faults = self.faults.lock().unwrap().clone();
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -32,6 +32,29 @@
     cancel.cancel();
 }
 
+/// Guards against waiting watches that are missing from the calls per second,
+/// which would hide that too many daemons watch.
+#[tokio::test]
+async fn waiting_watch_counts_once_a_second() {
+    let cancel = CancellationToken::new();
+    let platform = platform::spawn(1, &cancel).unwrap();
+    let addr = platform.addr();
+    let path = "/v1/values/key?after=0&wait_ms=60000";
+    let watch = tokio::spawn(async move { send(addr, false, path, "", "").await.unwrap() });
+    until("a waiting watch", || platform.counters().waiting == 1).await;
+    until("a further second", || {
+        platform.counters().seconds.len() >= 3
+    })
+    .await;
+    let seconds = platform.counters().seconds;
+    let first = seconds.iter().position(|&calls| calls > 0).unwrap();
+    assert!(seconds[first..].iter().all(|&calls| calls == 1));
+    assert!(seconds.len() - first >= 2);
+    platform.publish("key", "value");
+    assert_eq!(watch.await.unwrap().status(), 200);
+    cancel.cancel();
+}
+
 /// Guards against faults that do not reach clients, which would let tests of
 /// outages, stale reads and torn reads pass without testing anything.
 #[tokio::test]
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -90,8 +90,7 @@
     cancel.cancel();
 }
 
-/// Guards against a silence that also ends the connection or stops new ones,
-/// and against work that goes on after its caller closed the connection.
+/// Guards against a silence that also ends the connection or stops new ones.
 #[tokio::test]
 async fn connection_goes_silent_while_new_ones_work() {
     let (upstream, cancel) = spawn(Settings::default());
@@ -113,11 +112,68 @@
         "a silent connection neither answers nor ends"
     );
 
+    cancel.cancel();
+}
+
+/// Guards against work that goes on after its caller left, over both
+/// protocols: slots would look busy that a real upstream frees.
+#[tokio::test]
+async fn leaving_caller_stops_its_work() {
+    let (upstream, cancel) = spawn(Settings::default());
+    let addr = upstream.addr;
     upstream.mode(|mode| mode.hang = true);
-    let left = tokio::spawn(async move { send(addr, false, "/", "left", "").await.is_ok() });
+    for (n, http2) in [(1, false), (2, true)] {
+        let caller = tokio::spawn(async move { send(addr, http2, "/", "", "").await.is_ok() });
+        until("running work", || upstream.health().running == 1).await;
+        caller.abort();
+        until("stopped work", || upstream.record.counts().stopped == n).await;
+        until("a free slot", || upstream.health().running == 0).await;
+    }
+    cancel.cancel();
+}
+
+/// Guards against modes without effect: shedding, timeouts, drain, lies and
+/// slowness that reaches work that already runs.
+#[tokio::test]
+async fn modes_take_effect() {
+    let (upstream, cancel) = spawn(Settings {
+        slots: 1,
+        services: vec![upstream::Service {
+            path_prefix: "/work".into(),
+            time: upstream::Time::Fixed(Duration::from_secs(600)),
+            fill: 0,
+        }],
+        ..Settings::default()
+    });
+    let addr = upstream.addr;
+    let status = async |path| send(addr, false, path, "late", "").await.unwrap().status();
+    assert_eq!(status("/other").await, 404);
+    let running = tokio::spawn(async move { send(addr, false, "/work", "", "").await.is_ok() });
     until("running work", || upstream.health().running == 1).await;
-    left.abort();
-    until("stopped work", || upstream.record.counts().stopped == 1).await;
-    assert_eq!(upstream.health().running, 0);
+    upstream.mode(|mode| mode.queue = 0);
+    assert_eq!(status("/work").await, 503);
+    upstream.drain();
+    assert_eq!(status("/health").await, 503);
+    upstream.mode(|mode| (mode.lie, mode.hang) = (true, true));
+    assert_eq!(status("/health").await, 200);
+    assert_eq!(status("/work").await, 503);
+    // 600 s of work at a millionth of the time.
+    upstream.mode(|mode| (mode.slow, mode.hang) = (1e-6, false));
+    assert!(running.await.unwrap());
+    let counts = upstream.record.counts();
+    assert_eq!((counts.shed, counts.completed, counts.received), (2, 1, 3));
+    assert_eq!(counts.late.len(), 1);
+    assert_eq!(counts.late[0].request, "late");
+    upstream.mode(|mode| mode.hang = true);
+    let request = http::Request::builder()
+        .uri(format!("http://{addr}/work"))
+        .header(savorylane_wire::header::TIMEOUT_MS, "20")
+        .body(http_body_util::Empty::<bytes::Bytes>::new())
+        .unwrap();
+    let client = hyper_util::client::legacy::Client::builder(hyper_util::rt::TokioExecutor::new());
+    let answer = client.build_http().request(request).await.unwrap();
+    assert_eq!(answer.status(), 504);
+    assert_eq!(answer.headers()[upstream::DRAINING], "true");
+    assert_eq!(upstream.record.counts().stopped, 1);
     cancel.cancel();
 }
