--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -243,8 +243,9 @@
         }
     }
 
-    /// Returns the settings of an upstream. Requests with a body of a long
-    /// class take [`LONG`], others [`SHORT`]; load paths tell them apart.
+    /// Returns the settings of an upstream. It takes [`SHORT`] for paths below
+    /// `/<service>/short/` and [`LONG`] below `/<service>/long/`, the paths
+    /// that [`Deployment::load`] gives; other paths are answered 404.
     pub fn upstream(&self, service: &str, seed: u64) -> upstream::Settings {
         let row = |path: String, median| upstream::Service {
             path_prefix: path,
