Add a model of the decision logic and tests of gate and retries

Routing and admission had no figures and no tests. The example model runs 6 hosts x 6 slots and 6 entries in virtual time; it measures the decision logic only, neither sockets nor processes.

Found by the tests and fixed: a second suspect request started directly after the first; the limit looked at the last answer only to see whether all slots were in use, so it never fell when answers came in batches; a change of the reference service time counted as the success of a lower limit.

--- /dev/null
+++ b/crates/policy/examples/model/scenario.rs
@@ -0,0 +1,106 @@
+//! Settings of the model and its figures.
+
+/// One setting of the model.
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    /// Short arrivals in shares of the capacity at a time in seconds.
+    pub(crate) load: fn(f64) -> f64,
+    pub(crate) seconds: f64,
+    pub(crate) slowed: bool,
+    /// Long arrivals as a share of the capacity in slot time.
+    pub(crate) long: f64,
+    /// Whether the hosts lie in three regions, two in each.
+    pub(crate) regions: bool,
+    pub(crate) crest: (f64, f64),
+}
+
+fn steady(_: f64) -> f64 {
+    0.7
+}
+
+fn crest(time: f64) -> f64 {
+    match time {
+        time if time < 5.0 => 0.7,
+        time if time < 7.0 => 1.0 + 2.0 * (time - 5.0),
+        time if time < 25.0 => 5.0,
+        _ => 0.7,
+    }
+}
+
+impl Scenario {
+    pub(crate) fn all() -> Vec<Self> {
+        let base = |name| Self {
+            name,
+            load: steady,
+            seconds: 60.0,
+            slowed: false,
+            long: 0.0,
+            regions: false,
+            crest: (0.0, 60.0),
+        };
+        vec![
+            base("undisturbed"),
+            Self {
+                slowed: true,
+                ..base("slowed")
+            },
+            Self {
+                regions: true,
+                ..base("regions-undisturbed")
+            },
+            Self {
+                regions: true,
+                slowed: true,
+                ..base("regions-slowed")
+            },
+            Self {
+                long: 0.2,
+                load: |_| 0.5,
+                ..base("uploads")
+            },
+            Self {
+                load: |_| 0.5,
+                ..base("no-uploads")
+            },
+            Self {
+                load: crest,
+                seconds: 32.0,
+                crest: (5.0, 25.0),
+                ..base("crest")
+            },
+        ]
+    }
+}
+
+/// Figures of one run.
+#[derive(Default)]
+pub(crate) struct Result {
+    pub(crate) short_us: Vec<u64>,
+    pub(crate) refused_us: Vec<u64>,
+    pub(crate) failed: u64,
+    pub(crate) long: u64,
+    pub(crate) goodput: f64,
+    pub(crate) answered_first: f64,
+    pub(crate) answered_second: f64,
+    /// Time after the crest of the last short answer above the target.
+    pub(crate) recovery: f64,
+    pub(crate) offered: u64,
+    pub(crate) hedges: u64,
+    pub(crate) retries: u64,
+    pub(crate) good: u64,
+    pub(crate) by_order: [(u64, u64); 2],
+}
+
+impl Result {
+    pub(crate) fn answered_share(&self) -> f64 {
+        self.short_us.len() as f64 / self.offered as f64
+    }
+
+    pub(crate) fn hedged_share(&self) -> f64 {
+        self.hedges as f64 / self.offered as f64
+    }
+
+    pub(crate) fn retried_share(&self) -> f64 {
+        self.retries as f64 / self.offered as f64
+    }
+}
--- /dev/null
+++ b/crates/policy/examples/model/world.rs
@@ -0,0 +1,488 @@
+//! Hosts, entries and arrivals in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use savorylane_intent::document::Work as Length;
+use savorylane_policy::gate::{Action, Decision, Finish, Gate, Work};
+use savorylane_policy::retry::{self, Budget, Latency};
+use savorylane_policy::route::{
+    self, Candidate, Context, Distance, Estimate, Outcome, Policy, Ticket,
+};
+use savorylane_wire::{Load, Verdict};
+
+use crate::scenario::{Result, Scenario};
+
+const HOSTS: usize = 6;
+const SLOTS: usize = 6;
+/// Mean service time of short work.
+const SERVICE: f64 = 0.010;
+/// Length of long work in units of short work.
+const LONG: f64 = 100.0;
+const CAPACITY: f64 = (HOSTS * SLOTS) as f64 / SERVICE;
+const SLOWDOWN: f64 = 10.0;
+const TIMEOUT: Duration = Duration::from_secs(1);
+const TIMEOUT_LONG: Duration = Duration::from_secs(30);
+const TARGET: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive(bool),
+    Reach(usize),
+    Served(usize),
+    Cancel(usize),
+    Answer(usize, bool),
+    Hedge(usize, Option<usize>),
+    Wake(usize),
+}
+
+struct Request {
+    entry: usize,
+    arrived: Duration,
+    deadline: Duration,
+    length: Length,
+    order: u8,
+    open: u32,
+    attempts: u32,
+    done: bool,
+}
+
+struct Attempt {
+    request: usize,
+    host: usize,
+    ticket: Option<Ticket>,
+    load: Load,
+    probe: bool,
+    at_gate: bool,
+}
+
+struct Entry {
+    estimates: Vec<Estimate>,
+    turn: AtomicUsize,
+    retry: Budget,
+    hedge: Budget,
+    latency: Latency,
+}
+
+struct Host {
+    gate: Gate,
+    slow: Vec<(f64, f64)>,
+    woken: Duration,
+}
+
+/// State of one run.
+pub(crate) struct World<'a> {
+    scenario: &'a Scenario,
+    policy: Policy,
+    rng: ChaCha8Rng,
+    now: Duration,
+    sequence: u64,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    hosts: Vec<Host>,
+    entries: Vec<Entry>,
+    requests: Vec<Request>,
+    attempts: Vec<Attempt>,
+    result: Result,
+}
+
+fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value)
+}
+
+impl<'a> World<'a> {
+    pub(crate) fn new(scenario: &'a Scenario, policy: Policy, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let hosts = (0..HOSTS)
+            .map(|host| Host {
+                gate: Gate::new(SLOTS),
+                slow: slow_moments(&mut rng, scenario.slowed && host % 3 == 0),
+                woken: Duration::MAX,
+            })
+            .collect();
+        let entries = (0..HOSTS)
+            .map(|_| Entry {
+                estimates: (0..HOSTS).map(|_| Estimate::default()).collect(),
+                turn: AtomicUsize::new(0),
+                retry: Budget::retry(),
+                hedge: Budget::hedge(),
+                latency: Latency::new(),
+            })
+            .collect();
+        Self {
+            scenario,
+            policy,
+            rng,
+            now: Duration::ZERO,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            hosts,
+            entries,
+            requests: Vec::new(),
+            attempts: Vec::new(),
+            result: Result::default(),
+        }
+    }
+
+    pub(crate) fn run(mut self) -> Result {
+        self.at(Duration::ZERO, Event::Arrive(false));
+        if self.scenario.long > 0.0 {
+            self.at(Duration::ZERO, Event::Arrive(true));
+        }
+        while let Some(Reverse((time, _, event))) = self.events.pop() {
+            self.now = time;
+            match event {
+                Event::Arrive(long) => self.arrive(long),
+                Event::Reach(attempt) => self.reach(attempt),
+                Event::Served(attempt) => self.served(attempt, Finish::Answered),
+                Event::Cancel(attempt) => self.served(attempt, Finish::Cancelled),
+                Event::Answer(attempt, ran) => self.answer(attempt, ran),
+                Event::Hedge(request, host) => self.hedge(request, host),
+                Event::Wake(host) => self.drain(host),
+            }
+        }
+        let (from, to) = self.scenario.crest;
+        let result = &mut self.result;
+        result.goodput = result.good as f64 / (CAPACITY * (to - from));
+        let share = |(good, offered): (u64, u64)| good as f64 / (offered as f64).max(1.0);
+        result.answered_first = share(result.by_order[0]);
+        result.answered_second = share(result.by_order[1]);
+        self.result
+    }
+
+    fn at(&mut self, time: Duration, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((time, self.sequence, event)));
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    fn distance(&self, entry: usize, host: usize) -> Distance {
+        match (entry == host, self.scenario.regions) {
+            (true, _) => Distance::Host,
+            (false, false) => Distance::DataCentre,
+            (false, true) if entry / 2 == host / 2 => Distance::Region,
+            (false, true) => Distance::Far,
+        }
+    }
+
+    fn arrive(&mut self, long: bool) {
+        let time = self.now.as_secs_f64();
+        if time >= self.scenario.seconds {
+            return;
+        }
+        let rate = if long {
+            self.scenario.long * CAPACITY / LONG
+        } else {
+            (self.scenario.load)(time) * CAPACITY
+        };
+        let gap = self.exponential(1.0 / rate);
+        self.at(self.now + seconds(gap), Event::Arrive(long));
+        let (length, timeout) = if long {
+            (Length::Long, TIMEOUT_LONG)
+        } else {
+            (Length::Short, TIMEOUT)
+        };
+        let order = u8::from(self.rng.random::<f64>() < 0.7);
+        let entry = self.rng.random_range(0..HOSTS);
+        self.requests.push(Request {
+            entry,
+            arrived: self.now,
+            deadline: self.now + timeout,
+            length,
+            order,
+            open: 0,
+            attempts: 0,
+            done: false,
+        });
+        if !long {
+            self.result.offered += 1;
+            if self.in_crest() {
+                self.result.by_order[usize::from(order)].1 += 1;
+            }
+        }
+        self.entries[entry].retry.fresh();
+        self.entries[entry].hedge.fresh();
+        self.send(self.requests.len() - 1, None, &[]);
+    }
+
+    fn in_crest(&self) -> bool {
+        let (from, to) = self.scenario.crest;
+        (from..to).contains(&self.now.as_secs_f64())
+    }
+
+    /// Sends a request to `host`, or to the one that the policy chooses beside
+    /// those in `except`.
+    fn send(&mut self, request: usize, host: Option<usize>, except: &[usize]) {
+        let (entry, length) = (self.requests[request].entry, self.requests[request].length);
+        let first = host.is_none() && except.is_empty();
+        let own = self.policy == Policy::Savorylane;
+        let hosts = (0..HOSTS)
+            .filter(|host| !except.contains(host))
+            .collect::<Vec<_>>();
+        let distances = hosts
+            .iter()
+            .map(|host| self.distance(entry, *host))
+            .collect::<Vec<_>>();
+        let state = &self.entries[entry];
+        let choice = route::choose(
+            &Context {
+                policy: self.policy,
+                turn: &state.turn,
+                length,
+                probe: first && retry::may_hedge(true, length) && state.hedge.available(),
+                slack: (self.requests[request].arrived + TARGET).saturating_sub(self.now),
+            },
+            self.now,
+            &mut self.rng,
+            &hosts
+                .iter()
+                .zip(&distances)
+                .map(|(host, distance)| Candidate {
+                    estimate: &state.estimates[*host],
+                    distance: *distance,
+                })
+                .collect::<Vec<_>>(),
+        );
+        let Some(choice) = choice else { return };
+        let target = host.unwrap_or(hosts[choice.index]);
+        let ticket = state.estimates[target].begin(self.now, length);
+        let probe = choice.hedge.filter(|_| host.is_none());
+        if let Some(hedge) = probe {
+            let event = Event::Hedge(request, Some(hosts[hedge.index]));
+            self.at(self.now + hedge.after, event);
+        } else if first
+            && own
+            && retry::may_hedge(true, length)
+            && let Some(after) = self.entries[entry].latency.hedge_after()
+        {
+            self.at(self.now + after, Event::Hedge(request, None));
+        }
+        self.requests[request].open += 1;
+        self.requests[request].attempts += 1;
+        self.attempts.push(Attempt {
+            request,
+            host: target,
+            ticket: Some(ticket),
+            load: Load::default(),
+            probe: probe.is_some(),
+            at_gate: false,
+        });
+        let one_way = self.distance(entry, target).round_trip() / 2;
+        self.at(self.now + one_way, Event::Reach(self.attempts.len() - 1));
+    }
+
+    fn hedge(&mut self, request: usize, host: Option<usize>) {
+        let state = &self.requests[request];
+        if state.done || state.open != 1 || !self.entries[state.entry].hedge.take() {
+            return;
+        }
+        let used = self
+            .attempts
+            .iter()
+            .rev()
+            .find(|attempt| attempt.request == request)
+            .map_or(0, |attempt| attempt.host);
+        self.result.hedges += 1;
+        self.send(request, host, &[used]);
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let request = &self.requests[self.attempts[attempt].request];
+        let work = Work {
+            id: attempt as u64,
+            class: u64::from(request.order) + 10 * u64::from(request.length == Length::Long),
+            length: request.length,
+            shed_order: request.order,
+            deadline: request.deadline,
+            caller: (attempt % 20) as u64,
+            alone: false,
+        };
+        let host = self.attempts[attempt].host;
+        self.attempts[attempt].at_gate = true;
+        match self.hosts[host].gate.arrive(self.now, work) {
+            Decision::Run => self.start(attempt),
+            Decision::Wait => {}
+            Decision::Refuse(_) => self.reply(attempt, false),
+        }
+        self.drain(host);
+    }
+
+    fn start(&mut self, attempt: usize) {
+        let request = &self.requests[self.attempts[attempt].request];
+        let (deadline, length) = (request.deadline, request.length);
+        let unit = if length == Length::Long { LONG } else { 1.0 };
+        let work = unit * (0.5 * SERVICE + self.exponential(0.5 * SERVICE));
+        let slow = &self.hosts[self.attempts[attempt].host].slow;
+        let end = seconds(end_of(slow, self.now.as_secs_f64(), work));
+        if end > deadline {
+            self.at(deadline, Event::Cancel(attempt));
+        } else {
+            self.at(end, Event::Served(attempt));
+        }
+    }
+
+    fn served(&mut self, attempt: usize, finish: Finish) {
+        if !self.attempts[attempt].at_gate {
+            return;
+        }
+        let host = self.attempts[attempt].host;
+        self.hosts[host]
+            .gate
+            .finish(self.now, attempt as u64, finish);
+        self.reply(attempt, finish == Finish::Answered);
+        self.drain(host);
+    }
+
+    fn reply(&mut self, attempt: usize, ran: bool) {
+        let (host, request) = (self.attempts[attempt].host, self.attempts[attempt].request);
+        self.attempts[attempt].at_gate = false;
+        self.attempts[attempt].load = self.hosts[host].gate.load();
+        let one_way = self
+            .distance(self.requests[request].entry, host)
+            .round_trip()
+            / 2;
+        self.at(self.now + one_way, Event::Answer(attempt, ran));
+    }
+
+    fn drain(&mut self, host: usize) {
+        if self.hosts[host].woken <= self.now {
+            self.hosts[host].woken = Duration::MAX;
+        }
+        while let Some(action) = self.hosts[host].gate.next(self.now) {
+            match action {
+                Action::Start(id) => self.start(id as usize),
+                Action::Refuse(id, _) => self.reply(id as usize, false),
+            }
+        }
+        if let Some(wake) = self.hosts[host].gate.wake()
+            && wake < self.hosts[host].woken
+        {
+            self.hosts[host].woken = wake;
+            self.at(wake, Event::Wake(host));
+        }
+    }
+
+    fn answer(&mut self, attempt: usize, ran: bool) {
+        let Attempt { request, host, .. } = self.attempts[attempt];
+        let Some(ticket) = self.attempts[attempt].ticket.take() else {
+            return;
+        };
+        let entry = &mut self.entries[self.requests[request].entry];
+        let outcome = if ran {
+            Outcome::Answered
+        } else {
+            Outcome::Refused
+        };
+        entry.estimates[host].report(self.now, &self.attempts[attempt].load);
+        entry.estimates[host].end(self.now, ticket, outcome);
+        self.requests[request].open -= 1;
+        let took = self.now - self.requests[request].arrived;
+        let state = &self.requests[request];
+        if state.done {
+            return;
+        }
+        if !ran {
+            let again = state.attempts < retry::ATTEMPTS
+                && retry::may_retry(true, Verdict::NotRun)
+                && self.now < state.deadline
+                && state.open == 0
+                && entry.retry.take();
+            if again {
+                self.result.retries += 1;
+                self.send(request, None, &[host]);
+            } else if state.open == 0 {
+                self.requests[request].done = true;
+                self.result.failed += 1;
+                self.result.refused_us.push(took.as_micros() as u64);
+            }
+            return;
+        }
+        self.requests[request].done = true;
+        if self.requests[request].length == Length::Long {
+            self.result.long += 1;
+            return;
+        }
+        entry.latency.add(self.now, took);
+        self.result.short_us.push(took.as_micros() as u64);
+        if self.in_crest() {
+            self.result.good += 1;
+            self.result.by_order[usize::from(self.requests[request].order)].0 += 1;
+        }
+        let (_, end) = self.scenario.crest;
+        let after = self.now.as_secs_f64() - end;
+        if after > 0.0 && took > TARGET {
+            self.result.recovery = self.result.recovery.max(after);
+        }
+        self.cancel_others(request, attempt);
+    }
+
+    /// Cancels the losing attempts of a request, other than probes.
+    fn cancel_others(&mut self, request: usize, winner: usize) {
+        if self.requests[request].open == 0 {
+            return;
+        }
+        let losers = (0..self.attempts.len())
+            .rev()
+            .take(20_000)
+            .filter(|other| *other != winner && self.attempts[*other].request == request)
+            .collect::<Vec<_>>();
+        for loser in losers {
+            let attempt = &mut self.attempts[loser];
+            if attempt.probe {
+                continue;
+            }
+            let Some(ticket) = attempt.ticket.take() else {
+                continue;
+            };
+            let (host, entry) = (attempt.host, self.requests[request].entry);
+            self.entries[entry].estimates[host].end(self.now, ticket, Outcome::Cancelled);
+            self.requests[request].open -= 1;
+            let one_way = self.distance(entry, host).round_trip() / 2;
+            self.at(self.now + one_way, Event::Cancel(loser));
+        }
+    }
+}
+
+/// Moments of 0.5 to 5 s in which a host is slowed, 4 to 16 s apart.
+fn slow_moments(rng: &mut ChaCha8Rng, slowed: bool) -> Vec<(f64, f64)> {
+    let mut moments = Vec::new();
+    let mut time = 0.0;
+    while time < 100.0 {
+        let from = time + rng.random_range(4.0..16.0);
+        time = from + rng.random_range(0.5..5.0);
+        moments.push((from, time));
+    }
+    if !slowed {
+        moments.clear();
+    }
+    moments
+}
+
+/// Returns when `work` seconds of service end that start at `from`.
+fn end_of(slow: &[(f64, f64)], from: f64, work: f64) -> f64 {
+    let (mut time, mut left) = (from, work);
+    for (begin, end) in slow {
+        if *end <= time {
+            continue;
+        }
+        if time + left <= *begin {
+            return time + left;
+        }
+        if *begin > time {
+            left -= begin - time;
+            time = *begin;
+        }
+        if time + left * SLOWDOWN <= *end {
+            return time + left * SLOWDOWN;
+        }
+        left -= (end - time) / SLOWDOWN;
+        time = *end;
+    }
+    time + left
+}
--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -232,10 +232,11 @@
         }
         let mut alone = false;
         if let Some(&(_, id)) = self.alone.first() {
-            if self.running.is_empty() {
+            alone = now >= self.hold_after;
+            let others = self.waiting.len() > self.alone.len();
+            if self.running.is_empty() && (alone || !others) {
                 return Some(id);
             }
-            alone = now >= self.hold_after;
             if alone && self.running_long == 0 {
                 self.held_since.get_or_insert(now);
                 return None;
--- a/crates/policy/src/gate/limit.rs
+++ b/crates/policy/src/gate/limit.rs
@@ -43,13 +43,19 @@
         }
     }
 
-    /// Adds a sample and returns the reference, once there is one.
-    fn add(&mut self, now: Duration, sample: f64) -> Option<f64> {
-        if now.saturating_sub(self.since) >= PERIOD {
+    /// Starts a new period if the present one is over.
+    fn rotate(&mut self, now: Duration) -> bool {
+        let over = now.saturating_sub(self.since) >= PERIOD;
+        if over {
             self.previous = self.current;
             self.current = f64::INFINITY;
             self.since = now;
         }
+        over
+    }
+
+    /// Adds a sample and returns the reference, once there is one.
+    fn add(&mut self, sample: f64) -> Option<f64> {
         self.sum += sample;
         self.count += 1;
         if self.count == SAMPLES {
@@ -80,6 +86,7 @@
     sum: f64,
     expected: f64,
     count: u32,
+    full: bool,
     trial: Option<Trial>,
     hold_until: Duration,
 }
@@ -94,6 +101,7 @@
             sum: 0.0,
             expected: 0.0,
             count: 0,
+            full: false,
             trial: None,
             hold_until: Duration::ZERO,
         }
@@ -107,7 +115,15 @@
     pub(super) fn reopen(&mut self, now: Duration) {
         self.opened = Some(now);
         self.wanted = self.slots;
-        self.trial = None;
+        self.restart();
+    }
+
+    /// Drops a measurement and a try whose reference has changed.
+    fn restart(&mut self) {
+        if self.trial.take().is_some() {
+            self.wanted = (self.wanted + 1).min(self.slots);
+        }
+        self.full = false;
         (self.sum, self.expected, self.count) = (0.0, 0.0, 0);
     }
 
@@ -142,17 +158,23 @@
             self.best.clear();
         }
         let best = self.best.entry(class).or_insert_with(|| Best::new(now));
-        let Some(expected) = best.add(now, sample) else {
+        let rotated = best.rotate(now);
+        let Some(expected) = best.add(sample) else {
             return;
         };
+        if rotated {
+            self.restart();
+        }
         self.sum += sample;
         self.expected += expected;
         self.count += 1;
+        self.full |= full;
         if self.count < SAMPLES {
             return;
         }
         let ratio = self.sum / self.expected.max(1.0);
         (self.sum, self.expected, self.count) = (0.0, 0.0, 0);
+        let full = std::mem::take(&mut self.full);
         self.adapt(now, ratio, full);
     }
 
--- a/crates/policy/src/retry/mod.rs
+++ b/crates/policy/src/retry/mod.rs
@@ -64,6 +64,11 @@
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
     }
 
+    /// Returns whether a token is left.
+    pub fn available(&self) -> bool {
+        self.tokens.load(Ordering::Relaxed) >= TOKEN
+    }
+
     /// Takes a token, or returns `false` if the budget is used up.
     pub fn take(&self) -> bool {
         self.tokens
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -94,8 +94,10 @@
     pub turn: &'a AtomicUsize,
     /// Length of the request.
     pub length: document::Work,
-    /// Whether the request may run twice; only such requests probe slow hosts.
-    pub idempotent: bool,
+    /// Whether the request may probe a slow host: it may be hedged
+    /// ([`may_hedge`](crate::retry::may_hedge)) and its class has a hedge
+    /// left ([`Budget::available`](crate::retry::Budget::available)).
+    pub probe: bool,
     /// Time that remains until the target of the class is missed.
     pub slack: Duration,
 }
@@ -215,7 +217,7 @@
         index: best.index,
         hedge: None,
     };
-    if !context.idempotent || context.length != document::Work::Short {
+    if !context.probe {
         return choice;
     }
     let due = |cost: &&Cost| {
--- /dev/null
+++ b/crates/policy/tests/gate.rs
@@ -0,0 +1,269 @@
+//! Slot accounting, refusals, fairness and shedding of the gate.
+
+use std::time::Duration;
+
+use savorylane_intent::document::Work as Length;
+use savorylane_policy::gate::{Action, Decision, Finish, Gate, QUEUE_MAX, Reason, Work, long_max};
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn short(id: u64, deadline_ms: u64) -> Work {
+    Work {
+        id,
+        class: 1,
+        length: Length::Short,
+        shed_order: 0,
+        deadline: ms(deadline_ms),
+        caller: 1,
+        alone: false,
+    }
+}
+
+fn long(id: u64) -> Work {
+    Work {
+        class: 2,
+        length: Length::Long,
+        ..short(id, 60_000)
+    }
+}
+
+/// Runs `count` requests of `service_ms` each so that the gate knows the
+/// service time, and returns the time afterwards.
+fn train(gate: &mut Gate, mut now: u64, count: u64, service_ms: u64) -> u64 {
+    for id in 1_000_000..1_000_000 + count {
+        assert_eq!(gate.arrive(ms(now), short(id, now + 60_000)), Decision::Run);
+        now += service_ms;
+        gate.finish(ms(now), id, Finish::Answered);
+    }
+    now
+}
+
+fn actions(gate: &mut Gate, now: u64) -> Vec<Action> {
+    std::iter::from_fn(|| gate.next(ms(now))).collect()
+}
+
+/// Guards against uploads that take every slot and block short work.
+#[test]
+fn long_work_leaves_slots_for_short_work() {
+    for slots in 2..=18 {
+        let mut gate = Gate::new(slots);
+        let started = (0..40)
+            .filter(|id| gate.arrive(ms(0), long(*id)) == Decision::Run)
+            .count();
+        assert_eq!(started, long_max(slots));
+        assert_eq!(gate.arrive(ms(0), short(99, 1_000)), Decision::Run);
+    }
+}
+
+/// Guards against uploads that never start while short work keeps coming.
+#[test]
+fn long_work_progresses_beside_a_flood_of_short_work() {
+    let mut gate = Gate::new(6);
+    let mut running = (0..6).collect::<Vec<_>>();
+    for id in 0..6 {
+        assert_eq!(gate.arrive(ms(0), short(id, 60_000)), Decision::Run);
+    }
+    for id in 6..100 {
+        gate.arrive(ms(0), short(id, 60_000));
+    }
+    assert_eq!(gate.arrive(ms(0), long(500)), Decision::Wait);
+    gate.finish(ms(10), running.remove(0), Finish::Answered);
+    assert_eq!(actions(&mut gate, 10), [Action::Start(500)]);
+}
+
+/// Guards against work that waits although its deadline cannot be met.
+#[test]
+fn refuses_at_once_what_cannot_meet_its_deadline() {
+    let mut gate = Gate::new(2);
+    let now = train(&mut gate, 0, 50, 100);
+    // Two run and four fit in the queue: 4 * 100 ms / 2 slots + 100 ms.
+    for id in 0..6 {
+        assert!(!matches!(
+            gate.arrive(ms(now), short(id, now + 301)),
+            Decision::Refuse(_)
+        ));
+    }
+    let late = short(50, now + 301);
+    assert_eq!(
+        gate.arrive(ms(now), late),
+        Decision::Refuse(Reason::Deadline)
+    );
+    assert!(gate.retry_after_ms(&late) >= 50);
+    let past = short(51, now);
+    assert_eq!(
+        gate.arrive(ms(now), past),
+        Decision::Refuse(Reason::Deadline)
+    );
+}
+
+/// Guards against a caller that floods and takes the slots of another one.
+#[test]
+fn callers_share_a_queue_fairly() {
+    let mut gate = Gate::new(2);
+    for id in 0..200 {
+        gate.arrive(ms(0), short(id, 50_000));
+    }
+    for id in 1_000..1_020 {
+        let work = Work {
+            caller: 2,
+            ..short(id, 60_000)
+        };
+        assert_eq!(gate.arrive(ms(0), work), Decision::Wait);
+    }
+    let (mut running, mut served) = (vec![0, 1], [0, 0]);
+    for step in 1..=20 {
+        let id = running.remove(0);
+        gate.finish(ms(step * 10), id, Finish::Answered);
+        for action in actions(&mut gate, step * 10) {
+            if let Action::Start(id) = action {
+                running.push(id);
+                served[usize::from(id >= 1_000)] += 1;
+            }
+        }
+    }
+    assert_eq!(served, [10, 10]);
+}
+
+/// Guards against a full queue that shuts out callers with little work.
+#[test]
+fn a_full_queue_gives_up_work_of_the_caller_that_has_most() {
+    let mut gate = Gate::new(2);
+    for id in 0..2 + QUEUE_MAX as u64 {
+        gate.arrive(ms(0), short(id, 50_000));
+    }
+    assert_eq!(
+        gate.arrive(ms(0), short(5_000, 50_000)),
+        Decision::Refuse(Reason::Full)
+    );
+    let other = Work {
+        caller: 2,
+        ..short(5_001, 50_000)
+    };
+    assert_eq!(gate.arrive(ms(0), other), Decision::Wait);
+    let refused = actions(&mut gate, 0);
+    assert!(matches!(refused[..], [Action::Refuse(id, Reason::Full)] if id != 5_001));
+}
+
+/// Guards against overload that is shed from the classes to be kept.
+#[test]
+fn sheds_a_higher_order_first() {
+    let mut gate = Gate::new(2);
+    let mut now = train(&mut gate, 0, 50, 100);
+    let mut refused = [0, 0];
+    let mut running = std::collections::VecDeque::new();
+    for step in 0..600 {
+        now += 25;
+        if step % 4 == 0 && running.len() >= 2 {
+            for _ in 0..2 {
+                let id = running.pop_front().expect("two requests run");
+                gate.finish(ms(now), id, Finish::Answered);
+            }
+        }
+        let order = step % 2;
+        let work = Work {
+            class: 10 + order,
+            shed_order: order as u8,
+            ..short(step, now + 2_000)
+        };
+        match gate.arrive(ms(now), work) {
+            Decision::Run => running.push_back(step),
+            Decision::Wait => {}
+            Decision::Refuse(_) => refused[order as usize] += 1,
+        }
+        for action in actions(&mut gate, now) {
+            match action {
+                Action::Start(id) => running.push_back(id),
+                Action::Refuse(id, _) => refused[(id % 2) as usize] += 1,
+            }
+        }
+    }
+    assert_eq!(refused[0], 0);
+    assert!(refused[1] > 200, "refused {refused:?}");
+}
+
+/// Guards against a gate that serves into a dead upstream, and against a
+/// crowd at one that has just come back.
+#[test]
+fn closes_when_the_upstream_dies_and_starts_slowly() {
+    let mut gate = Gate::new(6);
+    for id in 0..8 {
+        gate.arrive(ms(0), short(id, 60_000));
+    }
+    gate.finish(ms(1), 0, Finish::Died);
+    let refused = actions(&mut gate, 1);
+    assert_eq!(refused, [6, 7].map(|id| Action::Refuse(id, Reason::Closed)));
+    for id in 1..6 {
+        gate.finish(ms(2), id, Finish::Died);
+    }
+    assert_eq!(
+        gate.arrive(ms(3), short(20, 60_000)),
+        Decision::Refuse(Reason::Closed)
+    );
+    gate.reopen(ms(100));
+    assert_eq!(gate.load().limit, 2);
+    for id in 30..36 {
+        gate.arrive(ms(100), short(id, 60_000));
+    }
+    assert_eq!(gate.load().running, 2);
+    let wake = gate.wake().expect("a slot is added later");
+    assert!(matches!(gate.next(wake), Some(Action::Start(_))));
+    assert_eq!(actions(&mut gate, 5_100).len(), 3);
+}
+
+/// Guards against other work beside a suspect request, and against a suspect
+/// that holds back others again and again.
+#[test]
+fn a_suspect_runs_alone_and_then_gives_way() {
+    let alone = |id| Work {
+        alone: true,
+        ..short(id, 5_000)
+    };
+    let mut gate = Gate::new(6);
+    assert_eq!(gate.arrive(ms(0), long(1)), Decision::Run);
+    assert_eq!(gate.arrive(ms(0), alone(2)), Decision::Wait);
+    // An upload runs: short work is not held back for its length.
+    assert_eq!(gate.arrive(ms(1), short(3, 5_000)), Decision::Run);
+    assert_eq!(gate.arrive(ms(1), long(4)), Decision::Wait);
+    gate.finish(ms(10), 1, Finish::Answered);
+    assert_eq!(actions(&mut gate, 10), []);
+    assert_eq!(gate.arrive(ms(11), short(5, 5_000)), Decision::Wait);
+    assert_eq!(gate.arrive(ms(11), alone(6)), Decision::Wait);
+    gate.finish(ms(20), 3, Finish::Answered);
+    assert_eq!(actions(&mut gate, 20), [Action::Start(2)]);
+    gate.finish(ms(30), 2, Finish::Answered);
+    let started = actions(&mut gate, 30);
+    assert!(!started.contains(&Action::Start(6)), "started {started:?}");
+    assert_eq!(gate.arrive(ms(31), short(7, 5_000)), Decision::Run);
+}
+
+/// Guards against a limit that collapses on a host that is slow at any
+/// concurrency, and against one that stays when fewer slots are faster.
+#[test]
+fn the_limit_follows_the_service_time() {
+    let run = |service: fn(u64) -> u64| {
+        let mut gate = Gate::new(6);
+        let (mut now, mut id, mut least) = (0, 0, u32::MAX);
+        while now < 60_000 {
+            let count = u64::from(gate.load().limit);
+            let loaded = now > 5_000;
+            let batch = if loaded { count } else { 1 };
+            for offset in 0..batch {
+                assert_eq!(
+                    gate.arrive(ms(now), short(id + offset, now + 60_000)),
+                    Decision::Run
+                );
+            }
+            now += if loaded { service(count) } else { 10 };
+            for offset in 0..batch {
+                gate.finish(ms(now), id + offset, Finish::Answered);
+            }
+            id += batch;
+            least = least.min(gate.load().limit);
+        }
+        least
+    };
+    assert!(run(|_| 100) >= 5, "one slot at most is given up in a try");
+    assert_eq!(run(|count| 10 * count * count), 2);
+}
--- /dev/null
+++ b/crates/policy/tests/gate_machine.rs
@@ -0,0 +1,161 @@
+//! Random histories of a gate against a model of who runs and who waits.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use savorylane_intent::document::Work as Length;
+use savorylane_policy::gate::{Action, Decision, Finish, Gate, Work, long_max};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive {
+        class: u64,
+        caller: u64,
+        patience_ms: u64,
+        alone: bool,
+    },
+    Finish(usize, Finish),
+    Cancel(usize),
+    Leave,
+    Reopen,
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        40 => (0..4u64, 0..3u64, 1..2_000u64, prop::bool::weighted(0.05)).prop_map(
+            |(class, caller, patience_ms, alone)| Step::Arrive { class, caller, patience_ms, alone }
+        ),
+        25 => any::<usize>().prop_map(|at| Step::Finish(at, Finish::Answered)),
+        3 => any::<usize>().prop_map(|at| Step::Finish(at, Finish::Cancelled)),
+        1 => any::<usize>().prop_map(|at| Step::Finish(at, Finish::Died)),
+        5 => any::<usize>().prop_map(Step::Cancel),
+        1 => Just(Step::Leave),
+        4 => Just(Step::Reopen),
+        20 => (0..200u64).prop_map(Step::Pass),
+    ]
+}
+
+#[derive(Default)]
+struct Model {
+    running: BTreeMap<u64, Work>,
+    waiting: BTreeMap<u64, Work>,
+}
+
+fn apply(model: &mut Model, action: Action) {
+    match action {
+        Action::Start(id) => {
+            let work = model.waiting.remove(&id).expect("waits before it starts");
+            model.running.insert(id, work);
+        }
+        Action::Refuse(id, _) => {
+            model.waiting.remove(&id).expect("refused once");
+        }
+    }
+}
+
+fn compare(gate: &Gate, model: &Model, slots: usize) {
+    let load = gate.load();
+    assert_eq!(load.running as usize, model.running.len());
+    assert_eq!(load.queued as usize, model.waiting.len());
+    assert!(load.running <= load.limit && load.limit as usize <= slots);
+    let long = |work: &&Work| work.length == Length::Long;
+    assert!(model.running.values().filter(long).count() <= long_max(slots));
+    if model.running.values().any(|work| work.alone) {
+        assert_eq!(model.running.len(), 1, "a suspect runs alone");
+    }
+}
+
+/// Guards against slots that leak, ids that are lost or answered twice, and
+/// waiting work that is never ended.
+#[test]
+fn every_request_ends_once() {
+    let config = Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let histories = (2..10usize, prop::collection::vec(step(), 1..400));
+    let result = runner.run(&histories, |(slots, steps)| {
+        let mut gate = Gate::new(slots);
+        let mut model = Model::default();
+        let (mut now, mut next) = (Duration::ZERO, 0);
+        for step in steps {
+            match step {
+                Step::Arrive {
+                    class,
+                    caller,
+                    patience_ms,
+                    alone,
+                } => {
+                    let work = Work {
+                        id: next,
+                        class,
+                        length: if class == 3 {
+                            Length::Long
+                        } else {
+                            Length::Short
+                        },
+                        shed_order: (class % 3) as u8,
+                        deadline: now + Duration::from_millis(patience_ms),
+                        caller,
+                        alone,
+                    };
+                    next += 1;
+                    match gate.arrive(now, work) {
+                        Decision::Run => drop(model.running.insert(work.id, work)),
+                        Decision::Wait => drop(model.waiting.insert(work.id, work)),
+                        Decision::Refuse(_) => {}
+                    }
+                }
+                Step::Finish(at, finish) if !model.running.is_empty() => {
+                    let id = *model.running.keys().nth(at % model.running.len()).unwrap();
+                    model.running.remove(&id);
+                    gate.finish(now, id, finish);
+                }
+                Step::Cancel(at) if !model.waiting.is_empty() => {
+                    let id = *model.waiting.keys().nth(at % model.waiting.len()).unwrap();
+                    // A refusal that `next` has not returned yet is dropped
+                    // by the caller of the gate; here `next` ran before.
+                    model.waiting.remove(&id);
+                    gate.finish(now, id, Finish::Cancelled);
+                }
+                Step::Leave if next > 300 => gate.leave(),
+                Step::Reopen => gate.reopen(now),
+                Step::Pass(ms) => now += Duration::from_millis(ms),
+                _ => {}
+            }
+            while let Some(action) = gate.next(now) {
+                apply(&mut model, action);
+            }
+            compare(&gate, &model, slots);
+            let overdue = model.waiting.values().any(|work| work.deadline <= now);
+            prop_assert!(!overdue, "expired work is refused");
+        }
+        // Without further arrivals everything ends.
+        for _ in 0..2_000 {
+            let Some(id) = model.running.keys().next().copied() else {
+                break;
+            };
+            model.running.remove(&id);
+            now += Duration::from_millis(1);
+            gate.finish(now, id, Finish::Answered);
+            while let Some(action) = gate.next(now) {
+                apply(&mut model, action);
+            }
+            if let (true, Some(wake)) = (model.running.is_empty(), gate.wake()) {
+                now = now.max(wake);
+                while let Some(action) = gate.next(now) {
+                    apply(&mut model, action);
+                }
+            }
+        }
+        prop_assert!(model.waiting.is_empty(), "waiting work ends");
+        Ok(())
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,85 @@
+//! Budgets of retries and hedges.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use savorylane_intent::document::Work;
+use savorylane_policy::retry::{
+    ATTEMPTS, Budget, HEDGE_BURST, Latency, RETRY_BURST, attempts, may_hedge, may_retry,
+};
+use savorylane_wire::Verdict;
+
+/// Guards against retries and hedges that multiply the load.
+#[test]
+fn budgets_are_never_exceeded() {
+    let config = Config {
+        cases: 200,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[9; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let histories = prop::collection::vec(any::<bool>(), 0..2_000);
+    let result = runner.run(&histories, |history| {
+        let budgets = [
+            (Budget::retry(), RETRY_BURST, 10),
+            (Budget::hedge(), HEDGE_BURST, 5),
+        ];
+        for (budget, burst, percent) in budgets {
+            let (mut fresh, mut taken) = (0, 0);
+            for request in &history {
+                if *request {
+                    budget.fresh();
+                    fresh += 1;
+                } else {
+                    taken += u64::from(budget.take());
+                }
+                prop_assert!(taken * 100 <= burst * 100 + fresh * percent);
+            }
+        }
+        Ok(())
+    });
+    result.unwrap_or_else(|error| panic!("{error}"));
+}
+
+/// Guards against running non-idempotent work twice (P6).
+#[test]
+fn only_safe_work_is_sent_again() {
+    assert!(may_retry(false, Verdict::NotRun));
+    assert!(!may_retry(false, Verdict::MayHaveRun));
+    assert!(!may_retry(false, Verdict::Ran));
+    assert!(may_retry(true, Verdict::MayHaveRun));
+    assert!(may_hedge(true, Work::Short));
+    assert!(!may_hedge(false, Work::Short));
+    assert!(!may_hedge(true, Work::Long));
+}
+
+/// Guards against retries that multiply along a chain of calls.
+#[test]
+fn attempts_do_not_multiply_along_a_chain() {
+    assert_eq!(attempts(None, 0), ATTEMPTS);
+    assert_eq!(attempts(None, 3), 1);
+    assert_eq!(attempts(Some(2), 3), 2);
+    assert_eq!(attempts(Some(0), 3), 1);
+    assert_eq!(attempts(Some(1_000), 3), ATTEMPTS);
+}
+
+/// Guards against a hedge delay from an outdated percentile.
+#[test]
+fn the_hedge_delay_follows_recent_answers() {
+    let mut latency = Latency::new();
+    assert_eq!(latency.hedge_after(), None);
+    let mut after = |from: u64, scale: u64| {
+        for ms in from..from + 12_000 {
+            let response = Duration::from_millis(scale * (1 + ms % 100));
+            latency.add(Duration::from_millis(ms), response);
+        }
+        latency
+            .hedge_after()
+            .expect("there are answers")
+            .as_millis()
+    };
+    assert!((94..=97).contains(&after(0, 1)));
+    assert!((940..=970).contains(&after(12_000, 10)));
+}
