Count arrivals of work that is shed later in the expected wait

A shorter queue was ruled out as the first step because the cause is the estimate: it counted the requests that wait, not those that will overtake.

The gate now smooths the arrival rate of each class over 250 ms and divides the wait by what work of a lower shed order leaves of the slots.

--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -9,12 +9,25 @@
     Running, Work, long_max,
 };
 
+/// Time constant of the arrival rate of a class.
+const RATE: Duration = Duration::from_millis(250);
+/// Least share of the slots that is assumed to be left by work that is shed
+/// later. It bounds the expected wait.
+const LEFT_MIN: f64 = 0.01;
 /// Weight of a new sample in a smoothed service time.
 const WEIGHT: f64 = 0.125;
 /// Share of the expected service time that must remain when a request starts.
 /// With less, the slot is most likely spent on an answer that comes too late.
 const START_SHARE: f64 = 0.5;
 
+impl Class {
+    /// Returns the smoothed arrivals per second.
+    fn rate_now(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.rate_at).as_secs_f64();
+        self.rate * (-elapsed / RATE.as_secs_f64()).exp()
+    }
+}
+
 fn smooth(value: &mut f64, sample: f64) {
     *value = if *value == 0.0 {
         sample
@@ -68,9 +81,13 @@
             shed_order: work.shed_order,
             queue: Queue::default(),
             service_us: 0.0,
+            rate: 0.0,
+            rate_at: self.now,
         });
         class.length = work.length;
         class.shed_order = work.shed_order;
+        class.rate = class.rate_now(self.now) + 1.0 / RATE.as_secs_f64();
+        class.rate_at = self.now;
     }
 
     /// Returns the expected service time, microseconds.
@@ -85,9 +102,12 @@
     }
 
     /// Returns the expected wait of a new request behind the work that is
-    /// served before it, microseconds.
+    /// served before it, microseconds. Work that is shed later and arrives
+    /// during the wait is served first too; without counting it, work that is
+    /// shed first would wait in vain until its deadline.
     pub(super) fn wait_us(&self, work: &Work) -> f64 {
         let mut ahead_us = self.service_us(work);
+        let mut used = 0.0;
         for (id, class) in &self.classes {
             if class.length != work.length || class.shed_order > work.shed_order {
                 continue;
@@ -98,8 +118,12 @@
                 class.queue.len()
             };
             ahead_us += count as f64 * class.service_us;
+            if class.shed_order < work.shed_order {
+                used += class.rate_now(self.now) * class.service_us / 1e6;
+            }
         }
-        ahead_us / self.slots_of(work.length) as f64
+        let slots = self.slots_of(work.length) as f64;
+        ahead_us / (slots - used).max(slots * LEFT_MIN)
     }
 
     fn slots_of(&self, length: document::Work) -> usize {
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -47,6 +47,9 @@
     queue: Queue,
     /// Smoothed service time, microseconds; 0 before the first answer.
     service_us: f64,
+    /// Smoothed arrivals per second at `rate_at`.
+    rate: f64,
+    rate_at: Duration,
 }
 
 /// Slots and queues of one upstream.
