Bound the wait in the queue by the target of the class

Under overload the queue held 400 ms of work: every answer was late although no more of them were given. A shorter QUEUE_MAX was ruled out because it does not follow the service time.

Work gets the moment at which the target is missed. A request is refused when its wait exceeds two service times and its answer would miss the target.

--- a/crates/policy/examples/model/world.rs
+++ b/crates/policy/examples/model/world.rs
@@ -300,6 +300,12 @@
             length: request.length,
             shed_order: request.order,
             deadline: request.deadline,
+            target: request.arrived
+                + if request.length == Length::Long {
+                    TIMEOUT_LONG
+                } else {
+                    TARGET
+                },
             caller: (attempt % 20) as u64,
             alone: false,
         };
--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -11,6 +11,9 @@
 
 /// Time constant of the arrival rate of a class.
 const RATE: Duration = Duration::from_millis(250);
+/// Wait that is accepted whatever the target, in service times, so that noise
+/// does not leave slots idle.
+const WAIT_MIN: f64 = 2.0;
 /// Least share of the slots that is assumed to be left by work that is shed
 /// later. It bounds the expected wait.
 const LEFT_MIN: f64 = 0.01;
@@ -134,10 +137,14 @@
     }
 
     /// Says whether the deadline can be met, given queue, limit and service
-    /// time.
+    /// time. Under lasting overload a longer queue delays every answer and
+    /// answers no more of them, so the wait is also bounded by the target of
+    /// the class, or by [`WAIT_MIN`] service times if the target is nearer.
     pub(super) fn in_time(&self, now: Duration, work: &Work) -> bool {
-        let left = micros(work.deadline.saturating_sub(now));
-        self.wait_us(work) + self.service_us(work) <= left
+        let (wait, service) = (self.wait_us(work), self.service_us(work));
+        let left = |moment: Duration| micros(moment.saturating_sub(now));
+        wait + service <= left(work.deadline)
+            && (wait <= service * WAIT_MIN || wait + service <= left(work.target))
     }
 
     /// Says whether a waiting request has no chance to be answered in time.
--- a/crates/policy/src/gate/types.rs
+++ b/crates/policy/src/gate/types.rs
@@ -17,6 +17,9 @@
     pub shed_order: u8,
     /// Moment after which the answer is of no use.
     pub deadline: Duration,
+    /// Moment at which the target of the class is missed, by its arrival at
+    /// the entry. Bounds the wait in the queue.
+    pub target: Duration,
     /// Hash of the caller; callers share a queue fairly.
     pub caller: u64,
     /// Whether the request is suspect and must run with nothing beside it.
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -16,6 +16,7 @@
         length: Length::Short,
         shed_order: 0,
         deadline: ms(deadline_ms),
+        target: ms(deadline_ms),
         caller: 1,
         alone: false,
     }
--- a/crates/policy/tests/gate_machine.rs
+++ b/crates/policy/tests/gate_machine.rs
@@ -102,6 +102,7 @@
                         },
                         shed_order: (class % 3) as u8,
                         deadline: now + Duration::from_millis(patience_ms),
+                        target: now + Duration::from_millis(patience_ms),
                         caller,
                         alone,
                     };
