Count the age of the oldest request from three medians on

In the slowed model, most of the tail came from requests sent to a host in the first moments after it slowed. The age of the oldest unanswered request counts from 3 instead of 4 medians on; with exponential service times 1 in 20 answers takes longer, which costs a host a short pause only.

The model now counts failed requests as the timeout in p99-all, tells apart how many hosts are slowed at the arrival, and takes a hedge token only when the hedge is sent.

Adds tests of routing: slow hosts, probes, ties, distance, failures, restarts.

--- a/crates/policy/examples/model/main.rs
+++ b/crates/policy/examples/model/main.rs
@@ -3,9 +3,10 @@
 //! `figure`, `value` and `unit`.
 //!
 //! Run with `cargo run --release -p savorylane-policy --example model`, with
-//! the names of scenarios as arguments for a selection.
+//! names of scenarios and policies as arguments for a selection.
 
 mod scenario;
+mod slow;
 mod world;
 
 use savorylane_policy::route::Policy;
@@ -45,6 +46,13 @@
     for (figure, at) in [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)] {
         line(figure, quantile(&result.short_us, at), "ms");
     }
+    let mut all = result.by_slowed.concat();
+    all.sort_unstable();
+    line("p99-all", quantile(&all, 0.99), "ms");
+    for (slowed, times) in result.by_slowed.iter_mut().enumerate() {
+        times.sort_unstable();
+        line(&format!("p99-slowed-{slowed}"), quantile(times, 0.99), "ms");
+    }
     line("refusal-p99", quantile(&result.refused_us, 0.99), "ms");
     line("answered", result.answered_share(), "share");
     line("failed", result.failed as f64, "requests");
@@ -65,15 +73,28 @@
     line("recovery", result.recovery, "s");
 }
 
+/// Returns whether the arguments select `name` of `all`; without any name of
+/// `all`, everything is selected.
+fn selected(arguments: &[String], name: &str, all: &[&str]) -> bool {
+    let named = |argument: &String| all.contains(&argument.as_str());
+    !arguments.iter().any(named) || arguments.iter().any(|argument| argument == name)
+}
+
 fn main() {
-    let names = std::env::args().skip(1).collect::<Vec<_>>();
-    for scenario in Scenario::all() {
-        if !names.is_empty() && !names.iter().any(|name| name == scenario.name) {
+    let arguments = std::env::args().skip(1).collect::<Vec<_>>();
+    let scenarios = Scenario::all();
+    let scenario_names = scenarios.iter().map(|one| one.name).collect::<Vec<_>>();
+    let policy_names = POLICIES.map(|(_, name)| name);
+    for scenario in &scenarios {
+        if !selected(&arguments, scenario.name, &scenario_names) {
             continue;
         }
         for (policy, name) in POLICIES {
+            if !selected(&arguments, name, &policy_names) {
+                continue;
+            }
             for seed in 1..=3 {
-                let result = World::new(&scenario, policy, seed).run();
+                let result = World::new(scenario, policy, seed).run();
                 print(scenario.name, name, seed, result);
             }
         }
--- a/crates/policy/examples/model/scenario.rs
+++ b/crates/policy/examples/model/scenario.rs
@@ -76,6 +76,9 @@
 #[derive(Default)]
 pub(crate) struct Result {
     pub(crate) short_us: Vec<u64>,
+    /// Response times by the number of hosts slowed at the arrival; a failed
+    /// request counts as the timeout.
+    pub(crate) by_slowed: [Vec<u64>; 3],
     pub(crate) refused_us: Vec<u64>,
     pub(crate) failed: u64,
     pub(crate) long: u64,
--- a/crates/policy/examples/model/world.rs
+++ b/crates/policy/examples/model/world.rs
@@ -16,6 +16,7 @@
 use savorylane_wire::{Load, Verdict};
 
 use crate::scenario::{Result, Scenario};
+use crate::slow::{end_of, slow_moments};
 
 const HOSTS: usize = 6;
 const SLOTS: usize = 6;
@@ -24,7 +25,6 @@
 /// Length of long work in units of short work.
 const LONG: f64 = 100.0;
 const CAPACITY: f64 = (HOSTS * SLOTS) as f64 / SERVICE;
-const SLOWDOWN: f64 = 10.0;
 const TIMEOUT: Duration = Duration::from_secs(1);
 const TIMEOUT_LONG: Duration = Duration::from_secs(30);
 const TARGET: Duration = Duration::from_millis(100);
@@ -211,6 +211,16 @@
         self.send(self.requests.len() - 1, None, &[]);
     }
 
+    fn slowed_at(&self, time: Duration) -> usize {
+        let time = time.as_secs_f64();
+        let slow = |host: &&Host| {
+            host.slow
+                .iter()
+                .any(|(from, to)| (*from..*to).contains(&time))
+        };
+        self.hosts.iter().filter(slow).count()
+    }
+
     fn in_crest(&self) -> bool {
         let (from, to) = self.scenario.crest;
         (from..to).contains(&self.now.as_secs_f64())
@@ -250,6 +260,11 @@
                 .collect::<Vec<_>>(),
         );
         let Some(choice) = choice else { return };
+        let hedged = !except.is_empty() && self.requests[request].open > 0;
+        if hedged && !state.hedge.take() {
+            return;
+        }
+        self.result.hedges += u64::from(hedged);
         let target = host.unwrap_or(hosts[choice.index]);
         let ticket = state.estimates[target].begin(self.now, length);
         let probe = choice.hedge.filter(|_| host.is_none());
@@ -279,7 +294,7 @@
 
     fn hedge(&mut self, request: usize, host: Option<usize>) {
         let state = &self.requests[request];
-        if state.done || state.open != 1 || !self.entries[state.entry].hedge.take() {
+        if state.done || state.open != 1 {
             return;
         }
         let used = self
@@ -288,7 +303,6 @@
             .rev()
             .find(|attempt| attempt.request == request)
             .map_or(0, |attempt| attempt.host);
-        self.result.hedges += 1;
         self.send(request, host, &[used]);
     }
 
@@ -405,6 +419,11 @@
             } else if state.open == 0 {
                 self.requests[request].done = true;
                 self.result.failed += 1;
+                if self.requests[request].length == Length::Short {
+                    let slowed = self.slowed_at(self.requests[request].arrived);
+                    let timeout = TIMEOUT.as_micros() as u64;
+                    self.result.by_slowed[slowed].push(timeout);
+                }
                 self.result.refused_us.push(took.as_micros() as u64);
             }
             return;
@@ -416,6 +435,8 @@
         }
         entry.latency.add(self.now, took);
         self.result.short_us.push(took.as_micros() as u64);
+        let slowed = self.slowed_at(self.requests[request].arrived);
+        self.result.by_slowed[slowed].push(took.as_micros() as u64);
         if self.in_crest() {
             self.result.good += 1;
             self.result.by_order[usize::from(self.requests[request].order)].0 += 1;
@@ -454,41 +475,3 @@
         }
     }
 }
-
-/// Moments of 0.5 to 5 s in which a host is slowed, 4 to 16 s apart.
-fn slow_moments(rng: &mut ChaCha8Rng, slowed: bool) -> Vec<(f64, f64)> {
-    let mut moments = Vec::new();
-    let mut time = 0.0;
-    while time < 100.0 {
-        let from = time + rng.random_range(4.0..16.0);
-        time = from + rng.random_range(0.5..5.0);
-        moments.push((from, time));
-    }
-    if !slowed {
-        moments.clear();
-    }
-    moments
-}
-
-/// Returns when `work` seconds of service end that start at `from`.
-fn end_of(slow: &[(f64, f64)], from: f64, work: f64) -> f64 {
-    let (mut time, mut left) = (from, work);
-    for (begin, end) in slow {
-        if *end <= time {
-            continue;
-        }
-        if time + left <= *begin {
-            return time + left;
-        }
-        if *begin > time {
-            left -= begin - time;
-            time = *begin;
-        }
-        if time + left * SLOWDOWN <= *end {
-            return time + left * SLOWDOWN;
-        }
-        left -= (end - time) / SLOWDOWN;
-        time = *end;
-    }
-    time + left
-}
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -16,7 +16,7 @@
 const SLOW: f64 = 2.5;
 /// The oldest unanswered request counts from this many medians on; of
 /// exponential service times 1 in 55 takes longer.
-const AGED: f64 = 4.0;
+const AGED: f64 = 3.0;
 /// A slow host is probed at most this often by one entry.
 const PROBE_US: u64 = 100_000;
 /// Latency that is assumed before the first answer of any host, microseconds.
--- /dev/null
+++ b/crates/policy/tests/route.rs
@@ -0,0 +1,200 @@
+//! Choice of the host: load, slow hosts, distance, failures, fresh hosts.
+
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use savorylane_intent::document::Work as Length;
+use savorylane_policy::route::{
+    Candidate, Choice, Context, Distance, Estimate, Outcome, Policy, choose,
+};
+use savorylane_wire::{Incarnation, Load};
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn load(running: u32, started_ms: u64) -> Load {
+    Load {
+        running,
+        limit: 6,
+        service_us: 10_000,
+        incarnation: Incarnation {
+            started_ms,
+            nonce: 1,
+        },
+        ..Load::default()
+    }
+}
+
+struct World {
+    hosts: Vec<Estimate>,
+    distance: Vec<Distance>,
+    rng: ChaCha8Rng,
+    turn: AtomicUsize,
+}
+
+impl World {
+    /// Hosts of one data centre that answered in 10 ms up to time 10 s.
+    fn new(hosts: usize) -> Self {
+        let world = Self {
+            hosts: (0..hosts).map(|_| Estimate::default()).collect(),
+            distance: vec![Distance::DataCentre; hosts],
+            rng: ChaCha8Rng::seed_from_u64(1),
+            turn: AtomicUsize::new(0),
+        };
+        for host in 0..hosts {
+            world.hosts[host].seen(ms(1));
+            world.answer(host, 9_990, 10);
+        }
+        world
+    }
+
+    fn answer(&self, host: usize, from: u64, took: u64) {
+        let ticket = self.hosts[host].begin(ms(from), Length::Short);
+        self.hosts[host].report(ms(from + took), &load(0, 1));
+        self.hosts[host].end(ms(from + took), ticket, Outcome::Answered);
+    }
+
+    fn choose(&mut self, now: u64, policy: Policy, probe: bool) -> Option<Choice> {
+        let candidates = self
+            .hosts
+            .iter()
+            .zip(&self.distance)
+            .map(|(estimate, distance)| Candidate {
+                estimate,
+                distance: *distance,
+            })
+            .collect::<Vec<_>>();
+        let context = Context {
+            policy,
+            turn: &self.turn,
+            length: Length::Short,
+            probe,
+            slack: ms(100),
+        };
+        choose(&context, ms(now), &mut self.rng, &candidates)
+    }
+
+    /// Returns how often each host is chosen at `now` without probes.
+    fn shares(&mut self, now: u64) -> Vec<usize> {
+        let mut counts = vec![0; self.hosts.len()];
+        for _ in 0..1_000 {
+            let choice = self.choose(now, Policy::Savorylane, false);
+            counts[choice.expect("a host is chosen").index] += 1;
+        }
+        counts
+    }
+}
+
+/// Guards against a host that is slowed and gets work until it answers.
+#[test]
+fn avoids_a_host_whose_oldest_request_is_old() {
+    let mut world = World::new(6);
+    let ticket = world.hosts[2].begin(ms(10_000), Length::Short);
+    assert!(world.shares(10_040)[2] == 0);
+    world.hosts[2].end(ms(10_100), ticket, Outcome::Answered);
+}
+
+/// Guards against slow hosts that are avoided for good, and against probes
+/// that take more than a bounded share or run without a hedge.
+#[test]
+fn probes_a_slow_host_and_returns_to_it_when_it_recovers() {
+    let mut world = World::new(6);
+    for turn in 0..4 {
+        world.answer(2, 10_000 + turn * 100, 100);
+    }
+    assert_eq!(world.shares(10_400)[2], 0);
+    let (mut probes, mut now) = (0, 10_400);
+    while world.shares(now)[2] == 0 {
+        now += 1;
+        let choice = world.choose(now, Policy::Savorylane, true);
+        let choice = choice.expect("a host is chosen");
+        if choice.index == 2 && choice.hedge.is_some() {
+            assert_ne!(choice.hedge.map(|hedge| hedge.index), Some(2));
+            probes += 1;
+            world.answer(2, now, 10);
+        }
+        assert!(now < 12_000, "not back after {probes} probes");
+    }
+    assert!(probes <= (now - 10_400) / 100 + 1, "{probes} probes");
+}
+
+/// Guards against all entries choosing one host at the same moment.
+#[test]
+fn spreads_ties_at_random_and_follows_outstanding_requests() {
+    let mut world = World::new(6);
+    let shares = world.shares(10_001);
+    assert!(shares.iter().all(|share| *share > 100), "{shares:?}");
+    for _ in 0..6 {
+        let choice = world.choose(10_001, Policy::Savorylane, false);
+        let host = choice.expect("a host is chosen").index;
+        let _ticket = world.hosts[host].begin(ms(10_001), Length::Short);
+    }
+    assert!(world.hosts.iter().all(|host| host.running() == 1));
+}
+
+/// Guards against paid links that carry work which a near host can serve, and
+/// against near hosts that are kept while they are overloaded.
+#[test]
+fn stays_near_and_spills_by_cost() {
+    let mut world = World::new(3);
+    world.distance = vec![Distance::Host, Distance::Region, Distance::Far];
+    world.hosts[0].report(ms(10_000), &load(5, 1));
+    assert_eq!(world.shares(10_000), [1_000, 0, 0]);
+    world.hosts[0].report(ms(10_000), &load(12, 1));
+    assert_eq!(world.shares(10_000), [0, 1_000, 0]);
+    world.hosts[1].report(ms(10_000), &load(60, 1));
+    world.hosts[0].report(ms(10_000), &load(60, 1));
+    assert_eq!(world.shares(10_000), [0, 0, 1_000]);
+}
+
+/// Guards against work for hosts that leave, and against connection failures
+/// that are tried over and over.
+#[test]
+fn skips_leaving_and_failing_hosts() {
+    for policy in [
+        Policy::LeastOutstanding,
+        Policy::Random,
+        Policy::RoundRobin,
+        Policy::Savorylane,
+    ] {
+        let mut world = World::new(3);
+        let leaving = Load {
+            leaving: true,
+            ..load(0, 1)
+        };
+        world.hosts[0].report(ms(10_000), &leaving);
+        let ticket = world.hosts[1].begin(ms(10_000), Length::Short);
+        world.hosts[1].end(ms(10_001), ticket, Outcome::Failed);
+        for _ in 0..50 {
+            let choice = world.choose(10_002, policy, true);
+            assert_eq!(choice.map(|choice| choice.index), Some(2));
+        }
+        world.hosts[1].report(ms(10_002), &leaving);
+        world.hosts[2].report(ms(10_002), &leaving);
+        assert_eq!(world.choose(10_003, policy, true), None);
+    }
+}
+
+/// Guards against a crowd at a host that was just started, and against late
+/// reports of its earlier run.
+#[test]
+fn a_restarted_host_starts_slowly() {
+    let mut world = World::new(4);
+    let leaving = Load {
+        leaving: true,
+        ..load(0, 1)
+    };
+    world.hosts[3].report(ms(10_000), &leaving);
+    world.hosts[3].report(ms(10_010), &load(0, 2));
+    world.hosts[3].report(ms(10_020), &leaving);
+    assert!(!world.hosts[3].leaving(), "a report of the earlier run");
+    let early = world.shares(10_100)[3];
+    let later = world.shares(12_500)[3];
+    let full = world.shares(15_100)[3];
+    assert!(early > 0 && early < 50, "early {early}");
+    assert!(early < later && later < full, "{early} {later} {full}");
+    assert!((200..300).contains(&full), "full {full}");
+}
