--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -9,12 +9,28 @@
     Running, Work, long_max,
 };
 
+/// Time constant of the arrival rate of a class.
+const RATE: Duration = Duration::from_millis(250);
+/// Wait that is accepted whatever the target, in service times, so that noise
+/// does not leave slots idle.
+const WAIT_MIN: f64 = 2.0;
+/// Least share of the slots that is assumed to be left by work that is shed
+/// later. It bounds the expected wait.
+const LEFT_MIN: f64 = 0.01;
 /// Weight of a new sample in a smoothed service time.
 const WEIGHT: f64 = 0.125;
 /// Share of the expected service time that must remain when a request starts.
 /// With less, the slot is most likely spent on an answer that comes too late.
 const START_SHARE: f64 = 0.5;
 
+impl Class {
+    /// Returns the smoothed arrivals per second.
+    fn rate_now(&self, now: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.rate_at).as_secs_f64();
+        self.rate * (-elapsed / RATE.as_secs_f64()).exp()
+    }
+}
+
 fn smooth(value: &mut f64, sample: f64) {
     *value = if *value == 0.0 {
         sample
@@ -68,9 +84,13 @@
             shed_order: work.shed_order,
             queue: Queue::default(),
             service_us: 0.0,
+            rate: 0.0,
+            rate_at: self.now,
         });
         class.length = work.length;
         class.shed_order = work.shed_order;
+        class.rate = class.rate_now(self.now) + 1.0 / RATE.as_secs_f64();
+        class.rate_at = self.now;
     }
 
     /// Returns the expected service time, microseconds.
@@ -85,9 +105,12 @@
     }
 
     /// Returns the expected wait of a new request behind the work that is
-    /// served before it, microseconds.
+    /// served before it, microseconds. Work that is shed later and arrives
+    /// during the wait is served first too; without counting it, work that is
+    /// shed first would wait in vain until its deadline.
     pub(super) fn wait_us(&self, work: &Work) -> f64 {
         let mut ahead_us = self.service_us(work);
+        let mut used = 0.0;
         for (id, class) in &self.classes {
             if class.length != work.length || class.shed_order > work.shed_order {
                 continue;
@@ -98,8 +121,12 @@
                 class.queue.len()
             };
             ahead_us += count as f64 * class.service_us;
+            if class.shed_order < work.shed_order {
+                used += class.rate_now(self.now) * class.service_us / 1e6;
+            }
         }
-        ahead_us / self.slots_of(work.length) as f64
+        let slots = self.slots_of(work.length) as f64;
+        ahead_us / (slots - used).max(slots * LEFT_MIN)
     }
 
     fn slots_of(&self, length: document::Work) -> usize {
@@ -110,10 +137,14 @@
     }
 
     /// Says whether the deadline can be met, given queue, limit and service
-    /// time.
+    /// time. Under lasting overload a longer queue delays every answer and
+    /// answers no more of them, so the wait is also bounded by the target of
+    /// the class, or by [`WAIT_MIN`] service times if the target is nearer.
     pub(super) fn in_time(&self, now: Duration, work: &Work) -> bool {
-        let left = micros(work.deadline.saturating_sub(now));
-        self.wait_us(work) + self.service_us(work) <= left
+        let (wait, service) = (self.wait_us(work), self.service_us(work));
+        let left = |moment: Duration| micros(moment.saturating_sub(now));
+        wait + service <= left(work.deadline)
+            && (wait <= service * WAIT_MIN || wait + service <= left(work.target))
     }
 
     /// Says whether a waiting request has no chance to be answered in time.
@@ -232,10 +263,11 @@
         }
         let mut alone = false;
         if let Some(&(_, id)) = self.alone.first() {
-            if self.running.is_empty() {
+            alone = now >= self.hold_after;
+            let others = self.waiting.len() > self.alone.len();
+            if self.running.is_empty() && (alone || !others) {
                 return Some(id);
             }
-            alone = now >= self.hold_after;
             if alone && self.running_long == 0 {
                 self.held_since.get_or_insert(now);
                 return None;
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -16,7 +16,7 @@
 const SLOW: f64 = 2.5;
 /// The oldest unanswered request counts from this many medians on; of
 /// exponential service times 1 in 55 takes longer.
-const AGED: f64 = 4.0;
+const AGED: f64 = 3.0;
 /// A slow host is probed at most this often by one entry.
 const PROBE_US: u64 = 100_000;
 /// Latency that is assumed before the first answer of any host, microseconds.
@@ -94,8 +94,10 @@
     pub turn: &'a AtomicUsize,
     /// Length of the request.
     pub length: document::Work,
-    /// Whether the request may run twice; only such requests probe slow hosts.
-    pub idempotent: bool,
+    /// Whether the request may probe a slow host: it may be hedged
+    /// ([`may_hedge`](crate::retry::may_hedge)) and its class has a hedge
+    /// left ([`Budget::available`](crate::retry::Budget::available)).
+    pub probe: bool,
     /// Time that remains until the target of the class is missed.
     pub slack: Duration,
 }
@@ -215,7 +217,7 @@
         index: best.index,
         hedge: None,
     };
-    if !context.idempotent || context.length != document::Work::Short {
+    if !context.probe {
         return choice;
     }
     let due = |cost: &&Cost| {
