membership: add the view of hosts, without tests yet

Daemons need one view of all hosts that corrects the lagging host list.

Ruled out: work of the view on sockets or clocks (it would not be testable in virtual time); records as JSON objects (more than twice the bytes of a line of text).

Conclusion: the interface is usable and may still change in details.

--- /dev/null
+++ b/crates/membership/src/table/mod.rs
@@ -0,0 +1,447 @@
+//! Hosts by index, data centres and their readers.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use savorylane_intent::hosts::{self, Host, List};
+use savorylane_wire::Incarnation;
+use savorylane_wire::control::State;
+
+use crate::record::Record;
+
+/// Readers of each data centre.
+pub const READERS: usize = 2;
+
+/// Index of the own host. It is inserted first and never removed.
+pub const OWN: u32 = 0;
+
+/// Time for which an unlisted host is kept after it left or was declared
+/// gone, so that an older record in flight cannot bring it back.
+pub const KEEP: Duration = Duration::from_secs(60);
+
+/// Hosts that are known by gossip only, at most. A false description costs
+/// about 500 bytes, so the bound keeps all of them under 1 MB.
+pub const UNLISTED: usize = 1024;
+
+/// Consecutive failures towards a data centre after which it counts as cut off.
+const CUT_OFF: u32 = 3;
+
+/// What the host list says of a host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Listed {
+    /// The list lacks the host.
+    No,
+    /// The list shows the host as live.
+    Live,
+    /// The list shows the host as leaving.
+    Leaving,
+}
+
+/// What the view knows of one host.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Greatest record; `None` when nothing was heard of the host.
+    pub record: Option<Record>,
+    /// Run that the host list shows as leaving; later runs take work.
+    pub barred: Incarnation,
+    /// Rendezvous score of the host among the readers of its data centre.
+    pub score: u64,
+    /// Number of the host's own host list, as far as it told this daemon.
+    pub hosts: u64,
+    /// Time of the last change of state, seconds.
+    pub since: u32,
+    /// Index of the data centre.
+    pub centre: u16,
+    /// What the host list says.
+    pub listed: Listed,
+    /// Whether requests or heartbeats of this daemon failed and none has been
+    /// answered since.
+    pub failing: bool,
+    /// Whether the host may be given new work, as last reported.
+    pub routable: bool,
+}
+
+impl Entry {
+    /// Returns the state of the host; `None` when nothing was heard of it.
+    pub fn state(&self) -> Option<State> {
+        self.record.map(|record| record.state)
+    }
+
+    /// Returns whether the host is expected to answer heartbeats.
+    pub fn expected(&self) -> bool {
+        match self.state() {
+            Some(state) => matches!(state, State::Alive | State::Suspect),
+            None => self.listed == Listed::Live,
+        }
+    }
+
+    /// Returns whether the host may be a reader. A suspect stays one until it
+    /// is gone, so that a false suspicion does not move the watches.
+    fn eligible(&self) -> bool {
+        self.expected() && (self.listed != Listed::Leaving || self.past_listed())
+    }
+
+    /// Returns whether the host runs a later daemon than the one that the host
+    /// list shows as leaving.
+    fn past_listed(&self) -> bool {
+        self.record
+            .is_some_and(|record| record.incarnation > self.barred)
+    }
+}
+
+/// One data centre.
+#[derive(Clone, Debug)]
+pub struct Centre {
+    /// Name.
+    pub name: Arc<str>,
+    /// Hosts by descending rendezvous score.
+    pub order: Vec<u32>,
+    /// Hosts that are believed to be readers, highest rank first.
+    pub readers: Vec<u32>,
+    failures: u32,
+}
+
+/// All hosts of one view.
+///
+/// Invariants: `names` holds exactly the occupied indices of `entries`; each
+/// occupied index is in the `order` of its data centre once.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// Entries; `None` marks a free index.
+    pub entries: Vec<Option<Entry>>,
+    /// Data centres, in order of appearance.
+    pub centres: Vec<Centre>,
+    /// Host list in use.
+    pub list: Arc<List>,
+    names: HashMap<Arc<str>, u32>,
+    free: Vec<u32>,
+    unlisted: BTreeMap<Arc<str>, Host>,
+}
+
+impl Table {
+    /// Builds a table that holds only `own`.
+    pub fn new(own: &Host) -> Self {
+        let mut table = Self {
+            entries: Vec::new(),
+            centres: Vec::new(),
+            list: Arc::default(),
+            names: HashMap::new(),
+            free: Vec::new(),
+            unlisted: BTreeMap::new(),
+        };
+        table.insert(own);
+        table.unlisted.insert(own.name.as_str().into(), own.clone());
+        table
+    }
+
+    /// Returns the index of the host called `name`.
+    pub fn index(&self, name: &str) -> Option<u32> {
+        self.names.get(name).copied()
+    }
+
+    /// Returns the entry at an occupied index.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the index is free.
+    pub fn entry(&self, index: u32) -> &Entry {
+        self.entries[index as usize]
+            .as_ref()
+            .expect("index is occupied")
+    }
+
+    /// Returns the entry at an occupied index for change.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the index is free.
+    pub fn entry_mut(&mut self, index: u32) -> &mut Entry {
+        self.entries[index as usize]
+            .as_mut()
+            .expect("index is occupied")
+    }
+
+    /// Returns the indices of all hosts.
+    pub fn indices(&self) -> impl Iterator<Item = u32> + '_ {
+        (0..)
+            .zip(&self.entries)
+            .filter_map(|(index, entry)| entry.as_ref().map(|_| index))
+    }
+
+    /// Returns the number of hosts.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Returns whether the table holds no host; it always holds the own one.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+
+    /// Returns whether the host is in the data centre of the own host.
+    pub fn near(&self, index: u32) -> bool {
+        self.entry(index).centre == self.entry(OWN).centre
+    }
+
+    /// Returns the description of a host that the host list lacks.
+    pub fn unlisted(&self, name: &str) -> Option<&Host> {
+        self.unlisted.get(name)
+    }
+
+    /// Adds a host that the host list lacks and returns its index.
+    pub fn learn(&mut self, host: &Host) -> Option<u32> {
+        if let Some(index) = self.index(&host.name) {
+            return Some(index);
+        }
+        if self.unlisted.len() >= UNLISTED {
+            return None;
+        }
+        let index = self.insert(host);
+        self.unlisted
+            .insert(host.name.as_str().into(), host.clone());
+        let centre = self.entry(index).centre;
+        self.sort(centre);
+        Some(index)
+    }
+
+    fn insert(&mut self, host: &Host) -> u32 {
+        let name: Arc<str> = host.name.as_str().into();
+        let centre = self.centre(&host.data_centre);
+        let entry = Entry {
+            name: name.clone(),
+            record: None,
+            barred: Incarnation::default(),
+            score: score(&host.data_centre, &host.name),
+            hosts: 0,
+            since: 0,
+            centre,
+            listed: Listed::No,
+            failing: false,
+            routable: false,
+        };
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.entries.push(None);
+            self.entries.len() as u32 - 1
+        });
+        self.entries[index as usize] = Some(entry);
+        self.names.insert(name, index);
+        self.centres[usize::from(centre)].order.push(index);
+        index
+    }
+
+    fn centre(&mut self, name: &str) -> u16 {
+        let found = self.centres.iter().position(|centre| &*centre.name == name);
+        let index = found.unwrap_or_else(|| {
+            self.centres.push(Centre {
+                name: name.into(),
+                order: Vec::new(),
+                readers: Vec::new(),
+                failures: 0,
+            });
+            self.centres.len() - 1
+        });
+        index as u16
+    }
+
+    fn sort(&mut self, centre: u16) {
+        let mut order = std::mem::take(&mut self.centres[usize::from(centre)].order);
+        order.sort_by(|&a, &b| {
+            let (a, b) = (self.entry(a), self.entry(b));
+            b.score.cmp(&a.score).then_with(|| a.name.cmp(&b.name))
+        });
+        self.centres[usize::from(centre)].order = order;
+        self.elect(centre);
+    }
+
+    /// Recomputes the readers of a data centre and returns whether they changed.
+    pub fn elect(&mut self, centre: u16) -> bool {
+        let order = &self.centres[usize::from(centre)].order;
+        let readers: Vec<u32> = order
+            .iter()
+            .copied()
+            .filter(|&index| self.entry(index).eligible())
+            .take(READERS)
+            .collect();
+        let centre = &mut self.centres[usize::from(centre)];
+        let changed = centre.readers != readers;
+        centre.readers = readers;
+        changed
+    }
+
+    /// Takes over a host list and returns the indices that became free.
+    ///
+    /// A host that the new list lacks stays while gossip shows it as alive:
+    /// the list lags and may be wrong.
+    pub fn apply(&mut self, now: Duration, list: Arc<List>) -> Vec<u32> {
+        let before = std::mem::replace(&mut self.list, list.clone());
+        let names: HashSet<&str> = list.hosts.iter().map(|host| host.name.as_str()).collect();
+        for host in &before.hosts {
+            let Some(index) = self.index(&host.name) else {
+                continue;
+            };
+            if names.contains(host.name.as_str()) {
+                continue;
+            }
+            let entry = self.entry_mut(index);
+            entry.listed = Listed::No;
+            let name = entry.name.clone();
+            if self.unlisted.len() < UNLISTED {
+                self.unlisted.insert(name, host.clone());
+            }
+        }
+        for host in &list.hosts {
+            let index = self.index(&host.name).unwrap_or_else(|| self.insert(host));
+            self.relocate(index, host);
+            self.unlisted.remove(host.name.as_str());
+            let entry = self.entry_mut(index);
+            let listed = match host.state {
+                hosts::State::Live => Listed::Live,
+                hosts::State::Leaving => Listed::Leaving,
+            };
+            if entry.listed != listed {
+                let seen = entry.record.map(|record| record.incarnation);
+                entry.barred = match listed {
+                    Listed::Leaving => seen.unwrap_or_default(),
+                    _ => Incarnation::default(),
+                };
+                entry.listed = listed;
+            }
+        }
+        let freed = self.prune(now);
+        for centre in 0..self.centres.len() {
+            self.sort(centre as u16);
+        }
+        freed
+    }
+
+    /// Moves a host to the data centre that the host list gives for it.
+    fn relocate(&mut self, index: u32, host: &Host) {
+        let from = self.entry(index).centre;
+        if *self.centres[usize::from(from)].name == *host.data_centre {
+            return;
+        }
+        let to = self.centre(&host.data_centre);
+        let entry = self.entry_mut(index);
+        entry.centre = to;
+        entry.score = score(&host.data_centre, &host.name);
+        let order = &mut self.centres[usize::from(from)].order;
+        order.retain(|&other| other != index);
+        self.centres[usize::from(to)].order.push(index);
+    }
+
+    /// Removes unlisted hosts that are unknown, or left or gone for [`KEEP`].
+    pub fn prune(&mut self, now: Duration) -> Vec<u32> {
+        let old = |entry: &Entry| {
+            let age = now.as_secs().saturating_sub(u64::from(entry.since));
+            match entry.state() {
+                None => true,
+                Some(State::Alive | State::Suspect) => !self.unlisted.contains_key(&entry.name),
+                Some(State::Leaving | State::Gone) => age > KEEP.as_secs(),
+            }
+        };
+        let freed: Vec<u32> = self
+            .indices()
+            .skip(1)
+            .filter(|&index| self.entry(index).listed == Listed::No)
+            .filter(|&index| old(self.entry(index)))
+            .collect();
+        for &index in &freed {
+            let entry = self.entries[index as usize]
+                .take()
+                .expect("index is occupied");
+            self.names.remove(&entry.name);
+            self.unlisted.remove(&entry.name);
+            let centre = &mut self.centres[usize::from(entry.centre)];
+            centre.order.retain(|&other| other != index);
+            self.elect(entry.centre);
+            self.free.push(index);
+        }
+        freed
+    }
+
+    /// Returns whether the host may be given new work.
+    pub fn routable(&self, index: u32) -> bool {
+        let entry = self.entry(index);
+        if entry.failing {
+            return false;
+        }
+        if entry.listed == Listed::Leaving && !entry.past_listed() {
+            return false;
+        }
+        match entry.state() {
+            Some(state) => state == State::Alive,
+            // A daemon hears of other data centres only through readers, so
+            // silence says nothing of a host there.
+            None => entry.listed == Listed::Live && !self.near(index),
+        }
+    }
+
+    /// Counts a failure towards a data centre.
+    pub fn failed(&mut self, centre: u16) {
+        let centre = &mut self.centres[usize::from(centre)];
+        centre.failures = centre.failures.saturating_add(1);
+    }
+
+    /// Counts an answer from a data centre and returns whether it was cut off.
+    pub fn answered(&mut self, centre: u16) -> bool {
+        let was_cut = self.cut_off(centre);
+        self.centres[usize::from(centre)].failures = 0;
+        was_cut
+    }
+
+    /// Returns whether the last exchanges with the data centre all failed.
+    pub fn cut_off(&self, centre: u16) -> bool {
+        self.centres[usize::from(centre)].failures >= CUT_OFF
+    }
+
+    /// Returns up to `count` different random hosts of a data centre that
+    /// `wanted` accepts, never the own host.
+    pub fn pick<R: Rng>(
+        &self,
+        rng: &mut R,
+        centre: u16,
+        count: usize,
+        wanted: impl Fn(&Entry) -> bool,
+    ) -> Vec<u32> {
+        let order = &self.centres[usize::from(centre)].order;
+        let mut picked: Vec<u32> = Vec::with_capacity(count);
+        let accept = |picked: &mut Vec<u32>, index: u32| {
+            if index != OWN && !picked.contains(&index) && wanted(self.entry(index)) {
+                picked.push(index);
+            }
+        };
+        if order.is_empty() {
+            return picked;
+        }
+        // Random trials take constant time while most hosts are accepted.
+        for _ in 0..4 * count {
+            if picked.len() == count {
+                return picked;
+            }
+            accept(&mut picked, order[rng.random_range(0..order.len())]);
+        }
+        // Otherwise few are left, and a scan from a random place finds them.
+        let (head, tail) = order.split_at(rng.random_range(0..order.len()));
+        for &index in tail.iter().chain(head) {
+            if picked.len() == count {
+                break;
+            }
+            accept(&mut picked, index);
+        }
+        picked
+    }
+}
+
+fn score(centre: &str, host: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(centre.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(host.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_be_bytes(first)
+}
