--- /dev/null
+++ b/crates/membership/tests/records.rs
@@ -0,0 +1,363 @@
+//! Order of records, and what single events do to one view.
+
+mod fleet;
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use fleet::{host, list, ms};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use savorylane_intent::hosts::State as Platform;
+use savorylane_intent::{Hash, Version};
+use savorylane_membership::backoff::{CAP, Delay};
+use savorylane_membership::view::{CHANGES, IN_TURN, NOTICES};
+use savorylane_membership::{Action, Purpose, Record, Token, View};
+use savorylane_wire::Incarnation;
+use savorylane_wire::control::{Heartbeat, Notice, Record as Encoded, Sender, State};
+
+const RUN: u64 = 1_733_300_000_000;
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    TestRunner::new_with_rng(config, rng)
+}
+
+fn incarnation(started_ms: u64) -> Incarnation {
+    Incarnation {
+        started_ms,
+        nonce: 1,
+    }
+}
+
+fn version(number: u64) -> Version {
+    let hash = Hash([number as u8; 32]);
+    Version { number, hash }
+}
+
+fn heartbeat(records: Vec<Encoded>) -> Heartbeat {
+    Heartbeat {
+        own: encoded(1, RUN, 0, State::Alive),
+        hosts: 1,
+        start: false,
+        versions: (0..4).map(version).collect(),
+        records,
+        unlisted: Vec::new(),
+    }
+}
+
+fn encoded(number: usize, started: u64, sequence: u32, state: State) -> Encoded {
+    Encoded {
+        host: host(0, number).name,
+        incarnation: incarnation(started),
+        sequence,
+        state,
+        version: None,
+    }
+}
+
+fn view(centres: usize, per_centre: usize) -> View {
+    let list = list(centres, per_centre).into();
+    View::new(ms(0), &host(0, 0), incarnation(RUN), list, 1)
+}
+
+/// Records of one other host as its run, itself and its accusers make them:
+/// a run does not return from `leaving`.
+fn records() -> impl Strategy<Value = Vec<Encoded>> {
+    let states = [State::Alive, State::Suspect, State::Gone, State::Leaving];
+    let one = (
+        1..4_u64,
+        0..4_u32,
+        prop::sample::select(states.to_vec()),
+        0..4_u8,
+    );
+    let one = one.prop_map(|(run, sequence, state, version)| Encoded {
+        version: Some(version),
+        ..encoded(2, RUN + run, sequence, state)
+    });
+    prop::collection::vec(one, 1..24)
+}
+
+/// Guards against a record that goes back when updates cross in flight (F3),
+/// and against views that end with different records.
+#[test]
+fn crossing_updates_never_move_a_record_back() {
+    let name = host(0, 2).name;
+    let strategy = (records(), any::<u64>());
+    let outcome = runner(512).run(&strategy, |(sent, seed)| {
+        let mut ends = Vec::new();
+        for order in 0..2 {
+            let mut sent = sent.clone();
+            if order == 1 {
+                use rand::seq::SliceRandom;
+                sent.shuffle(&mut ChaCha8Rng::seed_from_u64(seed));
+                sent.extend_from_within(..);
+            }
+            let mut view = view(1, 6);
+            let mut before: Option<Record> = None;
+            let mut left = HashSet::new();
+            for record in sent {
+                view.on_message(ms(10), &heartbeat(vec![record]));
+                let after = view.record(&name).expect("a record was sent");
+                if let Some(before) = before {
+                    prop_assert!(after.precedence() >= before.precedence());
+                    prop_assert!(
+                        after.incarnation > before.incarnation || after.version >= before.version
+                    );
+                }
+                if after.state == State::Leaving {
+                    left.insert(after.incarnation);
+                }
+                prop_assert!(!left.contains(&after.incarnation) || !view.routable(&name));
+                prop_assert_eq!(view.routable(&name), after.state == State::Alive);
+                before = Some(after);
+            }
+            ends.push(before);
+        }
+        prop_assert_eq!(ends[0], ends[1]);
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// Guards against a record that changes on the wire, and against a record text
+/// that makes a peer panic.
+#[test]
+fn records_survive_the_wire() {
+    let outcome = runner(256).run(&(records(), ".{0,40}"), |(sent, text)| {
+        let message = heartbeat(sent);
+        let bytes = serde_json::to_vec(&message).unwrap();
+        prop_assert_eq!(
+            serde_json::from_slice::<Heartbeat>(&bytes).unwrap(),
+            message
+        );
+        let _ = text.parse::<Encoded>();
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// Guards against a host that is held as suspect although it answers.
+#[test]
+fn a_suspected_host_refutes_with_a_greater_sequence() {
+    let mut view = view(1, 6);
+    view.on_tick(ms(0));
+    let accusation = encoded(0, RUN, 0, State::Suspect);
+    let (answer, _) = view.on_message(ms(50), &heartbeat(vec![accusation]));
+    assert_eq!((answer.own.sequence, answer.own.state), (1, State::Alive));
+    // The refutation does not wait for the next round.
+    let pushed = view.on_tick(ms(100)).into_iter().filter(|action| {
+        matches!(action, Action::Heartbeat { purpose: Purpose::Push, message, .. }
+            if message.own.sequence == 1)
+    });
+    assert_eq!(pushed.count(), NOTICES);
+}
+
+/// Guards against a replaced host with a slow clock whose records all lose to
+/// those of the run before it, and against two runs that outrank each other
+/// for ever.
+#[test]
+fn a_later_start_time_is_outranked_at_start_and_obeyed_later() {
+    let mut view = view(1, 6);
+    view.on_tick(ms(0));
+    let former = encoded(0, RUN + 500, 9, State::Leaving);
+    let (answer, actions) = view.on_message(ms(10), &heartbeat(vec![former]));
+    assert_eq!(answer.own.incarnation, incarnation(RUN + 501));
+    assert!(actions.contains(&Action::Incarnation(incarnation(RUN + 501))));
+
+    for tick in 1..200 {
+        view.on_tick(ms(100 * tick));
+    }
+    let newer = encoded(0, RUN + 900, 0, State::Alive);
+    let (answer, actions) = view.on_message(ms(19_950), &heartbeat(vec![newer]));
+    assert_eq!(answer.own.incarnation, incarnation(RUN + 501));
+    assert!(actions.contains(&Action::Replaced(incarnation(RUN + 900))));
+}
+
+/// Guards against heartbeats that grow with the number of changes (after a
+/// partition heals) and against changes that are never sent.
+#[test]
+fn heartbeats_stay_bounded_after_1000_changes() {
+    let mut view = view(5, 220);
+    let all = list(5, 220).hosts;
+    for chunk in all[2..].chunks(30) {
+        let records = chunk.iter().map(|host| Encoded {
+            host: host.name.clone(),
+            ..encoded(0, RUN, 0, State::Alive)
+        });
+        view.on_message(ms(0), &heartbeat(records.collect()));
+    }
+    let mut sent = HashSet::new();
+    for tick in 0..12_000 {
+        let actions = view.on_tick(ms(100 * tick));
+        assert!(actions.len() <= 12, "{} actions", actions.len());
+        for action in actions {
+            if let Action::Heartbeat { message, token, .. } = action {
+                assert!(message.records.len() <= CHANGES + IN_TURN + 1);
+                sent.extend(message.records.iter().map(|r| r.host.clone()));
+                view.on_answer(ms(100 * tick), token, &heartbeat(Vec::new()));
+            }
+        }
+    }
+    assert!(sent.len() >= 1_090, "{} of 1,098 records sent", sent.len());
+}
+
+/// Guards against a host with a broken data port and a working control port
+/// that is given work again with every heartbeat.
+#[test]
+fn repeated_connection_failures_back_off() {
+    let mut view = view(1, 3);
+    let peer = host(0, 1).name;
+    let mut failures = 0;
+    for tick in 0..600 {
+        let now = ms(100 * tick);
+        for action in view.on_tick(now) {
+            if let Action::Heartbeat { token, to, .. } = action {
+                let number = if *to == *peer { 1 } else { 2 };
+                let mut answer = heartbeat(Vec::new());
+                answer.own = encoded(number, RUN, 0, State::Alive);
+                view.on_answer(now, token, &answer);
+            }
+        }
+        if view.routable(&peer) {
+            failures += 1;
+            let actions = view.on_connect_failed(now, &peer);
+            assert!(actions.contains(&Action::Unroutable(peer.as_str().into())));
+            assert!(!view.routable(&peer));
+        }
+    }
+    // Doubling from 50 ms up to 30 s leaves few attempts in a minute.
+    assert!((3..=20).contains(&failures), "{failures}");
+    view.on_answered(ms(60_000), &peer);
+    assert!(view.routable(&peer));
+}
+
+/// Guards against a host that the platform drains and that its own daemon does
+/// not know of, and against a lagging list that hides the next run.
+#[test]
+fn a_listed_leaving_host_is_unroutable_until_its_next_run() {
+    let mut view = view(1, 6);
+    let name = host(0, 2).name;
+    view.on_message(ms(0), &heartbeat(vec![encoded(2, RUN, 0, State::Alive)]));
+    assert!(view.routable(&name));
+    let mut next = list(1, 6);
+    next.number = 2;
+    next.hosts[2].state = Platform::Leaving;
+    view.on_host_list(ms(10), next.into());
+    assert!(!view.routable(&name));
+    view.on_message(ms(20), &heartbeat(vec![encoded(2, RUN, 1, State::Alive)]));
+    assert!(!view.routable(&name));
+    view.on_message(
+        ms(30),
+        &heartbeat(vec![encoded(2, RUN + 1, 0, State::Alive)]),
+    );
+    assert!(view.routable(&name));
+}
+
+/// Guards against a record in flight that brings back a host which left and
+/// was then removed from the host list.
+#[test]
+fn a_removed_host_does_not_return_by_an_older_record() {
+    let mut view = view(1, 6);
+    let name = host(0, 2).name;
+    view.on_message(ms(0), &heartbeat(vec![encoded(2, RUN, 1, State::Leaving)]));
+    let mut next = list(1, 6);
+    next.number = 2;
+    next.hosts.remove(2);
+    view.on_host_list(ms(10), next.into());
+    let mut late = heartbeat(vec![encoded(2, RUN, 0, State::Alive)]);
+    late.unlisted.push(host(0, 2));
+    view.on_message(ms(20), &late);
+    assert!(!view.routable(&name));
+}
+
+/// Guards against a missed notice that is not repaired, and against a notice
+/// sent to too many hosts.
+#[test]
+fn versions_are_announced_and_repaired() {
+    let mut view = view(5, 4);
+    view.on_tick(ms(0));
+    let actions = view.on_version(ms(10), version(2));
+    let notices = actions
+        .iter()
+        .filter(|a| matches!(a, Action::Notice { .. }))
+        .count();
+    let others = if view.is_reader() { 4 } else { 0 };
+    assert_eq!(notices, NOTICES + others);
+    assert!(view.on_version(ms(20), version(1)).is_empty());
+    let behind = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Behind { .. }));
+    let mut message = heartbeat(Vec::new());
+    for (index, expected) in [(1, false), (2, false), (3, true)] {
+        message.own.version = Some(index);
+        assert_eq!(behind(&view.on_message(ms(30), &message).1), expected);
+    }
+    let from = Sender {
+        host: host(0, 1).name,
+        incarnation: incarnation(RUN),
+    };
+    let notice = Notice {
+        from,
+        version: Some(version(3)),
+        hosts: 1,
+    };
+    assert!(behind(&view.on_notice(ms(40), &notice)));
+}
+
+/// Guards against readers that all read a new version at once: ranks over all
+/// readers are distinct and without gaps.
+#[test]
+fn reader_ranks_are_distinct() {
+    let list = list(5, 6);
+    let mut ranks = Vec::new();
+    for own in &list.hosts {
+        let mut view = View::new(ms(0), own, incarnation(RUN), list.clone().into(), 1);
+        view.on_tick(ms(0));
+        assert_eq!(view.reader_rank(&version(1)).is_some(), view.is_reader());
+        ranks.extend(view.reader_rank(&version(1)));
+    }
+    ranks.sort_unstable();
+    assert_eq!(ranks, (0..10).collect::<Vec<_>>());
+}
+
+/// Guards against retries in step after a common failure, and against delays
+/// beyond the cap.
+#[test]
+fn delays_are_jittered_and_capped() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut firsts = HashSet::new();
+    for _ in 0..100 {
+        let mut delay = Delay::default();
+        firsts.insert(delay.next(&mut rng));
+        let mut sum = Duration::ZERO;
+        for _ in 0..300 {
+            let next = delay.next(&mut rng);
+            assert!(next <= CAP);
+            sum += next;
+        }
+        assert!(
+            sum > 100 * CAP,
+            "the mean must be near half the cap: {sum:?}"
+        );
+    }
+    assert!(
+        firsts.len() > 90,
+        "{} of 100 first delays differ",
+        firsts.len()
+    );
+}
+
+/// Guards against an unknown or repeated token that changes a view.
+#[test]
+fn unknown_tokens_are_ignored() {
+    let mut view = view(1, 6);
+    view.on_tick(ms(0));
+    assert!(view.on_timeout(ms(10), Token(u64::MAX)).is_empty());
+    assert!(view.on_probe(ms(10), Token(u64::MAX), false).is_empty());
+}
