--- /dev/null
+++ b/crates/ledger/src/entry/mod.rs
@@ -0,0 +1,34 @@
+//! What an entry does with keyed work that it could not hand to the holder.
+
+use savorylane_wire::Verdict;
+
+/// What the entry knows about the holder's receipt of a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Delivery {
+    /// The holder certainly did not receive and will not receive the request:
+    /// the connection was refused, or the stream was refused unprocessed.
+    Never,
+    /// The holder may have received the request.
+    Unknown,
+}
+
+/// Next step of the entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Route the request like unkeyed work that must not be repeated.
+    RunElsewhere,
+    /// Answer the caller.
+    Refuse(Verdict),
+}
+
+/// Decides about keyed work that has no answer from the holder.
+///
+/// Attempt 1 arrives once, so when the holder did not receive it, no daemon
+/// has a copy and it may run anywhere. A later attempt then finds no record at
+/// the holder and does not run.
+pub fn undelivered(attempt: Option<u32>, delivery: Delivery) -> Step {
+    match (attempt, delivery) {
+        (Some(1), Delivery::Never) => Step::RunElsewhere,
+        _ => Step::Refuse(Verdict::MayHaveRun),
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ring/mod.rs
@@ -0,0 +1,101 @@
+//! Which host holds a key, and whether this daemon may act as its holder.
+
+use savorylane_intent::Hash;
+use savorylane_intent::hosts::{List, State};
+use savorylane_wire::control::{Ring, Scope};
+
+mod tenure;
+
+pub use tenure::{Coverage, Tenure};
+
+/// Members of a ring at most.
+pub const MEMBERS: usize = 7;
+
+/// Returns the ring of `scope`.
+///
+/// The candidates are the live hosts of the home region, whatever their
+/// service: two hosts per service and region would let one failed host stop
+/// the ring. Hosts in state `leaving` are left out, so that a new holder can
+/// still hear from them. Sizes above 2 are odd, because one more member of an
+/// even ring does not tolerate one more failure.
+pub fn compute(list: &List, scope: &Scope) -> Ring {
+    let mut scored: Vec<(u64, &str)> = list
+        .hosts
+        .iter()
+        .filter(|host| host.state == State::Live)
+        .filter(|host| scope.home.as_ref().is_none_or(|home| *home == host.region))
+        .map(|host| {
+            let home = scope.home.as_deref().unwrap_or_default();
+            let score = score(
+                &[b"ring", scope.service.as_bytes(), home.as_bytes()],
+                &host.name,
+            );
+            (score, host.name.as_str())
+        })
+        .collect();
+    scored.sort_by(|a, b| b.cmp(a));
+    let mut count = scored.len().min(MEMBERS);
+    if count > 2 && count.is_multiple_of(2) {
+        count -= 1;
+    }
+    let mut members: Vec<String> = scored[..count]
+        .iter()
+        .map(|(_, name)| (*name).to_string())
+        .collect();
+    members.sort();
+    build(scope.clone(), list.number, members)
+}
+
+/// Builds the ring with the given members, sorted by name.
+pub fn build(scope: Scope, number: u64, members: Vec<String>) -> Ring {
+    debug_assert!(members.is_sorted(), "the ring hash needs sorted members");
+    let mut hasher = blake3::Hasher::new();
+    field(&mut hasher, scope.service.as_bytes());
+    // A home region that is the empty string differs from no home region.
+    field(&mut hasher, &[u8::from(scope.home.is_some())]);
+    field(
+        &mut hasher,
+        scope.home.as_deref().unwrap_or_default().as_bytes(),
+    );
+    for member in &members {
+        field(&mut hasher, member.as_bytes());
+    }
+    Ring {
+        scope,
+        number,
+        members,
+        hash: Hash(*hasher.finalize().as_bytes()),
+    }
+}
+
+/// Returns the member that holds `key`, or `None` for an empty ring.
+pub fn holder<'a>(ring: &'a Ring, key: &str) -> Option<&'a str> {
+    best(ring.members.iter().map(String::as_str), key.as_bytes())
+}
+
+/// Returns the host with the highest rendezvous score for `subject`.
+pub(crate) fn best<'a>(hosts: impl Iterator<Item = &'a str>, subject: &[u8]) -> Option<&'a str> {
+    hosts.max_by_key(|host| (score(&[b"holder", subject], host), *host))
+}
+
+/// Returns how many of `members` make a majority.
+pub(crate) fn majority(members: usize) -> usize {
+    members / 2 + 1
+}
+
+fn score(fields: &[&[u8]], host: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    for bytes in fields {
+        field(&mut hasher, bytes);
+    }
+    field(&mut hasher, host.as_bytes());
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(head)
+}
+
+/// Hashes a field with its length, so that no two lists of fields collide.
+pub(crate) fn field(hasher: &mut blake3::Hasher, bytes: &[u8]) {
+    hasher.update(&(bytes.len() as u64).to_le_bytes());
+    hasher.update(bytes);
+}
--- /dev/null
+++ b/crates/ledger/src/ring/tenure.rs
@@ -0,0 +1,346 @@
+//! Whether a daemon may act as holder under its ring.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use savorylane_wire::Incarnation;
+use savorylane_wire::control::{Confirmation, Ring, Sender};
+
+use super::majority;
+use crate::Settings;
+
+/// Moment from which a holder saw every attempt of its unmarked keys.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Coverage {
+    /// Moment; may lie in the future. `None` stands for all time.
+    pub since: Option<Duration>,
+    /// The same moment in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+}
+
+/// Part of one daemon in the ring of one scope.
+///
+/// A daemon is **recovered** when it knows what its earlier incarnations
+/// confirmed. It is **active** when it may run unmarked keys: a majority of
+/// its ring confirmed the ring in answer to questions not older than
+/// [`Settings::evidence`], and a majority of each former ring had the new
+/// ring at one moment.
+///
+/// Invariant: while a daemon is active, no daemon is active under another
+/// ring of the scope, but for the evidence that ends before
+/// [`Coverage::since`]. The reasons: the two majorities share a member; a
+/// member never goes back to an older list; and a member that lost its memory
+/// confirms nothing before it heard from enough others to share one with any
+/// majority that its earlier incarnation was part of.
+#[derive(Clone, Debug)]
+pub struct Tenure {
+    settings: Settings,
+    me: Sender,
+    ring: Ring,
+    /// When this daemon took on the ring or recovered, whichever was later.
+    followed: Duration,
+    recovered: bool,
+    /// Whether the daemon has not been active since its start.
+    starting: bool,
+    former: Vec<Ring>,
+    answers: BTreeMap<String, Answer>,
+    confirmed_until: Duration,
+    active: Option<(u64, Coverage)>,
+}
+
+/// Latest answer of a member that follows this daemon's ring.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    incarnation: Incarnation,
+    /// Number of the member's host list.
+    number: u64,
+    /// Arrival of the incarnation's first answer with this ring and number.
+    first_at: Duration,
+    /// Time of the question to the latest answer with this ring.
+    asked_at: Duration,
+}
+
+impl Tenure {
+    /// Creates the state of a daemon that has just started.
+    pub fn new(settings: Settings, me: Sender, now: Duration, wall_ms: u64, ring: Ring) -> Self {
+        let mut tenure = Self {
+            settings,
+            me,
+            followed: now,
+            recovered: settings.first_start,
+            starting: true,
+            former: Vec::new(),
+            answers: BTreeMap::new(),
+            confirmed_until: Duration::ZERO,
+            active: None,
+            ring,
+        };
+        tenure.evaluate(now, wall_ms);
+        tenure
+    }
+
+    /// Returns the ring by the daemon's own host list.
+    pub fn ring(&self) -> &Ring {
+        &self.ring
+    }
+
+    /// Returns the run of the daemon.
+    pub fn incarnation(&self) -> Incarnation {
+        self.me.incarnation
+    }
+
+    /// Returns whether this daemon holds `key` by its own list.
+    pub fn holds(&self, key: &str) -> bool {
+        super::holder(&self.ring, key) == Some(self.me.host.as_str())
+    }
+
+    /// Returns the hosts to ask each second: members of the ring and of the
+    /// former rings.
+    pub fn peers(&self) -> BTreeSet<&str> {
+        let rings = std::iter::once(&self.ring).chain(&self.former);
+        rings
+            .flat_map(|ring| ring.members.iter().map(String::as_str))
+            .filter(|member| *member != self.me.host)
+            .collect()
+    }
+
+    /// Returns the answer to a member's question.
+    pub fn answer(&self) -> Confirmation {
+        Confirmation {
+            from: self.me.clone(),
+            ring: self.ring.clone(),
+            recovered: self.recovered,
+            active: self.active.map(|(number, _)| number),
+            former: self.former.clone(),
+        }
+    }
+
+    /// Returns the coverage if the daemon may act as holder now.
+    pub fn active(&self, now: Duration) -> Option<Coverage> {
+        if now >= self.confirmed_until {
+            return None;
+        }
+        self.active.map(|(_, coverage)| coverage)
+    }
+
+    /// Takes on the ring of a newer host list; an older or equal one is
+    /// ignored. Confirmations of the former ring count no longer.
+    pub fn on_ring(&mut self, now: Duration, wall_ms: u64, ring: Ring) {
+        assert_eq!(ring.scope, self.ring.scope, "a tenure has one scope");
+        if ring.number <= self.ring.number {
+            return;
+        }
+        if ring.hash == self.ring.hash {
+            self.ring.number = ring.number;
+            return;
+        }
+        let former = std::mem::replace(&mut self.ring, ring);
+        self.add_former(former);
+        self.followed = now;
+        self.lapse();
+        self.answers.clear();
+        self.evaluate(now, wall_ms);
+    }
+
+    /// Drops all evidence after a pause: the clock may have stood still, so
+    /// that evidence looks fresh although another ring has become active.
+    pub fn on_pause(&mut self, now: Duration, wall_ms: u64) {
+        self.lapse();
+        self.answers.clear();
+        self.followed = now;
+        self.evaluate(now, wall_ms);
+    }
+
+    /// Takes a member's answer to the question that this daemon asked at
+    /// `asked_at`.
+    pub fn on_confirmation(
+        &mut self,
+        now: Duration,
+        wall_ms: u64,
+        confirmation: &Confirmation,
+        asked_at: Duration,
+    ) {
+        let host = confirmation.from.host.as_str();
+        if asked_at > now || host == self.me.host || confirmation.ring.scope != self.ring.scope {
+            return;
+        }
+        if !confirmation.recovered || confirmation.ring.hash != self.ring.hash {
+            // A member that follows another ring confirms nothing, and one
+            // that lost its memory may have promised otherwise before.
+            self.answers.remove(host);
+            self.evaluate(now, wall_ms);
+            return;
+        }
+        let incarnation = confirmation.from.incarnation;
+        let number = confirmation.ring.number;
+        let fresh = Answer {
+            incarnation,
+            number,
+            first_at: now,
+            asked_at,
+        };
+        let answer = match self.answers.get(host) {
+            // An answer that was overtaken by a later one.
+            Some(known) if (known.incarnation, known.number) > (incarnation, number) => return,
+            Some(known) if (known.incarnation, known.number) == (incarnation, number) => Answer {
+                asked_at: known.asked_at.max(asked_at),
+                ..*known
+            },
+            _ => fresh,
+        };
+        self.answers.insert(host.to_string(), answer);
+        for ring in &confirmation.former {
+            self.add_former(ring.clone());
+        }
+        if let Some(number) = confirmation.active {
+            // The sender's activation retired all rings of older lists.
+            self.former.retain(|ring| ring.number >= number);
+        }
+        self.evaluate(now, wall_ms);
+    }
+
+    /// Evaluates the evidence as time passes; to be called every 100 ms.
+    pub fn on_tick(&mut self, now: Duration, wall_ms: u64) {
+        self.evaluate(now, wall_ms);
+    }
+
+    fn lapse(&mut self) {
+        self.active = None;
+        self.confirmed_until = Duration::ZERO;
+    }
+
+    /// Remembers a ring whose holder may still be active.
+    fn add_former(&mut self, ring: Ring) {
+        if ring.hash == self.ring.hash || ring.members.is_empty() {
+            return;
+        }
+        if let Some((number, _)) = self.active {
+            if ring.number < number {
+                return;
+            }
+            // The members followed another ring in between and came back to
+            // this one; its holder may be active.
+            self.lapse();
+        }
+        match self.former.iter_mut().find(|known| known.hash == ring.hash) {
+            Some(known) => known.number = known.number.max(ring.number),
+            None => self.former.push(ring),
+        }
+    }
+
+    fn evaluate(&mut self, now: Duration, wall_ms: u64) {
+        if now >= self.confirmed_until {
+            self.lapse();
+        }
+        if !self.recovered {
+            self.recover(now);
+        }
+        if !self.recovered || !self.ring.members.contains(&self.me.host) {
+            return;
+        }
+        let quorum = majority(self.ring.members.len());
+        let mut asked: Vec<Duration> = self
+            .ring
+            .members
+            .iter()
+            .filter_map(|member| self.span(now, member, 0))
+            .map(|(_, asked_at)| asked_at)
+            .collect();
+        asked.sort_by(|a, b| b.cmp(a));
+        let Some(oldest) = asked.get(quorum - 1) else {
+            return;
+        };
+        self.confirmed_until = self.confirmed_until.max(*oldest + self.settings.evidence);
+        if now >= self.confirmed_until || self.active.is_some() {
+            return;
+        }
+        if !self.former.iter().all(|ring| self.retired(now, ring)) {
+            return;
+        }
+        let wait = self.settings.evidence + self.settings.pause;
+        let first = self.settings.first_start && self.former.is_empty() && self.starting;
+        let coverage = if first {
+            Coverage {
+                since: None,
+                since_ms: 0,
+            }
+        } else {
+            // Evidence that an earlier holder collected until now ends by
+            // then; an unnoticed pause of that holder stretches it.
+            Coverage {
+                since: Some(now + wait),
+                since_ms: wall_ms + wait.as_millis() as u64,
+            }
+        };
+        self.starting = false;
+        self.former.clear();
+        self.active = Some((self.agreed(*oldest), coverage));
+    }
+
+    /// Returns the list number that all members with evidence have reached.
+    /// Members below a number may still follow another ring of that number.
+    fn agreed(&self, oldest: Duration) -> u64 {
+        self.ring
+            .members
+            .iter()
+            .filter_map(|member| self.answers.get(member))
+            .filter(|answer| answer.asked_at >= oldest)
+            .map(|answer| answer.number)
+            .fold(self.ring.number, u64::min)
+    }
+
+    /// Decides whether enough members answered to know what this daemon's
+    /// earlier incarnations confirmed.
+    ///
+    /// Of the other n - 1 members of a ring, majority - 1 were in a majority
+    /// that an earlier incarnation was part of, so n - majority + 1 answers
+    /// meet one of them. The earlier incarnation may have been counted in a
+    /// former ring, so the same holds for each of these.
+    fn recover(&mut self, now: Duration) {
+        let known = std::iter::once(&self.ring).chain(&self.former);
+        for ring in known {
+            let others = ring
+                .members
+                .iter()
+                .filter(|member| **member != self.me.host);
+            let heard = others
+                .filter(|member| self.answers.contains_key(*member))
+                .count();
+            if heard < ring.members.len() + 1 - majority(ring.members.len()) {
+                return;
+            }
+        }
+        self.recovered = true;
+        self.followed = now;
+    }
+
+    /// Returns since when `member` is known to follow this ring by a list
+    /// above `number`, and when it was last asked.
+    fn span(&self, now: Duration, member: &str, number: u64) -> Option<(Duration, Duration)> {
+        if member == self.me.host {
+            let counts = self.recovered && self.ring.number > number;
+            return counts.then_some((self.followed, now));
+        }
+        let answer = self.answers.get(member)?;
+        (answer.number > number).then_some((answer.first_at, answer.asked_at))
+    }
+
+    /// Returns whether at one moment a majority of `ring` followed the current
+    /// ring. Answers at different moments do not suffice: a member that
+    /// answered first may lose its memory and recover from one that has not
+    /// yet answered.
+    fn retired(&self, now: Duration, ring: &Ring) -> bool {
+        let spans: Vec<(Duration, Duration)> = ring
+            .members
+            .iter()
+            .filter_map(|member| self.span(now, member, ring.number))
+            .collect();
+        spans.iter().any(|&(moment, _)| {
+            let held = spans
+                .iter()
+                .filter(|&&(first, last)| first <= moment && moment <= last)
+                .count();
+            held >= majority(ring.members.len())
+        })
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/suspect/mod.rs
@@ -0,0 +1,280 @@
+//! Requests that may have crashed an upstream.
+//!
+//! The gatekeeper whose upstream died owns the suspicion. Only the owner may
+//! run the request again, once and alone, and only after every gatekeeper of
+//! the service has acknowledged the suspicion: a gatekeeper that has not heard
+//! of it may run the request as well. An upstream death at a second gatekeeper
+//! confirms the suspect without a trial. Until the owner has an outcome, and
+//! while the owner is gone, all others refuse the request.
+//!
+//! Two upstreams are the bound among gatekeepers that hear of each other's
+//! suspicions before the caller sends again; a gatekeeper that is cut off can
+//! lose its upstream once more.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use savorylane_intent::Hash;
+use savorylane_wire::control::{Sender, Suspect, Suspected, Suspicion};
+
+use crate::ring::field;
+
+/// Time for which a suspect is remembered, from the last news of it.
+pub const EXPIRY: Duration = Duration::from_secs(600);
+/// Suspects remembered at most.
+pub const LIMIT: usize = 1024;
+/// Bytes at the start of a body that count for the fingerprint.
+pub const BODY_BYTES: usize = 4 << 10;
+
+/// Returns the fingerprint of a request. `length` is that of the whole body,
+/// `None` when it is not known in advance; of `body`, the first
+/// [`BODY_BYTES`] count.
+pub fn fingerprint(
+    method: &str,
+    path: &str,
+    caller: &str,
+    length: Option<u64>,
+    body: &[u8],
+) -> Hash {
+    let mut hasher = blake3::Hasher::new();
+    field(&mut hasher, method.as_bytes());
+    field(&mut hasher, path.as_bytes());
+    field(&mut hasher, caller.as_bytes());
+    field(&mut hasher, &[u8::from(length.is_some())]);
+    field(&mut hasher, &length.unwrap_or_default().to_le_bytes());
+    field(&mut hasher, &body[..body.len().min(BODY_BYTES)]);
+    Hash(*hasher.finalize().as_bytes())
+}
+
+/// Decision of a gatekeeper about a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// Run it beside other work.
+    Run,
+    /// Run it with no other work at the upstream.
+    RunAlone,
+    /// Refuse it as `not-run`.
+    Refuse(Reason),
+}
+
+/// Reason of a refusal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// Two upstreams died with the request.
+    Confirmed,
+    /// The owner of the suspicion decides first.
+    Undecided,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    state: State,
+    expires: Duration,
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum State {
+    /// This gatekeeper owns the suspicion and waits for `missing` to
+    /// acknowledge it.
+    Own {
+        missing: BTreeSet<String>,
+    },
+    /// The request runs here alone.
+    Trial,
+    /// The named gatekeeper owns the suspicion.
+    Foreign(String),
+    Confirmed,
+}
+
+/// Suspects that one gatekeeper knows.
+#[derive(Clone, Debug)]
+pub struct List {
+    me: Sender,
+    service: String,
+    entries: HashMap<Hash, Entry>,
+}
+
+impl List {
+    /// Creates an empty list.
+    pub fn new(me: Sender, service: String) -> Self {
+        Self {
+            me,
+            service,
+            entries: HashMap::new(),
+        }
+    }
+
+    /// Returns the number of suspects.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there is no suspect.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Makes suspects of the work that was in flight when the upstream died.
+    ///
+    /// `peers` are the other gatekeepers of the service. The message is pushed
+    /// to each until it acknowledges, and the callers get their answers when
+    /// all reachable ones have.
+    pub fn on_upstream_died(
+        &mut self,
+        now: Duration,
+        in_flight: &[Hash],
+        peers: &[&str],
+    ) -> Suspicion {
+        let mut suspects = Vec::new();
+        for &fingerprint in in_flight {
+            let state = match self.state(now, &fingerprint) {
+                // Death during the trial, or at a second gatekeeper that had
+                // the request before it heard of the suspicion.
+                Some(State::Trial | State::Foreign(_) | State::Confirmed) => State::Confirmed,
+                // The upstream of the same gatekeeper died again with work
+                // that was admitted before.
+                Some(State::Own { .. }) => State::Confirmed,
+                None => State::Own {
+                    missing: peers.iter().map(|peer| (*peer).to_string()).collect(),
+                },
+            };
+            let told = match state {
+                State::Confirmed => Suspected::Confirmed,
+                _ => Suspected::Suspect,
+            };
+            self.put(now, fingerprint, state);
+            suspects.push(Suspect {
+                fingerprint,
+                state: told,
+            });
+        }
+        self.message(suspects)
+    }
+
+    /// Takes a peer's suspicion and returns the acknowledgement, which tells
+    /// what this gatekeeper knows of the same requests.
+    pub fn on_suspicion(&mut self, now: Duration, suspicion: &Suspicion) -> Suspicion {
+        let mut known = Vec::new();
+        for suspect in &suspicion.suspects {
+            if let Some(state) = self.learn(now, &suspicion.from.host, suspect) {
+                known.push(Suspect {
+                    fingerprint: suspect.fingerprint,
+                    state,
+                });
+            }
+        }
+        self.message(known)
+    }
+
+    /// Takes the acknowledgement of a message that covered `told`.
+    pub fn on_acknowledged(&mut self, now: Duration, told: &Suspicion, reply: &Suspicion) {
+        for suspect in &reply.suspects {
+            self.learn(now, &reply.from.host, suspect);
+        }
+        for suspect in &told.suspects {
+            let entry = self.entries.get_mut(&suspect.fingerprint);
+            if let Some(State::Own { missing }) = entry.map(|entry| &mut entry.state) {
+                missing.remove(&reply.from.host);
+            }
+        }
+    }
+
+    /// Decides about a request. After [`Admission::RunAlone`] the caller
+    /// reports [`List::on_completed`], [`List::on_upstream_died`] or
+    /// [`List::on_not_run`].
+    pub fn admit(&mut self, now: Duration, fingerprint: &Hash) -> Admission {
+        match self.state(now, fingerprint) {
+            None => Admission::Run,
+            Some(State::Own { missing }) if missing.is_empty() => {
+                self.put(now, *fingerprint, State::Trial);
+                Admission::RunAlone
+            }
+            Some(State::Confirmed) => Admission::Refuse(Reason::Confirmed),
+            Some(State::Own { .. } | State::Trial | State::Foreign(_)) => {
+                Admission::Refuse(Reason::Undecided)
+            }
+        }
+    }
+
+    /// Takes back a trial that was not handed to the upstream.
+    pub fn on_not_run(&mut self, now: Duration, fingerprint: &Hash) {
+        if self.state(now, fingerprint) == Some(State::Trial) {
+            let missing = BTreeSet::new();
+            self.put(now, *fingerprint, State::Own { missing });
+        }
+    }
+
+    /// Clears a suspect that completed, alone or because it was running here
+    /// when the suspicion came. Returns the message to push, if any.
+    pub fn on_completed(&mut self, now: Duration, fingerprint: &Hash) -> Option<Suspicion> {
+        match self.state(now, fingerprint) {
+            None | Some(State::Confirmed) => return None,
+            Some(State::Own { .. } | State::Trial | State::Foreign(_)) => {}
+        }
+        self.entries.remove(fingerprint);
+        Some(self.message(vec![Suspect {
+            fingerprint: *fingerprint,
+            state: Suspected::Cleared,
+        }]))
+    }
+
+    fn learn(&mut self, now: Duration, from: &str, suspect: &Suspect) -> Option<Suspected> {
+        let fingerprint = suspect.fingerprint;
+        let state = self.state(now, &fingerprint);
+        let next = match (suspect.state, state) {
+            (_, Some(State::Confirmed)) => return Some(Suspected::Confirmed),
+            (Suspected::Confirmed, _) => State::Confirmed,
+            // A trial ends by itself, and its result counts for more.
+            (Suspected::Cleared, Some(State::Trial)) => return Some(Suspected::Suspect),
+            (Suspected::Cleared, _) => {
+                self.entries.remove(&fingerprint);
+                return None;
+            }
+            // Upstreams of two gatekeepers died with the request.
+            (Suspected::Suspect, Some(State::Own { .. } | State::Trial)) => State::Confirmed,
+            (Suspected::Suspect, Some(State::Foreign(owner))) if owner != from => State::Confirmed,
+            (Suspected::Suspect, _) => State::Foreign(from.to_string()),
+        };
+        let told = (next == State::Confirmed).then_some(Suspected::Confirmed);
+        self.put(now, fingerprint, next);
+        told
+    }
+
+    fn message(&self, suspects: Vec<Suspect>) -> Suspicion {
+        Suspicion {
+            from: self.me.clone(),
+            service: self.service.clone(),
+            suspects,
+        }
+    }
+
+    fn state(&mut self, now: Duration, fingerprint: &Hash) -> Option<State> {
+        let entry = self.entries.get(fingerprint)?;
+        if entry.expires <= now && entry.state != State::Trial {
+            self.entries.remove(fingerprint);
+            return None;
+        }
+        Some(entry.state.clone())
+    }
+
+    fn put(&mut self, now: Duration, fingerprint: Hash, state: State) {
+        if self.entries.len() >= LIMIT && !self.entries.contains_key(&fingerprint) {
+            self.entries
+                .retain(|_, entry| entry.expires > now || entry.state == State::Trial);
+            // Without an expired one, the oldest unconfirmed suspect goes.
+            let oldest = self
+                .entries
+                .iter()
+                .min_by_key(|(hash, entry)| {
+                    (entry.state == State::Confirmed, entry.expires, **hash)
+                })
+                .map(|(hash, _)| *hash);
+            if let Some(oldest) = oldest.filter(|_| self.entries.len() >= LIMIT) {
+                self.entries.remove(&oldest);
+            }
+        }
+        let expires = now + EXPIRY;
+        self.entries.insert(fingerprint, Entry { state, expires });
+        assert!(self.entries.len() <= LIMIT, "suspects over the limit");
+    }
+}
--- a/crates/wire/src/control/mod.rs
+++ b/crates/wire/src/control/mod.rs
@@ -6,6 +6,12 @@
 
 use crate::Incarnation;
 
+pub mod ring;
+pub mod suspicion;
+
+pub use ring::{Confirmation, Question, Ring, Scope};
+pub use suspicion::{Suspect, Suspected, Suspicion};
+
 /// Sender of a message.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Sender {
