--- a/crates/ledger/src/book/mod.rs
+++ b/crates/ledger/src/book/mod.rs
@@ -317,7 +317,9 @@
         let key_ms = request
             .key_ms
             .filter(|key_ms| *key_ms <= wall_ms + allowance);
-        let kept = self.settings.retention().as_millis() as u64 + allowance;
+        // The caller's clock may be ahead, so that the key was sent earlier
+        // than its time tells and its record is dropped earlier.
+        let kept = (self.settings.retention().as_millis() as u64).saturating_sub(allowance);
         if key_ms.is_some_and(|key_ms| key_ms + kept < wall_ms) {
             return refuse(Reason::Expired);
         }
--- a/crates/ledger/src/ring/tenure.rs
+++ b/crates/ledger/src/ring/tenure.rs
@@ -40,8 +40,9 @@
     /// When this daemon took on the ring or recovered, whichever was later.
     followed: Duration,
     recovered: bool,
-    /// Whether the daemon has not been active since its start.
-    starting: bool,
+    /// End of the time in which [`Settings::first_start`] holds. No ring that
+    /// replaces the first can have a holder before.
+    first_until: Duration,
     former: Vec<Ring>,
     answers: BTreeMap<String, Answer>,
     confirmed_until: Duration,
@@ -68,7 +69,11 @@
             me,
             followed: now,
             recovered: settings.first_start,
-            starting: true,
+            first_until: if settings.first_start {
+                now + settings.evidence + settings.pause
+            } else {
+                Duration::ZERO
+            },
             former: Vec::new(),
             answers: BTreeMap::new(),
             confirmed_until: Duration::ZERO,
@@ -146,6 +151,7 @@
     /// that evidence looks fresh although another ring has become active.
     pub fn on_pause(&mut self, now: Duration, wall_ms: u64) {
         self.lapse();
+        self.first_until = Duration::ZERO;
         self.answers.clear();
         self.followed = now;
         self.evaluate(now, wall_ms);
@@ -222,6 +228,7 @@
             // this one; its holder may be active.
             self.lapse();
         }
+        self.first_until = Duration::ZERO;
         match self.former.iter_mut().find(|known| known.hash == ring.hash) {
             Some(known) => known.number = known.number.max(ring.number),
             None => self.former.push(ring),
@@ -258,7 +265,7 @@
             return;
         }
         let wait = self.settings.evidence + self.settings.pause;
-        let first = self.settings.first_start && self.former.is_empty() && self.starting;
+        let first = now < self.first_until;
         let coverage = if first {
             Coverage {
                 since: None,
@@ -272,7 +279,7 @@
                 since_ms: wall_ms + wait.as_millis() as u64,
             }
         };
-        self.starting = false;
+        self.first_until = Duration::ZERO;
         self.former.clear();
         self.active = Some((self.agreed(*oldest), coverage));
     }
