--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -229,7 +229,7 @@
         policy: context.settings.policy,
         turn: &class.turn,
         length: call.class.work,
-        idempotent: call.class.idempotent,
+        probe: tried.is_empty() && may_hedge(call.class.idempotent, call.class.work),
         slack: call.slack(Instant::now()),
     };
     let mut choice = route::choose(&route, context.now(), &mut rand::rng(), &candidates)?;
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -140,6 +140,7 @@
             length: call.class.work,
             shed_order: call.class.shed_order,
             deadline: call.deadline.saturating_duration_since(self.start),
+            target: call.target.saturating_duration_since(self.start),
             caller: hash(&call.caller),
             class: hash(&call.class.name),
             alone: false,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use bpaf::{Args, ParseFailure};
-use savorylane_daemon::{Handle, logs};
 use savorylane_daemon::settings::{self, Command};
+use savorylane_daemon::{Handle, logs};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Exit code for refused settings.
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -28,7 +28,9 @@
         daemons.push(Daemon::start(host, &host[..1], &more));
         upstreams.push(upstream);
     }
-    let hosts = daemons.iter().map(|daemon| daemon.listed(&daemon.host[..1]));
+    let hosts = daemons
+        .iter()
+        .map(|daemon| daemon.listed(&daemon.host[..1]));
     platform.publish_hosts(&list(1, hosts.collect()));
     platform.publish_document(&document(1));
 
--- a/crates/wire/src/control/mod.rs
+++ b/crates/wire/src/control/mod.rs
@@ -8,8 +8,12 @@
 use crate::Incarnation;
 
 mod record;
+pub mod ring;
+pub mod suspicion;
 
 pub use record::{Malformed, Record, State};
+pub use ring::{Confirmation, Question, Ring, Scope};
+pub use suspicion::{Suspect, Suspected, Suspicion};
 
 /// Sender of a message.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
