Keep a reported load for 16 service times

In the uploads model short work was slower with uploads than without: the report of a host was forgotten within 4 service times of short work, although uploads keep their slots 25 times as long, so short work was sent to hosts full of uploads.

--- a/crates/policy/examples/model/scenario.rs
+++ b/crates/policy/examples/model/scenario.rs
@@ -62,6 +62,17 @@
                 load: |_| 0.5,
                 ..base("no-uploads")
             },
+            Self {
+                long: 0.2,
+                load: |_| 2.0,
+                seconds: 20.0,
+                ..base("uploads-2x")
+            },
+            Self {
+                load: |_| 2.0,
+                seconds: 20.0,
+                ..base("no-uploads-2x")
+            },
             Self {
                 load: crest,
                 seconds: 32.0,
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -23,6 +23,11 @@
 /// Greatest wait after failures.
 const BACKOFF_MAX_US: u64 = 2_000_000;
 
+/// Service times of short work over which a reported load is forgotten. Long
+/// work keeps its slots for many service times of short work, so a shorter
+/// time sends short work behind it.
+const DRAIN: f64 = 16.0;
+
 /// How a request to a host ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -245,7 +250,7 @@
         let own = f64::from(self.running());
         let age_us = micros(now).saturating_sub(self.reported_us.load(Ordering::Relaxed));
         let service_us = self.service_us.load(Ordering::Relaxed).max(1_000);
-        let kept = (-(age_us as f64) / (4.0 * f64::from(service_us))).exp();
+        let kept = (-(age_us as f64) / (DRAIN * f64::from(service_us))).exp();
         let reported = f64::from(self.reported.load(Ordering::Relaxed)) * kept;
         own.max(reported + f64::from(self.sent.load(Ordering::Relaxed)))
     }
