Forget the response time of a host that no longer gets work

A host that was slow once was probed only by work that may run twice. A service without such work avoided it for good; long work did too. A response time now counts for 1 s after the last answer. After that the host gets work like the others, and the age of its oldest request shows within three medians whether it is still slow.

--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -163,9 +163,8 @@
     /// cross a refusal.
     pub fn finish(&mut self, now: Duration, id: u64, finish: Finish) {
         self.tick(now);
-        if let Some(work) = self.waiting.get(&id).copied() {
-            self.dequeue(&work, false);
-        }
+        self.refused.retain(|(other, _)| *other != id);
+        self.drop_waiting(id);
         let Some(running) = self.running.remove(&id) else {
             return;
         };
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -28,6 +28,10 @@
 /// time sends short work behind it.
 const DRAIN: f64 = 16.0;
 
+/// A response time counts for this long after the last answer. Work that
+/// cannot probe a slow host would avoid it for good otherwise.
+const STALE_US: u64 = 1_000_000;
+
 /// How a request to a host ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -74,6 +78,7 @@
     failures: AtomicU32,
     failed_us: AtomicU64,
     first_seen_us: AtomicU64,
+    answered_us: AtomicU64,
     pub(super) probed_us: AtomicU64,
 }
 
@@ -126,6 +131,7 @@
             Outcome::Answered => {
                 smoothed.store(smooth(known, sample), Ordering::Relaxed);
                 self.failures.store(0, Ordering::Relaxed);
+                self.answered_us.store(now_us, Ordering::Relaxed);
             }
             Outcome::Cancelled if sample > known => {
                 smoothed.store(smooth(known, sample), Ordering::Relaxed);
@@ -233,6 +239,11 @@
         self.failures.load(Ordering::Relaxed) > 0
     }
 
+    /// Returns whether the response times are too old to avoid the host.
+    pub(super) fn stale(&self, now: Duration) -> bool {
+        micros(now) > self.answered_us.load(Ordering::Relaxed) + STALE_US
+    }
+
     /// Returns the share of the work that the host may get, from a twentieth
     /// when it is first seen to 1.
     pub(super) fn share(&self, now: Duration) -> f64 {
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -277,7 +277,7 @@
     // Noise of single answers must not spread the load unevenly, so a host
     // counts as fast as the median unless it is clearly slow.
     let measured = latency_us(context, candidate).unwrap_or(median);
-    if measured > SLOW * median {
+    if measured > SLOW * median && !estimate.stale(now) {
         service = measured;
     }
     let oldest = estimate.oldest(now).unwrap_or_default().as_micros() as f64 - round_trip;
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -268,3 +268,15 @@
     assert!(run(|_| 100) >= 5, "one slot at most is given up in a try");
     assert_eq!(run(|count| 10 * count * count), 2);
 }
+
+/// Guards against a request that is cancelled and then refused as well.
+#[test]
+fn a_cancelled_request_is_not_refused_later() {
+    let mut gate = Gate::new(2);
+    for id in 0..4 {
+        gate.arrive(ms(0), short(id, 60_000));
+    }
+    gate.finish(ms(1), 0, Finish::Died);
+    gate.finish(ms(1), 2, Finish::Cancelled);
+    assert_eq!(actions(&mut gate, 1), [Action::Refuse(3, Reason::Closed)]);
+}
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -121,6 +121,22 @@
     assert!(probes <= (now - 10_400) / 100 + 1, "{probes} probes");
 }
 
+/// Guards against a host that was slow once and is avoided for good by a
+/// service whose work must not run twice.
+#[test]
+fn forgets_a_slow_host_without_probes() {
+    let mut world = World::new(6);
+    for turn in 0..4 {
+        world.answer(2, 10_000 + turn * 100, 100);
+    }
+    assert_eq!(world.shares(10_900)[2], 0);
+    assert!(world.shares(11_500)[2] > 100);
+    let ticket = world.hosts[2].begin(ms(11_500), Length::Short);
+    assert_eq!(world.shares(11_550)[2], 0, "still slow");
+    world.hosts[2].end(ms(11_600), ticket, Outcome::Answered);
+    assert_eq!(world.shares(11_600)[2], 0);
+}
+
 /// Guards against all entries choosing one host at the same moment.
 #[test]
 fn spreads_ties_at_random_and_follows_outstanding_requests() {
