--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -15,7 +15,7 @@
 /// A host whose latency is this many times the median is slow.
 const SLOW: f64 = 2.5;
 /// The oldest unanswered request counts from this many medians on; of
-/// exponential service times 1 in 55 takes longer.
+/// exponential service times 1 in 20 takes longer.
 const AGED: f64 = 3.0;
 /// A slow host is probed at most this often by one entry.
 const PROBE_US: u64 = 100_000;
@@ -277,7 +277,7 @@
     // Noise of single answers must not spread the load unevenly, so a host
     // counts as fast as the median unless it is clearly slow.
     let measured = latency_us(context, candidate).unwrap_or(median);
-    if measured > SLOW * median {
+    if measured > SLOW * median && !estimate.stale(now) {
         service = measured;
     }
     let oldest = estimate.oldest(now).unwrap_or_default().as_micros() as f64 - round_trip;
