--- a/crates/daemon/src/audit/mod.rs
+++ b/crates/daemon/src/audit/mod.rs
@@ -3,13 +3,14 @@
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
 
+use savorylane_intent::adopt::Outcome;
 use serde::{Deserialize, Serialize};
 
 /// Entries kept; older ones stay in the log only.
 const ENTRIES_MAX: usize = 4096;
 
 /// One entry of the trail.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Entry {
     /// Number of the entry in this run, from 1.
     pub sequence: u64,
@@ -20,22 +21,18 @@
 }
 
 /// What happened.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case", tag = "kind")]
 pub enum Event {
-    /// A version is in force.
-    Applied {
-        /// The version.
-        version: String,
+    /// A document was offered, and adopted or refused.
+    Offer {
         /// Where it came from.
         source: String,
-        /// Targets set, changed and withdrawn.
-        changes: Vec<String>,
+        /// What became of it, with the targets set, changed and withdrawn.
+        outcome: Outcome,
     },
-    /// A version or host list was refused.
+    /// A manifest or host list could not be read or was refused.
     Refused {
-        /// The version, if it could be read.
-        version: String,
         /// Where it came from.
         source: String,
         /// Reason of the refusal.
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -1,29 +1,47 @@
-//! Configuration in force. Readers on the request path load one snapshot;
-//! a single writer replaces it.
+//! Configuration in force. Requests load one snapshot; a single writer
+//! replaces it.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
-use savorylane_intent::{Document, Snapshot, Version, hosts};
+use savorylane_intent::adopt::{self, Outcome};
+use savorylane_intent::transfer::Content;
+use savorylane_intent::{Hash, Manifest, Snapshot, Version, hosts};
+use tokio::sync::watch;
 
 use crate::audit::{Event, Trail};
 use crate::logs;
 
+/// What is in force: version of the document and number of the host list.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Current {
+    /// Version of the document.
+    pub version: Option<Version>,
+    /// Number of the host list.
+    pub hosts: u64,
+}
+
 /// Holder of the snapshot in force.
 ///
 /// Invariant: neither the version nor the number of the host list ever goes
-/// down within a run.
-#[derive(Debug, Default)]
+/// down within a run; asserted when a snapshot is replaced.
+#[derive(Debug)]
 pub struct Store {
     snapshot: ArcSwapOption<Snapshot>,
-    latest: Mutex<Latest>,
+    list: ArcSwapOption<hosts::List>,
+    latest: Mutex<adopt::Store>,
+    current: watch::Sender<Current>,
 }
 
-#[derive(Debug, Default)]
-struct Latest {
-    document: Option<Document>,
-    version: Option<Version>,
-    list: hosts::List,
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            snapshot: ArcSwapOption::empty(),
+            list: ArcSwapOption::empty(),
+            latest: Mutex::default(),
+            current: watch::Sender::default(),
+        }
+    }
 }
 
 impl Store {
@@ -32,36 +50,58 @@
         self.snapshot.load_full()
     }
 
+    /// Returns the host list in force, which can be there before a document.
+    pub fn list(&self) -> Option<Arc<hosts::List>> {
+        self.list.load_full()
+    }
+
     /// Returns the version in force.
     pub fn version(&self) -> Option<Version> {
-        self.snapshot.load().as_ref().map(|s| s.version)
+        self.current.borrow().version
     }
 
-    /// Takes a checked document if it is newer than the one in force, and says
-    /// whether it was.
-    pub fn offer_document(&self, trail: &Trail, document: Document, source: &str) -> bool {
-        let mut latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
-        let version = document.version();
-        if latest.version >= Some(version) {
-            return false;
+    /// Returns a receiver that is told of each change.
+    pub fn watch(&self) -> watch::Receiver<Current> {
+        self.current.subscribe()
+    }
+
+    /// Says whether the parts of a manifest are worth reading.
+    pub fn wants(&self, manifest: &Manifest) -> bool {
+        self.lock().wants_manifest(manifest)
+    }
+
+    /// Returns the document in force for a peer that has `base`.
+    pub fn content(&self, base: Option<Hash>) -> Option<(Version, Content)> {
+        let latest = self.lock();
+        Some((latest.version()?, latest.content(base)?))
+    }
+
+    /// Offers a document in the form that `offer` takes, and puts it in force
+    /// if it is adopted.
+    pub fn offer<F>(&self, trail: &Trail, source: &str, offer: F) -> Outcome
+    where
+        F: FnOnce(&mut adopt::Store) -> Outcome,
+    {
+        let mut latest = self.lock();
+        let outcome = offer(&mut latest);
+        if let Outcome::Adopted { to, .. } = &outcome {
+            logs::set_version(to.number);
+            self.publish(&latest);
         }
-        latest.version = Some(version);
-        latest.document = Some(document);
-        self.publish(&latest);
-        logs::set_version(version.number);
-        trail.record(Event::Applied {
-            version: version.to_string(),
-            source: source.into(),
-            changes: Vec::new(),
-        });
-        true
+        if !matches!(outcome, Outcome::Ignored { .. }) {
+            trail.record(Event::Offer {
+                source: source.into(),
+                outcome: outcome.clone(),
+            });
+        }
+        outcome
     }
 
-    /// Takes a host list if it is newer than the one in force, and says
-    /// whether it was.
+    /// Offers a host list, and says whether it is newer than the one in force.
     pub fn offer_hosts(&self, trail: &Trail, list: hosts::List, source: &str) -> bool {
-        let mut latest = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
-        if latest.list.number >= list.number {
+        let latest = self.lock();
+        let known = self.current.borrow().hosts;
+        if list.number <= known {
             return false;
         }
         trail.record(Event::Hosts {
@@ -69,19 +109,32 @@
             source: source.into(),
             count: list.hosts.len(),
         });
-        latest.list = list;
+        self.list.store(Some(Arc::new(list)));
         self.publish(&latest);
         true
     }
 
-    fn publish(&self, latest: &Latest) {
-        let Some(document) = &latest.document else {
-            return;
+    fn publish(&self, latest: &adopt::Store) {
+        let list = self.list.load_full();
+        let current = Current {
+            version: latest.version(),
+            hosts: list.as_ref().map_or(0, |list| list.number),
         };
-        let snapshot = Snapshot::build(document.clone(), latest.list.clone());
-        if let Some(old) = self.snapshot.load().as_ref() {
-            assert!(snapshot.version >= old.version, "a version never goes back");
+        let old = *self.current.borrow();
+        assert!(
+            current.version >= old.version && current.hosts >= old.hosts,
+            "what is in force never goes back"
+        );
+        if let Some(accepted) = &latest.current {
+            let document = accepted.document.as_ref().clone();
+            let list = list.as_deref().cloned().unwrap_or_default();
+            let snapshot = Snapshot::build(document, list);
+            self.snapshot.store(Some(Arc::new(snapshot)));
         }
-        self.snapshot.store(Some(Arc::new(snapshot)));
+        self.current.send_replace(current);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, adopt::Store> {
+        self.latest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -11,7 +11,7 @@
 
 use http::{HeaderMap, Response, StatusCode};
 use savorylane_intent::Snapshot;
-use savorylane_intent::hosts::{Host, State};
+use savorylane_intent::hosts::Host;
 use savorylane_policy::retry::{attempts, may_hedge, may_retry};
 use savorylane_policy::route::{self, Candidate, Distance, Estimate, Outcome, Ticket};
 use savorylane_wire::{Verdict, header};
@@ -19,6 +19,7 @@
 use crate::body::{Body, Replay};
 use crate::call::{Call, Cause, Refusal};
 use crate::kernel::Context;
+use crate::peers;
 use remote::{Clients, Reply, value};
 use table::{Class, Table};
 
@@ -44,8 +45,8 @@
 struct Hedge {
     host: Option<usize>,
     after: Duration,
-    /// Whether the first request probes a slow host. It is then not counted in
-    /// the hedge budget and not cancelled, since it measures the host.
+    /// Whether the first request probes a slow host. It is then not cancelled,
+    /// since it measures the host.
     probe: bool,
 }
 
@@ -120,7 +121,7 @@
         result = &mut first => return result,
         () = tokio::time::sleep(hedge.after) => {}
     }
-    if !hedge.probe && !class.hedge.take() {
+    if !class.hedge.take() {
         return first.await;
     }
     let host = hedge
@@ -204,7 +205,7 @@
 ) -> Option<route::Choice> {
     let usable = |index: &usize| {
         let host = &snapshot.list.hosts[*index];
-        host.state == State::Live && !tried.contains(index) && context.routable(host)
+        !tried.contains(index) && context.peers.routable(&host.name)
     };
     let indices: Vec<usize> = snapshot
         .indices(&call.class.service)
@@ -229,7 +230,9 @@
         policy: context.settings.policy,
         turn: &class.turn,
         length: call.class.work,
-        probe: tried.is_empty() && may_hedge(call.class.idempotent, call.class.work),
+        probe: tried.is_empty()
+            && may_hedge(call.class.idempotent, call.class.work)
+            && class.hedge.available(),
         slack: call.slack(Instant::now()),
     };
     let mut choice = route::choose(&route, context.now(), &mut rand::rng(), &candidates)?;
@@ -304,8 +307,15 @@
                 .send(host.data, &call, extra, body)
                 .await
         };
-        if let Some(load) = &reply.load {
-            pending.estimate.report(context.now(), load);
+        match (&reply.load, &reply.result) {
+            (Some(load), _) => {
+                pending.estimate.report(context.now(), load);
+                peers::answered(&context, &host.name);
+            }
+            (None, Err(refusal)) if refusal.cause == Cause::Away => {
+                peers::connect_failed(&context, &host.name);
+            }
+            (None, _) => {}
         }
         pending.outcome = match &reply.result {
             Ok(_) => Outcome::Answered,
@@ -324,7 +334,7 @@
 /// is known.
 fn addressed(context: &Context, host: &Host, estimate: &Estimate) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    let from = format!("{}/{}", context.settings.host, context.incarnation);
+    let from = format!("{}/{}", context.settings.host, context.incarnation());
     headers.insert(header::FROM, value(&from));
     let run = estimate.incarnation();
     if run.started_ms != 0 {
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -17,6 +17,7 @@
 use crate::dispatch;
 use crate::edge::server;
 use crate::kernel::{Context, Plugin, Port};
+use crate::peers;
 
 inventory::submit! {
     Plugin {
@@ -56,6 +57,7 @@
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Result<Response<Body>, Refusal> {
+    peers::refresh(context).await;
     let Some(snapshot) = context.config.snapshot() else {
         return Err(Refusal::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -1,1 +1,123 @@
-//! Placeholder.
+//! Edge towards other daemons' control messages.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use futures::future::BoxFuture;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use savorylane_intent::{hosts, transfer};
+use savorylane_wire::control::{Confirmation, Heartbeat, Notice, Question, Suspicion};
+use savorylane_wire::operator::{Scope, Summary};
+use savorylane_wire::rpc::{ControlServer, Fetch, Transfer};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::edge::rpc;
+use crate::kernel::{Context, Plugin, Port};
+use crate::{peers, summary};
+
+/// Longest time for a control message; callers set shorter ones.
+const MESSAGE_LIMIT: Duration = Duration::from_secs(5);
+
+inventory::submit! {
+    Plugin {
+        name: "control",
+        order: 15,
+        port: Some(Port { flag: "control", address: |settings| settings.control }),
+        run,
+    }
+}
+
+fn run(
+    context: Arc<Context>,
+    listener: Option<TcpListener>,
+    stop: CancellationToken,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let Some(listener) = listener else { return };
+        let methods = Desk(Arc::clone(&context)).into_rpc();
+        let serve = rpc::serve(listener, stop.clone(), methods, |_| None);
+        tokio::join!(serve, peers::run(context, stop));
+    })
+}
+
+/// Clients by control address. A client keeps its connections, and opens a new
+/// one when a message fails.
+#[derive(Debug, Default)]
+pub struct Clients(Mutex<HashMap<SocketAddr, HttpClient>>);
+
+/// Returns the client of the daemon at `address`.
+///
+/// # Panics
+///
+/// Never: an address makes a valid URL.
+pub fn client(context: &Context, address: SocketAddr) -> HttpClient {
+    let mut clients = context
+        .control
+        .0
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let open = || {
+        HttpClientBuilder::default()
+            .request_timeout(MESSAGE_LIMIT)
+            .build(format!("http://{address}"))
+            .expect("an address makes a valid URL")
+    };
+    clients.entry(address).or_insert_with(open).clone()
+}
+
+/// Answers other daemons.
+struct Desk(Arc<Context>);
+
+#[async_trait]
+impl ControlServer for Desk {
+    async fn heartbeat(&self, message: Heartbeat) -> RpcResult<Heartbeat> {
+        let now = self.0.now();
+        let (answer, actions) = self.0.peers.view().on_message(now, &message);
+        peers::perform(&self.0, actions);
+        Ok(answer)
+    }
+
+    async fn probe(&self, host: String) -> RpcResult<bool> {
+        Ok(peers::probe_for(&self.0, &host).await)
+    }
+
+    async fn notice(&self, message: Notice) -> RpcResult<()> {
+        let actions = self.0.peers.view().on_notice(self.0.now(), &message);
+        peers::perform(&self.0, actions);
+        Ok(())
+    }
+
+    async fn fetch(&self, message: Fetch) -> RpcResult<Option<Transfer>> {
+        let content = self.0.config.content(message.base);
+        Ok(content.map(|(version, content)| Transfer {
+            version: Some(version),
+            content: STANDARD.encode(transfer::encode(&content)),
+        }))
+    }
+
+    async fn hosts(&self, after: u64) -> RpcResult<Option<Transfer>> {
+        let list = self.0.config.list().filter(|list| list.number > after);
+        Ok(list.map(|list| Transfer {
+            version: None,
+            content: STANDARD.encode(hosts::pack(&list)),
+        }))
+    }
+
+    async fn ring(&self, _message: Question) -> RpcResult<Option<Confirmation>> {
+        Ok(None)
+    }
+
+    async fn suspect(&self, _message: Suspicion) -> RpcResult<()> {
+        Ok(())
+    }
+
+    async fn summary(&self, scope: Scope) -> RpcResult<Summary> {
+        Ok(summary::collect(&self.0, scope).await)
+    }
+}
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -74,7 +74,7 @@
         ));
     }
     if let Some(to) = call::text(&head.headers, header::TO)? {
-        let own = format!("{}/{}", context.settings.host, context.incarnation);
+        let own = format!("{}/{}", context.settings.host, context.incarnation());
         if to != own {
             return Err(Refusal {
                 cause: Cause::Away,
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -4,13 +4,13 @@
 
 use futures::future::BoxFuture;
 use jsonrpsee::core::{RpcResult, async_trait};
-use savorylane_wire::operator::{Entry, Host, OperatorServer, Scope, Status, Summary};
+use savorylane_wire::operator::{Entry, OperatorServer, Scope, Status, Summary};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::edge::rpc;
 use crate::kernel::{Context, Plugin, Port};
-use crate::results::WINDOW_S;
+use crate::{peers, summary};
 
 /// Entries of one answer.
 const ENTRIES_MAX: usize = 1000;
@@ -53,8 +53,8 @@
         Ok(status(&self.0))
     }
 
-    async fn summary(&self, _scope: Scope) -> RpcResult<Summary> {
-        Ok(summary(&self.0))
+    async fn summary(&self, scope: Scope) -> RpcResult<Summary> {
+        Ok(summary::collect(&self.0, scope).await)
     }
 
     async fn audit(&self, sequence: u64, most: u64) -> RpcResult<Vec<Entry>> {
@@ -75,34 +75,14 @@
 }
 
 fn status(context: &Context) -> Status {
-    let snapshot = context.config.snapshot();
-    let hosts = snapshot.iter().flat_map(|snapshot| &snapshot.list.hosts);
-    let hosts = hosts.map(|host| Host {
-        name: host.name.clone(),
-        data_centre: host.data_centre.clone(),
-        service: host.service.clone(),
-        state: "unknown".into(),
-        version: None,
-    });
+    let hosts = peers::status(context);
     Status {
         host: context.settings.host.clone(),
-        incarnation: context.incarnation,
+        incarnation: context.incarnation(),
         version: context.config.version(),
-        hosts_number: snapshot.as_ref().map_or(0, |snapshot| snapshot.list.number),
-        reader: true,
+        hosts_number: context.config.list().map_or(0, |list| list.number),
+        reader: *context.peers.reader().borrow(),
         load: context.load(),
-        hosts: hosts.collect(),
-    }
-}
-
-/// Returns the results of the requests that entered at this daemon.
-pub fn summary(context: &Context) -> Summary {
-    let outcomes = context.config.snapshot();
-    let outcomes = outcomes.map(|snapshot| context.results.outcomes(&snapshot));
-    Summary {
-        window_s: WINDOW_S,
-        daemons: 1,
-        missing: 0,
-        outcomes: outcomes.unwrap_or_default(),
+        hosts,
     }
 }
--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -11,12 +11,16 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use savorylane_intent::adopt::Outcome;
 use savorylane_intent::{Manifest, hosts};
+use savorylane_membership::backoff::Delay;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::audit::Event;
 use crate::kernel::{Context, Plugin};
+use crate::peers::fetch_hosts_from;
+use crate::settings::Readers;
 
 /// Key of the manifest.
 const INTENT: &str = "intent";
@@ -24,8 +28,16 @@
 const HOSTS: &str = "hosts";
 /// Time that a watch waits at the platform.
 const WATCH: Duration = Duration::from_secs(30);
-/// Wait after a failed read.
-const RETRY: Duration = Duration::from_millis(500);
+/// Time for peers to answer at the start before the platform is read.
+const PEERS_LIMIT: Duration = Duration::from_millis(500);
+/// Readers read a new version one after the other in this step, so that the
+/// first one's notice spares the others the read.
+const RANK_STEP: Duration = Duration::from_millis(100);
+/// Reads of a torn version end when the delay has grown to this; the next
+/// manifest or a peer brings a whole one.
+const TORN_MAX: Duration = Duration::from_secs(10);
+/// Source that the audit trail names.
+const SOURCE: &str = "platform";
 /// Largest value that is read, bytes; the platform holds up to a megabyte.
 const VALUE_BYTES: usize = 1 << 20;
 
@@ -54,82 +66,157 @@
     stop: CancellationToken,
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
-        if context.settings.platform.is_empty() {
-            return;
-        }
-        let intent = watch(&context, INTENT);
-        let hosts = watch(&context, HOSTS);
+        let platform = Platform::new(&context.settings.platform);
+        let work = async {
+            start(&context, &platform).await;
+            follow(&context, &platform).await;
+        };
         tokio::select! {
-            _ = futures::future::join(intent, hosts) => {}
+            () = work => {}
             () = stop.cancelled() => {}
         }
     })
 }
 
-async fn watch(context: &Context, key: &str) {
-    let platform = Platform::new(&context.settings.platform);
+/// Returns the next delay. The thread's random numbers cannot be kept across
+/// an await, so they are taken here.
+fn jittered(delay: &mut Delay) -> Duration {
+    delay.next(&mut rand::rng())
+}
+
+/// Finds a host list and a document: from peers, and from the platform if no
+/// peer has them.
+async fn start(context: &Arc<Context>, platform: &Platform) {
+    let mut delay = Delay::default();
+    loop {
+        for peer in &context.settings.peers {
+            if fetch_hosts_from(context, *peer, "peer").await {
+                break;
+            }
+        }
+        if context.config.list().is_none() {
+            read(context, platform, HOSTS).await;
+        }
+        if context.config.list().is_some() {
+            break;
+        }
+        tokio::time::sleep(jittered(&mut delay)).await;
+    }
+    let mut asked = context.peers.asked();
+    let answered = asked.wait_for(|answers| answers.is_some());
+    let _ = tokio::time::timeout(PEERS_LIMIT, answered).await;
+    let mut current = context.config.watch();
+    let adopted = current.wait_for(|current| current.version.is_some());
+    let _ = tokio::time::timeout(PEERS_LIMIT, adopted).await;
+    while context.config.version().is_none() {
+        read(context, platform, INTENT).await;
+        tokio::time::sleep(jittered(&mut delay)).await;
+    }
+}
+
+/// Watches the platform while this daemon is a reader.
+async fn follow(context: &Arc<Context>, platform: &Platform) {
+    let mut reader = context.peers.reader();
+    loop {
+        let watching = async {
+            if context.settings.readers == Readers::Ranked {
+                // The sender lives as long as the context.
+                let _ = reader.wait_for(|reader| *reader).await;
+            }
+            let intent = watch(context, platform, INTENT);
+            let hosts = watch(context, platform, HOSTS);
+            futures::future::join(intent, hosts).await
+        };
+        let mut ceased = context.peers.reader();
+        let ceased = async {
+            let _ = ceased.wait_for(|reader| *reader).await;
+            let _ = ceased.wait_for(|reader| !*reader).await;
+        };
+        tokio::select! {
+            _ = watching => {}
+            () = ceased, if context.settings.readers == Readers::Ranked => {}
+        }
+    }
+}
+
+async fn watch(context: &Arc<Context>, platform: &Platform, key: &str) {
+    let mut delay = Delay::default();
     let mut revision = 0;
     loop {
         match platform.watch(key, revision).await {
-            Ok(None) => {}
-            Ok(Some(value)) => {
+            Ok(value) => {
+                delay.reset();
+                let Some(value) = value else { continue };
                 revision = value.revision;
-                take(context, &platform, key, &value.bytes).await;
+                take(context, platform, key, &value.bytes).await;
             }
             Err(error) => {
                 log::warn!("cannot watch {key} at the platform: {error}");
-                tokio::time::sleep(RETRY).await;
+                tokio::time::sleep(jittered(&mut delay)).await;
             }
         }
     }
 }
 
-async fn take(context: &Context, platform: &Platform, key: &str, bytes: &Bytes) {
-    let result = match key {
-        HOSTS => match hosts::parse(bytes) {
-            Ok(list) => {
-                context.config.offer_hosts(&context.trail, list, "platform");
-                Ok(())
-            }
-            Err(fault) => Err((String::new(), fault.to_string())),
-        },
-        _ => read_document(context, platform, bytes).await,
-    };
-    if let Err((version, reason)) = result {
+async fn read(context: &Arc<Context>, platform: &Platform, key: &str) {
+    match platform.read(key).await {
+        Ok(value) => take(context, platform, key, &value.bytes).await,
+        Err(error) => log::warn!("cannot read {key} at the platform: {error}"),
+    }
+}
+
+async fn take(context: &Arc<Context>, platform: &Platform, key: &str, bytes: &Bytes) {
+    let refused = |reason: String| {
         context.trail.record(Event::Refused {
-            version,
-            source: "platform".into(),
+            source: SOURCE.into(),
             reason,
         });
+    };
+    if key == HOSTS {
+        match hosts::parse(bytes) {
+            Ok(list) => {
+                context.config.offer_hosts(&context.trail, list, SOURCE);
+            }
+            Err(fault) => refused(format!("host list: {fault}")),
+        }
+        return;
     }
+    let manifest = match Manifest::parse(bytes) {
+        Ok(manifest) => manifest,
+        Err(fault) => return refused(format!("manifest: {fault}")),
+    };
+    read_document(context, platform, &manifest).await;
 }
 
-async fn read_document(
-    context: &Context,
-    platform: &Platform,
-    bytes: &Bytes,
-) -> Result<(), (String, String)> {
-    let manifest = Manifest::parse(bytes).map_err(|fault| (String::new(), fault.to_string()))?;
-    let version = manifest.version();
-    if context.config.version() >= Some(version) {
-        return Ok(());
+/// Reads the parts of a manifest, unless a peer delivers the version first.
+/// A torn read is repeated, because the platform may still be writing.
+async fn read_document(context: &Arc<Context>, platform: &Platform, manifest: &Manifest) {
+    let rank = context.peers.view().reader_rank(&manifest.version());
+    if context.settings.readers == Readers::Ranked {
+        // A host that is no reader reads at once: it starts and found no peer.
+        let wait = RANK_STEP * rank.unwrap_or(0) as u32;
+        let mut current = context.config.watch();
+        let delivered = current.wait_for(|current| current.version >= Some(manifest.version()));
+        let _ = tokio::time::timeout(wait, delivered).await;
     }
-    let failed = |reason: String| (version.to_string(), reason);
-    let mut parts = Vec::new();
-    for part in &manifest.parts {
-        match platform.read(&part.key).await {
-            Ok(value) => parts.push(value.bytes),
-            Err(error) => return Err(failed(format!("part {}: {error}", part.key))),
+    let mut delay = Delay::default();
+    while context.config.wants(manifest) {
+        let mut parts = Vec::new();
+        for part in &manifest.parts {
+            match platform.read(&part.key).await {
+                Ok(value) => parts.push(value.bytes),
+                Err(error) => log::warn!("cannot read {}: {error}", part.key),
+            }
+        }
+        let borrowed: Vec<&[u8]> = parts.iter().map(|part| part.as_ref()).collect();
+        let outcome = context.config.offer(&context.trail, SOURCE, |store| {
+            store.offer_parts(manifest, &borrowed)
+        });
+        if !matches!(outcome, Outcome::Torn { .. }) || delay.bound() >= TORN_MAX {
+            return;
         }
+        tokio::time::sleep(jittered(&mut delay)).await;
     }
-    let borrowed: Vec<&[u8]> = parts.iter().map(|part| part.as_ref()).collect();
-    let document = manifest
-        .join(&borrowed)
-        .map_err(|fault| failed(fault.to_string()))?;
-    context
-        .config
-        .offer_document(&context.trail, document, "platform");
-    Ok(())
 }
 
 impl Platform {
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use arc_swap::ArcSwap;
 use futures::future::BoxFuture;
 use savorylane_intent::hosts;
 use savorylane_wire::control::Sender;
@@ -17,12 +18,15 @@
 use crate::audit::{Event, Trail};
 use crate::config::Store;
 use crate::dispatch::Dispatcher;
+use crate::edge::control::Clients;
 use crate::edge::upstream::Upstream;
 use crate::error::{BindSnafu, Error};
 use crate::gatekeeper::Gatekeeper;
 use crate::metrics::Metrics;
+use crate::peers::{self, Peers};
 use crate::results::Results;
 use crate::settings::Settings;
+use crate::summary;
 
 /// Time between the announcement that the host leaves and the end of the
 /// servers, so that peers route elsewhere first.
@@ -35,14 +39,19 @@
     pub settings: Settings,
     /// Start of this run; `now` counts from it.
     pub start: Instant,
-    /// Identity of this run.
-    pub incarnation: Incarnation,
+    incarnation: ArcSwap<Incarnation>,
     /// Configuration in force.
     pub config: Store,
     /// Audit trail.
     pub trail: Trail,
     /// Gate of the host's upstream.
     pub gatekeeper: Arc<Gatekeeper>,
+    /// Membership.
+    pub peers: Peers,
+    /// Clients of other daemons' control ports.
+    pub control: Clients,
+    /// Summaries that were collected lately.
+    pub summaries: summary::Cache,
     /// Results by class.
     pub results: Results,
     /// Metrics.
@@ -64,30 +73,37 @@
     /// Returns the load of this host's upstream.
     pub fn load(&self) -> Load {
         let mut load = self.gatekeeper.load();
-        load.incarnation = self.incarnation;
+        load.incarnation = self.incarnation();
         load
     }
 
-    /// Says whether new work may be sent to a host.
-    pub fn routable(&self, host: &hosts::Host) -> bool {
-        host.state == hosts::State::Live
+    /// Returns the identity of this run.
+    pub fn incarnation(&self) -> Incarnation {
+        **self.incarnation.load()
+    }
+
+    /// Takes a greater incarnation, because peers know an earlier run of this
+    /// host with a later start.
+    pub fn set_incarnation(&self, incarnation: Incarnation) {
+        self.incarnation.store(Arc::new(incarnation));
     }
 
     /// Returns this daemon as the sender of a message.
     pub fn sender(&self) -> Sender {
         Sender {
             host: self.settings.host.clone(),
-            incarnation: self.incarnation,
+            incarnation: self.incarnation(),
         }
     }
 
     /// Announces that this host leaves: new work is refused from now on.
-    pub fn leave(&self, source: &str) {
+    pub fn leave(self: &Arc<Self>, source: &str) {
         if self.leaving.is_cancelled() {
             return;
         }
         self.gatekeeper.leave();
         self.leaving.cancel();
+        peers::leave(self);
         self.trail.record(Event::Leaving {
             source: source.into(),
         });
@@ -160,9 +176,14 @@
         bound.push((plugin, listener));
     }
     let gatekeeper = Gatekeeper::open(settings.slots, Upstream::new(settings.upstream));
+    let incarnation = incarnation();
+    let own = listed(&settings, &addresses);
     let context = Arc::new(Context {
         start: Instant::now(),
-        incarnation: incarnation(),
+        incarnation: ArcSwap::from_pointee(incarnation),
+        peers: Peers::open(&own, incarnation),
+        control: Clients::default(),
+        summaries: summary::Cache::default(),
         config: Store::default(),
         trail: Trail::default(),
         gatekeeper,
@@ -222,6 +243,22 @@
     }
 }
 
+/// Returns this host as a host list would give it.
+fn listed(settings: &Settings, addresses: &BTreeMap<&'static str, SocketAddr>) -> hosts::Host {
+    let address = |flag: &str, set: SocketAddr| addresses.get(flag).copied().unwrap_or(set);
+    hosts::Host {
+        name: settings.host.clone(),
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        service: settings.service.clone(),
+        entry: address("entry", settings.entry),
+        data: address("data", settings.data),
+        control: address("control", settings.control),
+        operator: address("operator", settings.operator),
+        state: hosts::State::Live,
+    }
+}
+
 fn incarnation() -> Incarnation {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,8 +14,10 @@
 pub mod kernel;
 pub mod logs;
 pub mod metrics;
+pub mod peers;
 pub mod results;
 pub mod settings;
+pub mod summary;
 
 pub use error::Error;
 pub use kernel::{Handle, spawn};
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,418 @@
+//! Drives the membership view: gives it time and messages, and carries out
+//! what it asks for.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use savorylane_intent::adopt::Outcome;
+use savorylane_intent::hosts::{self, Host};
+use savorylane_intent::{Hash, Version};
+use savorylane_membership::action::{Action, Purpose, Token};
+use savorylane_membership::view::{ANSWER_LIMIT, PAUSE, PROBE_LIMIT, TICK};
+use savorylane_membership::{View, view};
+use savorylane_wire::Incarnation;
+use savorylane_wire::control::Heartbeat;
+use savorylane_wire::rpc::{ControlClient, Fetch};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::audit::Event;
+use crate::edge::control::client;
+use crate::kernel::Context;
+
+/// Time for a document or host list to be fetched from a peer.
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
+/// Longest time that a request waits for the refresh after a pause.
+pub const REFRESH_LIMIT: Duration = Duration::from_secs(1);
+
+/// The membership view and what the request path needs of it.
+#[derive(Debug)]
+pub struct Peers {
+    view: Mutex<View>,
+    /// Hosts that get no new work, replaced on each change.
+    unroutable: ArcSwap<HashSet<String>>,
+    /// Whether this daemon reads the platform.
+    reader: watch::Sender<bool>,
+    /// Whether what this daemon knows is current; false after a pause.
+    fresh: watch::Sender<bool>,
+    /// Set when the peers that were asked at the start have answered, with the
+    /// number of answers.
+    asked: watch::Sender<Option<usize>>,
+    /// Time of the last tick, milliseconds of `Context::now`.
+    ticked_ms: AtomicU64,
+    fetching: AtomicBool,
+    fetching_hosts: AtomicBool,
+}
+
+impl Peers {
+    /// Creates the view of the daemon on `own`.
+    pub fn open(own: &Host, incarnation: Incarnation) -> Self {
+        let list = Arc::new(hosts::List::default());
+        let seed = incarnation.started_ms ^ u64::from(incarnation.nonce);
+        Self {
+            view: Mutex::new(View::new(Duration::ZERO, own, incarnation, list, seed)),
+            unroutable: ArcSwap::default(),
+            reader: watch::Sender::new(false),
+            fresh: watch::Sender::new(true),
+            asked: watch::Sender::new(None),
+            ticked_ms: AtomicU64::new(0),
+            fetching: AtomicBool::new(false),
+            fetching_hosts: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the view.
+    pub fn view(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Says whether new work may be sent to a host.
+    pub fn routable(&self, host: &str) -> bool {
+        !self.unroutable.load().contains(host)
+    }
+
+    /// Returns a receiver that is told when this daemon becomes a reader.
+    pub fn reader(&self) -> watch::Receiver<bool> {
+        self.reader.subscribe()
+    }
+
+    /// Returns a receiver that is told when the peers that were asked at the
+    /// start have answered.
+    pub fn asked(&self) -> watch::Receiver<Option<usize>> {
+        self.asked.subscribe()
+    }
+
+    fn set_routable(&self, host: &str, routable: bool) {
+        self.unroutable.rcu(|set| {
+            let mut set = HashSet::clone(set);
+            if routable {
+                set.remove(host);
+            } else {
+                set.insert(host.to_owned());
+            }
+            set
+        });
+    }
+}
+
+/// Ticks the view until `stop`, and tells it of changes in force.
+pub async fn run(context: Arc<Context>, stop: CancellationToken) {
+    let mut current = context.config.watch();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => tick(&context),
+            changed = current.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                current.borrow_and_update();
+                tell(&context);
+            }
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+/// Waits, for a bounded time, until what this daemon knows is current. Called
+/// before a request is routed: a request can be the first thing that runs
+/// after a pause.
+pub async fn refresh(context: &Arc<Context>) {
+    let peers = &context.peers;
+    let since = context
+        .now()
+        .as_millis()
+        .saturating_sub(peers.ticked_ms.load(Ordering::Relaxed).into());
+    if since > PAUSE.as_millis() {
+        tick(context);
+    }
+    if *peers.fresh.borrow() {
+        return;
+    }
+    let mut fresh = peers.fresh.subscribe();
+    let refreshed = fresh.wait_for(|fresh| *fresh);
+    if tokio::time::timeout(REFRESH_LIMIT, refreshed)
+        .await
+        .is_err()
+    {
+        log::warn!("no peer confirmed the version after a pause; going on with what is known");
+        peers.fresh.send_replace(true);
+    }
+}
+
+fn tick(context: &Arc<Context>) {
+    let now = context.now();
+    let ms = now.as_millis() as u64;
+    context.peers.ticked_ms.store(ms, Ordering::Relaxed);
+    let actions = context.peers.view().on_tick(now);
+    perform(context, actions);
+}
+
+/// Tells the view what is in force.
+fn tell(context: &Arc<Context>) {
+    let now = context.now();
+    let mut actions = Vec::new();
+    {
+        let mut view = context.peers.view();
+        if let Some(list) = context.config.list()
+            && list.number > view.list_number()
+        {
+            actions.extend(view.on_host_list(now, list));
+        }
+        if let Some(version) = context.config.version() {
+            actions.extend(view.on_version(now, version));
+        }
+    }
+    perform(context, actions);
+}
+
+/// Announces that this host leaves.
+pub fn leave(context: &Arc<Context>) {
+    let actions = context.peers.view().leave(context.now());
+    perform(context, actions);
+}
+
+/// Takes a failed connection of the request path.
+pub fn connect_failed(context: &Arc<Context>, host: &str) {
+    let actions = context.peers.view().on_connect_failed(context.now(), host);
+    perform(context, actions);
+}
+
+/// Takes an answer of the request path after a failure.
+pub fn answered(context: &Arc<Context>, host: &str) {
+    if context.peers.unroutable.load().is_empty() {
+        return;
+    }
+    let actions = context.peers.view().on_answered(context.now(), host);
+    perform(context, actions);
+}
+
+/// Carries out what the view asks for.
+pub fn perform(context: &Arc<Context>, actions: Vec<Action>) {
+    for action in actions {
+        perform_one(context, action);
+    }
+}
+
+fn perform_one(context: &Arc<Context>, action: Action) {
+    let peers = &context.peers;
+    match action {
+        Action::Heartbeat {
+            token, to, message, ..
+        } => {
+            tokio::spawn(heartbeat(Arc::clone(context), token, to, message));
+        }
+        Action::Probe { token, via, target } => {
+            tokio::spawn(probe(Arc::clone(context), token, via, target));
+        }
+        Action::Notice { to } => {
+            tokio::spawn(notice(Arc::clone(context), to));
+        }
+        Action::Asked { purpose, answers } => {
+            if purpose == Purpose::Start {
+                peers.asked.send_replace(Some(answers));
+            }
+            peers.fresh.send_replace(true);
+        }
+        Action::Behind { host, version } => {
+            if !peers.fetching.swap(true, Ordering::Relaxed) {
+                tokio::spawn(fetch(Arc::clone(context), host, version));
+            }
+        }
+        Action::HostsBehind { host, number } => {
+            if !peers.fetching_hosts.swap(true, Ordering::Relaxed) {
+                tokio::spawn(fetch_hosts(Arc::clone(context), host, number));
+            }
+        }
+        Action::Routable(host) => peers.set_routable(&host, true),
+        Action::Unroutable(host) => peers.set_routable(&host, false),
+        Action::State { host, state } => log::info!("host {host} is {state:?}"),
+        Action::Reader(reader) => {
+            log::info!("this daemon reads the platform: {reader}");
+            peers.reader.send_replace(reader);
+        }
+        Action::Paused(length) => {
+            peers.fresh.send_replace(false);
+            context.trail.record(Event::Paused {
+                milliseconds: length.as_millis() as u64,
+            });
+        }
+        Action::Incarnation(incarnation) => context.set_incarnation(incarnation),
+        Action::Replaced(by) => {
+            log::error!("a newer run of this host serves: {by}");
+            context.leave("replaced");
+        }
+    }
+}
+
+/// Returns the control address of a host.
+pub fn address(context: &Context, host: &str) -> Option<SocketAddr> {
+    if let Some(list) = context.config.list()
+        && let Some(host) = list.hosts.iter().find(|listed| listed.name == host)
+    {
+        return Some(host.control);
+    }
+    let view = context.peers.view();
+    let found = view.unlisted().find(|unlisted| unlisted.name == host);
+    found.map(|host| host.control)
+}
+
+async fn heartbeat(context: Arc<Context>, token: Token, to: Arc<str>, message: Heartbeat) {
+    let answer = match address(&context, &to).map(|address| client(&context, address)) {
+        Some(client) => {
+            let sent = client.heartbeat(message);
+            tokio::time::timeout(ANSWER_LIMIT, sent).await
+        }
+        None => return,
+    };
+    let now = context.now();
+    let actions = match answer {
+        Ok(Ok(answer)) => context.peers.view().on_answer(now, token, &answer),
+        Ok(Err(_)) | Err(_) => context.peers.view().on_timeout(now, token),
+    };
+    perform(&context, actions);
+}
+
+async fn probe(context: Arc<Context>, token: Token, via: Arc<str>, target: Arc<str>) {
+    let answer = match address(&context, &via).map(|address| client(&context, address)) {
+        Some(client) => {
+            let sent = client.probe(target.to_string());
+            tokio::time::timeout(PROBE_LIMIT, sent).await
+        }
+        None => return,
+    };
+    let now = context.now();
+    let actions = match answer {
+        Ok(Ok(reached)) => context.peers.view().on_probe(now, token, reached),
+        Ok(Err(_)) | Err(_) => context.peers.view().on_timeout(now, token),
+    };
+    perform(&context, actions);
+}
+
+async fn notice(context: Arc<Context>, to: Arc<str>) {
+    let message = context.peers.view().notice();
+    if let Some(address) = address(&context, &to) {
+        let client = client(&context, address);
+        // A lost notice is repaired by the next heartbeat.
+        let _ = tokio::time::timeout(ANSWER_LIMIT, client.notice(message)).await;
+    }
+}
+
+async fn fetch(context: Arc<Context>, host: Arc<str>, version: Version) {
+    if let Some(address) = address(&context, &host)
+        && context.config.version() < Some(version)
+    {
+        let base = context.config.version().map(|version| version.hash);
+        let outcome = fetch_from(&context, address, &host, base).await;
+        if matches!(outcome, Some(Outcome::Baseless { .. })) {
+            fetch_from(&context, address, &host, None).await;
+        }
+    }
+    context.peers.fetching.store(false, Ordering::Relaxed);
+}
+
+/// Fetches the document of the daemon at `address` and offers it.
+pub async fn fetch_from(
+    context: &Arc<Context>,
+    address: SocketAddr,
+    source: &str,
+    base: Option<Hash>,
+) -> Option<Outcome> {
+    let message = Fetch {
+        from: context.sender(),
+        base,
+    };
+    let client = client(context, address);
+    let sent = tokio::time::timeout(FETCH_LIMIT, client.fetch(message));
+    let transfer = sent.await.ok()?.ok()??;
+    let content = decode(&transfer.content)?;
+    let outcome = context.config.offer(&context.trail, source, |store| {
+        store.offer_transfer(&content)
+    });
+    Some(outcome)
+}
+
+async fn fetch_hosts(context: Arc<Context>, host: Arc<str>, _number: u64) {
+    if let Some(address) = address(&context, &host) {
+        fetch_hosts_from(&context, address, &host).await;
+    }
+    context.peers.fetching_hosts.store(false, Ordering::Relaxed);
+}
+
+/// Fetches the host list of the daemon at `address` and offers it; says
+/// whether one came.
+pub async fn fetch_hosts_from(context: &Arc<Context>, address: SocketAddr, source: &str) -> bool {
+    let after = context.config.list().map_or(0, |list| list.number);
+    let client = client(context, address);
+    let answer = tokio::time::timeout(FETCH_LIMIT, client.hosts(after)).await;
+    let Ok(Ok(Some(transfer))) = answer else {
+        return false;
+    };
+    let Some(content) = decode(&transfer.content) else {
+        return false;
+    };
+    match hosts::unpack(&content) {
+        Ok(list) => context.config.offer_hosts(&context.trail, list, source),
+        Err(fault) => {
+            context.trail.record(Event::Refused {
+                source: source.into(),
+                reason: fault.to_string(),
+            });
+            false
+        }
+    }
+}
+
+fn decode(content: &str) -> Option<Vec<u8>> {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD
+        .decode(content)
+        .ok()
+}
+
+/// Tries a host on behalf of a peer.
+pub async fn probe_for(context: &Arc<Context>, host: &str) -> bool {
+    let action = context.peers.view().on_probe_request(context.now(), host);
+    let Some(Action::Heartbeat {
+        token, to, message, ..
+    }) = action
+    else {
+        return false;
+    };
+    let Some(address) = address(context, &to) else {
+        return false;
+    };
+    let client = client(context, address);
+    let answer = tokio::time::timeout(ANSWER_LIMIT, client.heartbeat(message)).await;
+    let now = context.now();
+    let (reached, actions) = match answer {
+        Ok(Ok(answer)) => (true, context.peers.view().on_answer(now, token, &answer)),
+        Ok(Err(_)) | Err(_) => (false, context.peers.view().on_timeout(now, token)),
+    };
+    perform(context, actions);
+    reached
+}
+
+/// Returns what an operator is told of each host.
+pub fn status(context: &Context) -> Vec<savorylane_wire::operator::Host> {
+    let list = context.config.list();
+    let service = |name: &str| {
+        let listed = list.as_ref()?.hosts.iter().find(|host| host.name == name);
+        listed.map(|host| host.service.clone())
+    };
+    let describe = |status: view::Status| savorylane_wire::operator::Host {
+        name: status.host.to_string(),
+        data_centre: status.data_centre.to_string(),
+        service: service(&status.host).unwrap_or_default(),
+        state: status.record.map_or("unknown".into(), |record| {
+            format!("{:?}", record.state).to_lowercase()
+        }),
+        version: status.record.and_then(|record| record.version),
+    };
+    context.peers.view().status().map(describe).collect()
+}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -47,12 +47,24 @@
     pub body_bytes: u64,
     /// Connections that one caller may open.
     pub caller_connections: usize,
+    /// Who watches the platform.
+    pub readers: Readers,
     /// How hosts are chosen.
     pub policy: Policy,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
 
+/// Who watches the platform.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Readers {
+    /// Every host; for comparison only.
+    All,
+    /// Two hosts of each data centre.
+    #[default]
+    Ranked,
+}
+
 /// What the command line asks for.
 #[derive(Clone, Debug)]
 pub struct Command {
@@ -94,6 +106,7 @@
     drain_limit_s: String,
     body_mb: String,
     caller_connections: String,
+    readers: String,
     policy: String,
     log_level: String,
     check: bool,
@@ -223,6 +236,13 @@
         "Connections that one caller address may open",
         "256",
     );
+    let readers = optional(
+        "readers",
+        "SAVORYLANE_READERS",
+        "NAME",
+        "Who watches the platform: ranked, two hosts of each data centre, or all, for comparison",
+        "ranked",
+    );
     let policy = optional(
         "policy",
         "SAVORYLANE_POLICY",
@@ -256,6 +276,7 @@
         drain_limit_s,
         body_mb,
         caller_connections,
+        readers,
         policy,
         log_level,
         check
@@ -285,6 +306,7 @@
         drain_limit: Duration::from_secs(number("drain-limit-s", &raw.drain_limit_s, 1, 3600)?),
         body_bytes: number::<u64>("body-mb", &raw.body_mb, 1, 4096)? * 1_000_000,
         caller_connections: number("caller-connections", &raw.caller_connections, 1, 65_536)?,
+        readers: readers(&raw.readers)?,
         policy: policy(&raw.policy)?,
         log_level: raw.log_level.parse().map_err(|_| Fault {
             flag: "log-level",
@@ -320,6 +342,18 @@
     })
 }
 
+fn readers(value: &str) -> Result<Readers, Fault> {
+    match value {
+        "all" => Ok(Readers::All),
+        "ranked" => Ok(Readers::Ranked),
+        _ => Err(Fault {
+            flag: "readers",
+            value: value.into(),
+            accepted: "one of ranked, all".into(),
+        }),
+    }
+}
+
 fn policy(value: &str) -> Result<Policy, Fault> {
     match value {
         "savorylane" => Ok(Policy::Savorylane),
--- /dev/null
+++ b/crates/daemon/src/summary/mod.rs
@@ -0,0 +1,148 @@
+//! Results of many daemons, collected when an operator asks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use savorylane_wire::operator::{Outcome, Scope, Summary};
+use savorylane_wire::rpc::ControlClient;
+
+use crate::edge::control::client;
+use crate::kernel::Context;
+use crate::results::WINDOW_S;
+
+/// Time for which a collected summary is answered again, so that the cost does
+/// not depend on how often operators ask.
+const FRESH: Duration = Duration::from_secs(5);
+/// Daemons that are asked at the same time.
+const ASKED_MAX: usize = 16;
+/// Time for one daemon to answer, by scope.
+const HOST_LIMIT: Duration = Duration::from_millis(500);
+const CENTRE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Summaries that were collected lately.
+#[derive(Debug, Default)]
+pub struct Cache(Mutex<BTreeMap<u8, (Instant, Summary)>>);
+
+/// Returns the results over a scope. A fleet is asked through one reader of
+/// each data centre, a data centre host by host.
+pub fn collect(context: &Arc<Context>, scope: Scope) -> BoxFuture<'_, Summary> {
+    Box::pin(async move {
+        if scope == Scope::Host {
+            return own(context);
+        }
+        let slot = scope as u8;
+        let cached = {
+            let cache = context.summaries.0.lock();
+            let cache = cache.unwrap_or_else(PoisonError::into_inner);
+            cache.get(&slot).cloned()
+        };
+        if let Some((at, summary)) = cached
+            && at.elapsed() < FRESH
+        {
+            return summary;
+        }
+        let summary = match scope {
+            Scope::Host | Scope::DataCentre => data_centre(context).await,
+            Scope::Fleet => fleet(context).await,
+        };
+        let cache = context.summaries.0.lock();
+        cache
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(slot, (Instant::now(), summary.clone()));
+        summary
+    })
+}
+
+fn own(context: &Context) -> Summary {
+    let snapshot = context.config.snapshot();
+    let outcomes = snapshot.map(|snapshot| context.results.outcomes(&snapshot));
+    Summary {
+        window_s: WINDOW_S,
+        daemons: 1,
+        missing: 0,
+        outcomes: outcomes.unwrap_or_default(),
+    }
+}
+
+async fn data_centre(context: &Arc<Context>) -> Summary {
+    let settings = &context.settings;
+    let list = context.config.list();
+    let hosts = list.iter().flat_map(|list| &list.hosts);
+    let others = hosts
+        .filter(|host| host.data_centre == settings.data_centre && host.name != settings.host)
+        .map(|host| vec![host.control]);
+    ask(context, others.collect(), Scope::Host, own(context)).await
+}
+
+async fn fleet(context: &Arc<Context>) -> Summary {
+    let list = context.config.list();
+    let hosts = list.iter().flat_map(|list| &list.hosts);
+    let mut centres: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+    for host in hosts {
+        if host.data_centre != context.settings.data_centre {
+            centres.entry(host.data_centre.clone()).or_default();
+        }
+    }
+    for (centre, addresses) in &mut centres {
+        let readers = context.peers.view().readers(centre);
+        let found = readers
+            .iter()
+            .filter_map(|reader| crate::peers::address(context, reader));
+        addresses.extend(found);
+    }
+    let own = collect(context, Scope::DataCentre).await;
+    let others = centres.into_values().collect();
+    ask(context, others, Scope::DataCentre, own).await
+}
+
+/// Asks the first daemon of each group that answers, and adds the results to
+/// `summary`.
+async fn ask(
+    context: &Arc<Context>,
+    groups: Vec<Vec<SocketAddr>>,
+    scope: Scope,
+    mut summary: Summary,
+) -> Summary {
+    let limit = match scope {
+        Scope::Host => HOST_LIMIT,
+        Scope::DataCentre | Scope::Fleet => CENTRE_LIMIT,
+    };
+    let answers = futures::stream::iter(groups).map(|group| async move {
+        for address in group {
+            let client = client(context, address);
+            let asked = tokio::time::timeout(limit, client.summary(scope));
+            if let Ok(Ok(answer)) = asked.await {
+                return Some(answer);
+            }
+        }
+        None
+    });
+    let mut answers = answers.buffer_unordered(ASKED_MAX);
+    while let Some(answer) = answers.next().await {
+        match answer {
+            Some(answer) => add(&mut summary, answer),
+            None => summary.missing += 1,
+        }
+    }
+    summary
+}
+
+fn add(summary: &mut Summary, other: Summary) {
+    summary.daemons += other.daemons;
+    summary.missing += other.missing;
+    for outcome in other.outcomes {
+        let same = |known: &&mut Outcome| known.class == outcome.class;
+        match summary.outcomes.iter_mut().find(same) {
+            Some(known) => {
+                known.requests += outcome.requests;
+                known.succeeded += outcome.succeeded;
+                known.in_time += outcome.in_time;
+            }
+            None => summary.outcomes.push(outcome),
+        }
+    }
+}
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -6,7 +6,7 @@
 
 use common::{Daemon, document, get, get_until_ok, list};
 use http::StatusCode;
-use savorylane_standin::upstream::Record;
+use savorylane_standin::upstream::{Record, answer};
 use savorylane_standin::{platform, upstream};
 use tokio_util::sync::CancellationToken;
 
@@ -43,7 +43,9 @@
 
     daemons.remove(1);
     for number in 0..50 {
-        let answer = get(entry, &format!("/stock/{number}")).await.unwrap();
+        let path = format!("/stock/{number}");
+        let answer = get(entry, &path).await.unwrap();
         assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        assert_eq!(answer::check(&path, b"", &answer.body), Ok(()));
     }
 }
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's list of hosts.
 
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
 
 use serde::de::Error as _;
@@ -146,3 +147,44 @@
     }
     Ok(list)
 }
+
+/// Largest host list after inflation, bytes: the most hosts with the longest
+/// names and addresses.
+pub const LIST_BYTES: usize = 4 << 20;
+
+/// Compresses a list for a peer.
+///
+/// # Panics
+///
+/// Never: a list is expressible in JSON, and memory takes what is written.
+pub fn pack(list: &List) -> Vec<u8> {
+    let json = serde_json::to_vec(list).expect("a list is expressible in JSON");
+    let mut encoder =
+        flate2::write::DeflateEncoder::new(Vec::new(), flate2::Compression::default());
+    encoder
+        .write_all(&json)
+        .expect("memory takes what is written");
+    encoder.finish().expect("memory takes what is written")
+}
+
+/// Inflates and checks a list of a peer.
+///
+/// # Errors
+///
+/// Returns the first [`Fault`] found; a list that inflates to more than
+/// [`LIST_BYTES`] is malformed.
+pub fn unpack(bytes: &[u8]) -> Result<List, Fault> {
+    let mut json = Vec::new();
+    let mut decoder = flate2::read::DeflateDecoder::new(bytes).take(LIST_BYTES as u64 + 1);
+    decoder
+        .read_to_end(&mut json)
+        .map_err(|error| Fault::Malformed {
+            reason: error.to_string(),
+        })?;
+    if json.len() > LIST_BYTES {
+        return Err(Fault::Malformed {
+            reason: format!("the list inflates to more than {LIST_BYTES} bytes"),
+        });
+    }
+    parse(&json)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod incarnation;
 pub mod load;
 pub mod operator;
+pub mod rpc;
 pub mod verdict;
 
 pub use incarnation::Incarnation;
--- /dev/null
+++ b/crates/wire/src/rpc/mod.rs
@@ -0,0 +1,63 @@
+//! Calls between daemons on the control port.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use savorylane_intent::{Hash, Version};
+use serde::{Deserialize, Serialize};
+
+use crate::control::{Confirmation, Heartbeat, Notice, Question, Sender, Suspicion};
+use crate::operator::{Scope, Summary};
+
+/// Asks a daemon for its document.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fetch {
+    /// Sender.
+    pub from: Sender,
+    /// Hash of the document that the sender has, as the base of a delta.
+    pub base: Option<Hash>,
+}
+
+/// A document or host list on its way; base64 of the compressed form.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Transfer {
+    /// Version of the document; `None` for a host list.
+    pub version: Option<Version>,
+    /// Compressed content.
+    pub content: String,
+}
+
+/// Methods of the control port.
+#[rpc(client, server, namespace = "control")]
+pub trait Control {
+    /// Exchanges records of hosts.
+    #[method(name = "heartbeat")]
+    async fn heartbeat(&self, message: Heartbeat) -> RpcResult<Heartbeat>;
+
+    /// Tries to reach a host on behalf of the sender.
+    #[method(name = "probe")]
+    async fn probe(&self, host: String) -> RpcResult<bool>;
+
+    /// Tells the version that the sender has in force.
+    #[method(name = "notice")]
+    async fn notice(&self, message: Notice) -> RpcResult<()>;
+
+    /// Returns the document in force, as a delta where that is possible.
+    #[method(name = "fetch")]
+    async fn fetch(&self, message: Fetch) -> RpcResult<Option<Transfer>>;
+
+    /// Returns the host list in force if its number is greater than `after`.
+    #[method(name = "hosts")]
+    async fn hosts(&self, after: u64) -> RpcResult<Option<Transfer>>;
+
+    /// Returns the ring that the daemon follows.
+    #[method(name = "ring")]
+    async fn ring(&self, message: Question) -> RpcResult<Option<Confirmation>>;
+
+    /// Tells of requests that may have crashed an upstream.
+    #[method(name = "suspect")]
+    async fn suspect(&self, message: Suspicion) -> RpcResult<()>;
+
+    /// Returns results by class over a scope.
+    #[method(name = "summary")]
+    async fn summary(&self, scope: Scope) -> RpcResult<Summary>;
+}
