ledger: aim schedules at takeovers, and give each run its own clock

Stamps of an earlier run were above the new run's clock, which hid the missing binding, and a paused holder seldom met a list change. Each run now starts its clock at a random reading, and takeover_faults pauses a holder or cuts it off while the list changes.

--- a/crates/ledger/tests/at_most_once.rs
+++ b/crates/ledger/tests/at_most_once.rs
@@ -5,10 +5,10 @@
 
 mod sim;
 
-use sim::{Aim, Fleet, Totals, ops};
+use sim::{Aim, Fleet, Op, Totals, ops, takeover};
 
 /// Plays random schedules; a failure prints the shortest one found.
-fn play(aim: Aim, seed: u64, cases: u32, length: usize) -> Totals {
+fn play(schedules: BoxedStrategy<Vec<(u16, Op)>>, seed: u64, cases: u32) -> Totals {
     let mut runner = TestRunner::new(Config {
         cases,
         failure_persistence: None,
@@ -17,7 +17,7 @@
         ..Config::default()
     });
     let totals = std::cell::RefCell::new(Totals::default());
-    let result = runner.run(&(any::<u64>(), ops(aim, length)), |(seed, ops)| {
+    let result = runner.run(&(any::<u64>(), schedules), |(seed, ops)| {
         let mut fleet = Fleet::new(seed);
         fleet.play(&ops).map_err(TestCaseError::fail)?;
         let (mut sum, new) = (totals.borrow_mut(), fleet.totals);
@@ -46,7 +46,7 @@
 /// change, restart, pause or are cut off.
 #[test]
 fn ring_faults() {
-    let totals = play(Aim::Ring, 1, 1000, 80);
+    let totals = play(ops(Aim::Ring, 80), 1, 1000);
     println!("{totals:?}");
     // A ledger that refuses everything would be safe as well.
     assert!(totals.late_runs > 100 && totals.replays > 100, "{totals:?}");
@@ -56,18 +56,28 @@
 /// are lost, late, duplicated or reordered and the book is full.
 #[test]
 fn book_faults() {
-    let totals = play(Aim::Book, 1, 500, 200);
+    let totals = play(ops(Aim::Book, 200), 1, 500);
     println!("{totals:?}");
     assert!(totals.runs.iter().all(|runs| *runs > 300), "{totals:?}");
     assert!(totals.replays > 100 && totals.not_run > 300, "{totals:?}");
 }
 
+/// Guards against two holders at work for one key when the former holder stood
+/// still or was cut off while its key moved.
+#[test]
+fn takeover_faults() {
+    let totals = play(takeover(), 1, 2000);
+    println!("{totals:?}");
+    assert!(totals.late_runs > 300 && totals.replays > 100, "{totals:?}");
+}
+
 /// The same with more schedules.
 #[test]
 #[ignore = "takes minutes; for changes of the ledger"]
 fn long() {
     for seed in 2..7 {
-        println!("ring {seed}: {:?}", play(Aim::Ring, seed, 10_000, 80));
-        println!("book {seed}: {:?}", play(Aim::Book, seed, 2000, 200));
+        println!("ring {seed}: {:?}", play(ops(Aim::Ring, 80), seed, 10_000));
+        println!("takeover {seed}: {:?}", play(takeover(), seed, 10_000));
+        println!("book {seed}: {:?}", play(ops(Aim::Book, 200), seed, 2000));
     }
 }
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -4,98 +4,17 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use proptest::prelude::*;
-use savorylane_ledger::book::{self, Claim, Request};
-use savorylane_ledger::entry::{Delivery, Step, undelivered};
 use savorylane_ledger::{Book, Settings, Tenure, ring};
 use savorylane_wire::control::{Confirmation, Ring, Scope, Sender};
 use savorylane_wire::{Incarnation, Verdict};
 
-pub(crate) const HOSTS: usize = 5;
-const EPOCH_MS: u64 = 1_700_000_000_000;
-
-/// How the attempts of a key are told apart.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Kind {
-    Plain,
-    Marked,
-    Timed,
-}
-
-/// One step of a schedule, taken some milliseconds after the one before.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Op {
-    /// An attempt reaches an entry `late` ms later: of a new key if `back` is
-    /// 0, else of the key that is that far back.
-    Send {
-        kind: Kind,
-        back: u8,
-        entry: u8,
-        late: u16,
-    },
-    /// The platform publishes the list with these members (bits).
-    Publish(u8),
-    /// A host or entry takes on a published list, counted from the newest.
-    Adopt { host: u8, back: u8 },
-    /// The host stands still; `frozen`: its clock does, too.
-    Pause { host: u8, ms: u16, frozen: bool },
-    /// The host loses its memory and starts with an old list.
-    Restart { host: u8, back: u8 },
-    /// Hosts and entries whose bits differ cannot reach each other.
-    Partition(u8),
-}
+mod request;
+mod schedule;
 
-/// What the faults of a schedule aim at.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Aim {
-    /// The ring: list changes, partitions, restarts and pauses.
-    Ring,
-    /// The book: many keys and attempts.
-    Book,
-}
+pub(crate) use schedule::{Aim, Kind, Op, ops, takeover};
 
-pub(crate) fn ops(aim: Aim, length: usize) -> BoxedStrategy<Vec<(u16, Op)>> {
-    let kind = prop::sample::select(match aim {
-        Aim::Ring => vec![Kind::Plain, Kind::Timed, Kind::Timed],
-        Aim::Book => vec![Kind::Plain, Kind::Marked, Kind::Timed],
-    });
-    let back = prop_oneof![3 => Just(0), 4 => 1..3u8, 2 => 3..12u8];
-    let late = prop_oneof![6 => Just(0), 1 => 0..12_000u16];
-    let send = (kind, back, 0..2u8, late).prop_map(|(kind, back, entry, late)| Op::Send {
-        kind,
-        back,
-        entry,
-        late,
-    });
-    // Three members most of the time; the last ones share members or not.
-    let rings = vec![
-        0b111, 0b11100, 0b1101, 0b11001, 0b10110, 0b1011, 0b11, 0b11111, 0b1000,
-    ];
-    let publish = prop::sample::select(rings).prop_map(Op::Publish);
-    let adopt = (0..7u8, prop_oneof![3 => Just(0u8), 1 => 0..4u8])
-        .prop_map(|(host, back)| Op::Adopt { host, back });
-    let pause = (0..5u8, 500..20_000u16, any::<bool>()).prop_map(|(host, ms, frozen)| Op::Pause {
-        host,
-        ms,
-        frozen,
-    });
-    let restart = (0..5u8, 0..4u8).prop_map(|(host, back)| Op::Restart { host, back });
-    let sides = prop_oneof![1 => Just(0), 2 => 0..128u8].prop_map(Op::Partition);
-    let (op, wait) = match aim {
-        Aim::Ring => (
-            prop_oneof![
-                16 => send, 3 => publish, 4 => adopt, 1 => pause, 2 => restart, 2 => sides
-            ]
-            .boxed(),
-            prop_oneof![3 => 0..400u16, 3 => 400..2500u16, 1 => 2500..9000u16].boxed(),
-        ),
-        Aim::Book => (
-            prop_oneof![60 => send, 1 => publish, 1 => pause, 1 => restart, 1 => sides].boxed(),
-            prop_oneof![6 => 0..300u16, 2 => 300..1500u16, 1 => 1500..5000u16].boxed(),
-        ),
-    };
-    prop::collection::vec((wait, op), 1..length).boxed()
-}
+pub(crate) const HOSTS: usize = 5;
+const EPOCH_MS: u64 = 1_700_000_000_000;
 
 enum Event {
     Adopt {
@@ -152,6 +71,8 @@
 struct Host {
     run: u32,
     list: usize,
+    /// Reading of the clock at the start of the process.
+    epoch: u64,
     started: u64,
     frozen: u64,
     paused: Option<(u64, bool)>,
@@ -263,7 +184,7 @@
         self.run_until(self.now + 45_000)
     }
 
-    fn start(&self, host: usize, list: usize, run: u32, settings: Settings) -> Host {
+    fn start(&mut self, host: usize, list: usize, run: u32, settings: Settings) -> Host {
         let incarnation = Incarnation {
             started_ms: self.now,
             nonce: run,
@@ -273,13 +194,16 @@
             incarnation,
         };
         let ring = self.lists[list].clone();
+        let epoch = self.random(60_000);
+        let now = Duration::from_millis(epoch);
         Host {
             run,
             list,
+            epoch,
             started: self.now,
             frozen: 0,
             paused: None,
-            tenure: Tenure::new(settings, me, Duration::ZERO, wall(self.now, host), ring),
+            tenure: Tenure::new(settings, me, now, wall(self.now, host), ring),
             book: Book::new(settings, incarnation),
         }
     }
@@ -307,7 +231,7 @@
 
     fn local(&self, host: usize) -> Duration {
         let host = &self.hosts[host];
-        Duration::from_millis(self.now - host.started - host.frozen)
+        Duration::from_millis(host.epoch + self.now - host.started - host.frozen)
     }
 
     fn reach(&self, a: usize, b: usize) -> bool {
@@ -378,7 +302,8 @@
                 let host = usize::from(host);
                 if self.hosts[host].paused.is_none() {
                     let run = self.hosts[host].run + 1;
-                    self.hosts[host] = self.start(host, self.newest(back), run, settings());
+                    let list = self.newest(back);
+                    self.hosts[host] = self.start(host, list, run, settings());
                 }
             }
             Op::Partition(sides) => self.sides = sides,
@@ -548,162 +473,6 @@
         }
         Ok(())
     }
-
-    fn arrive(&mut self, key: usize, attempt: u32, entry: usize) -> Result<(), String> {
-        let (list, stamps) = &self.entries[entry];
-        let ring = self.lists[*list].clone();
-        let to: usize = ring::holder(&ring, &self.keys[key].name)
-            .unwrap()
-            .parse()
-            .unwrap();
-        let heard = stamps.get(&to).copied();
-        let bound = self.hosts[to].tenure.incarnation();
-        if heard.is_none_or(|(incarnation, _)| incarnation != bound) {
-            // The entry knows an earlier run; its connection is refused.
-            let delivery = if heard.is_some() {
-                Delivery::Never
-            } else {
-                Delivery::Unknown
-            };
-            let attempt = (self.keys[key].kind == Kind::Marked).then_some(attempt);
-            if undelivered(attempt, delivery) == Step::RunElsewhere {
-                return self.grant(key, self.now, None);
-            }
-            return Ok(());
-        }
-        let sent = Sent {
-            key,
-            attempt,
-            entry,
-            to,
-            bound,
-            ring,
-            stamp: heard.map(|(_, stamp)| stamp),
-            received: self.now,
-        };
-        for _ in 0..1 + self.random(5) / 4 {
-            let delay = self.delay();
-            self.after(delay, Event::Claim(sent.clone()));
-        }
-        Ok(())
-    }
-
-    fn claim(&mut self, sent: &Sent) -> Result<(), String> {
-        let (now, wall) = (self.local(sent.to), wall(self.now, sent.to));
-        let (name, kind) = (self.keys[sent.key].name.clone(), self.keys[sent.key].kind);
-        let request = Request {
-            key: &name,
-            attempt: (kind == Kind::Marked).then_some(sent.attempt),
-            key_ms: book::key_time(&name),
-            age: sent.stamp.and_then(|stamp| book::age(now, stamp)),
-            bound: sent.bound,
-            ring: sent.ring.hash,
-        };
-        let host = &mut self.hosts[sent.to];
-        let claim = host.book.claim(&host.tenure, now, wall, &request);
-        self.trace.push(format!(
-            "{:>6} {name} attempt {} at {}: {claim:?}",
-            self.now, sent.attempt, sent.to
-        ));
-        match claim {
-            Claim::Run => {
-                let holder = (sent.to, self.hosts[sent.to].run);
-                let host = &self.hosts[sent.to];
-                let gained = kind != Kind::Marked && (host.list > 0 || host.run > 1);
-                self.totals.late_runs += u32::from(gained);
-                return self.grant(sent.key, sent.received, Some(holder));
-            }
-            Claim::Refuse(Verdict::NotRun, _) => return self.deny(sent.key),
-            Claim::Replay(_) if self.keys[sent.key].runs != 1 => {
-                return Err(format!("{name} replayed, but did not run"));
-            }
-            Claim::Replay(_) => self.totals.replays += 1,
-            Claim::Wait | Claim::Refuse(..) => self.totals.refused += 1,
-        }
-        Ok(())
-    }
-
-    fn grant(
-        &mut self,
-        id: usize,
-        received: u64,
-        holder: Option<(usize, u32)>,
-    ) -> Result<(), String> {
-        let delay = self.delay();
-        let fate = self.random(4);
-        self.after(
-            delay,
-            Event::Work {
-                key: id,
-                holder,
-                fate,
-            },
-        );
-        let key = &mut self.keys[id];
-        key.unresolved += 1;
-        if key.denied.is_some_and(|denied| received <= denied) {
-            return Err(format!(
-                "{} runs after a not-run said it would not",
-                key.name
-            ));
-        }
-        Ok(())
-    }
-
-    fn work(&mut self, id: usize, holder: Option<(usize, u32)>, fate: u64) -> Result<(), String> {
-        let key = &mut self.keys[id];
-        let verdict = match fate {
-            // The gatekeeper refuses it.
-            0 => Verdict::NotRun,
-            // The holder gives up, and the work runs nevertheless.
-            1 if holder.is_some() => {
-                self.after(
-                    5000,
-                    Event::Work {
-                        key: id,
-                        holder: None,
-                        fate: 2,
-                    },
-                );
-                Verdict::MayHaveRun
-            }
-            _ => {
-                key.runs += 1;
-                if key.runs > 1 || key.denied.is_some_and(|at| at >= self.now) {
-                    return Err(format!("{} ran {} times", key.name, key.runs));
-                }
-                self.totals.runs[key.kind as usize] += 1;
-                Verdict::Ran
-            }
-        };
-        if verdict != Verdict::MayHaveRun {
-            self.keys[id].unresolved -= 1;
-        }
-        if let Some((host, run)) = holder {
-            let delay = self.random(3000);
-            self.after(
-                delay,
-                Event::Outcome {
-                    key: id,
-                    host,
-                    run,
-                    verdict,
-                },
-            );
-        }
-        Ok(())
-    }
-
-    /// Checks a `not-run` that is given now.
-    fn deny(&mut self, id: usize) -> Result<(), String> {
-        self.totals.not_run += 1;
-        let key = &mut self.keys[id];
-        key.denied = Some(self.now);
-        if key.runs > 0 || key.unresolved > 0 {
-            return Err(format!("{}: not-run, but it ran or may yet run", key.name));
-        }
-        Ok(())
-    }
 }
 
 /// Wall clock of a host; differs by up to 0.8 s.
