ledger: test gaps, older lists, recovery and coverage one by one

Clocks of the schedules go on over restarts, as the system clock does, so that a stamp of an earlier run looks valid.

--- a/crates/ledger/tests/book.rs
+++ b/crates/ledger/tests/book.rs
@@ -11,6 +11,7 @@
 use savorylane_wire::{Incarnation, Verdict};
 
 const SECOND: Duration = Duration::from_secs(1);
+const EPOCH_MS: u64 = 1_700_000_000_000;
 
 /// Holder that is the only member of its ring.
 struct Holder {
@@ -36,22 +37,27 @@
         };
         Self {
             book: Book::new(settings, me.incarnation),
-            tenure: Tenure::new(first, me, Duration::ZERO, 0, ring),
+            tenure: Tenure::new(first, me, Duration::ZERO, EPOCH_MS, ring),
             now: Duration::ZERO,
         }
     }
 
+    fn wall(&self) -> u64 {
+        EPOCH_MS + self.now.as_millis() as u64
+    }
+
     fn claim(&mut self, key: &str, attempt: Option<u32>, sent: Duration) -> Claim {
-        self.tenure.on_tick(self.now, 0);
+        self.tenure.on_tick(self.now, self.wall());
         let request = Request {
             key,
             attempt,
-            key_ms: None,
+            key_ms: key_time(key),
             age: self.now.checked_sub(sent),
             bound: Incarnation::default(),
             ring: self.tenure.ring().hash,
         };
-        self.book.claim(&self.tenure, self.now, 0, &request)
+        self.book
+            .claim(&self.tenure, self.now, self.wall(), &request)
     }
 
     fn finish(&mut self, key: &str, verdict: Verdict, answer: Option<Answer>) {
@@ -201,3 +207,33 @@
     let claim = holder.book.claim(&holder.tenure, holder.now, 0, &request);
     assert_eq!(claim, refuse(Reason::Ring));
 }
+
+/// Guards against running a key that another holder may have run while this
+/// one stood still, also if it did not run here, and against trusting a
+/// caller's clock to the millisecond.
+#[test]
+fn coverage() {
+    let mut holder = Holder::new(Settings::default());
+    assert_eq!(holder.claim("a", None, Duration::ZERO), Claim::Run);
+    holder.finish("a", Verdict::NotRun, None);
+    holder.now = 20 * SECOND;
+    holder.tenure.on_pause(holder.now, holder.wall());
+    let uncovered = Claim::Refuse(Verdict::MayHaveRun, Reason::Uncovered);
+    assert_eq!(holder.claim("a", None, 20 * SECOND), uncovered);
+    // Evidence and unnoticed pause make 5 s, the clock allowance 2 s.
+    for second in 21..28 {
+        holder.now = SECOND * second;
+        holder.claim("b", None, holder.now);
+    }
+    assert_eq!(holder.claim("1700000027000-a", None, holder.now), uncovered);
+    assert_eq!(
+        holder.claim("1700000027001-a", None, holder.now),
+        Claim::Run
+    );
+    while holder.now < 55 * SECOND {
+        holder.now += SECOND;
+        assert_eq!(holder.claim("c", None, holder.now), uncovered);
+    }
+    holder.now += SECOND;
+    assert_eq!(holder.claim("c", None, holder.now), Claim::Run);
+}
--- a/crates/ledger/tests/ring.rs
+++ b/crates/ledger/tests/ring.rs
@@ -187,3 +187,48 @@
     a.on_confirmation(3 * SECOND, 0, &says("b", 1, &last, &[&middle]), 3 * SECOND);
     assert!(a.active(3 * SECOND).is_some());
 }
+
+/// Guards against a holder whose evidence ended and that goes on with its old
+/// coverage, although another holder may have run keys in between.
+#[test]
+fn gap() {
+    let ring = three(1, &["a", "b", "c"]);
+    let mut a = start("a", &ring, true);
+    a.on_confirmation(SECOND, 0, &says("b", 1, &ring, &[]), SECOND);
+    assert_eq!(a.active(SECOND).unwrap().since, None);
+    a.on_confirmation(10 * SECOND, 0, &says("b", 1, &ring, &[]), 10 * SECOND);
+    assert_eq!(a.active(10 * SECOND).unwrap().since, Some(15 * SECOND));
+}
+
+/// Guards against the evidence of a member that follows the same hosts by a
+/// list older than a ring in between, which it may still follow.
+#[test]
+fn older_list() {
+    let (first, middle) = (three(1, &["a", "b", "c"]), three(2, &["a", "x", "y"]));
+    let last = three(3, &["a", "b", "c"]);
+    let mut a = start("a", &last, true);
+    a.on_confirmation(SECOND, 0, &says("b", 1, &first, &[]), SECOND);
+    assert_eq!(a.answer().active, Some(1), "b has not reached list 3");
+    a.on_confirmation(2 * SECOND, 0, &says("b", 1, &last, &[&middle]), 2 * SECOND);
+    assert!(
+        a.active(2 * SECOND).is_none(),
+        "b followed the ring in between"
+    );
+    for time in [2, 3] {
+        a.on_confirmation(SECOND * time, 0, &says("x", 1, &first, &[]), SECOND * time);
+    }
+    assert!(a.active(3 * SECOND).is_none(), "x has not reached list 2");
+}
+
+/// Guards against a restarted member that asks only its new ring, although its
+/// earlier incarnation was counted in a former one.
+#[test]
+fn recovery_from_former_ring() {
+    let (old, new) = (three(1, &["a", "b", "c"]), three(2, &["a", "b", "d"]));
+    let mut a = start("a", &new, false);
+    a.on_confirmation(SECOND, 0, &says("b", 1, &new, &[&old]), SECOND);
+    a.on_confirmation(SECOND, 0, &says("d", 1, &new, &[]), SECOND);
+    assert!(!a.answer().recovered);
+    a.on_confirmation(SECOND, 0, &says("c", 1, &new, &[&old]), SECOND);
+    assert!(a.answer().recovered);
+}
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -184,7 +184,7 @@
         self.run_until(self.now + 45_000)
     }
 
-    fn start(&mut self, host: usize, list: usize, run: u32, settings: Settings) -> Host {
+    fn start(&self, host: usize, list: usize, run: u32, settings: Settings) -> Host {
         let incarnation = Incarnation {
             started_ms: self.now,
             nonce: run,
@@ -194,7 +194,9 @@
             incarnation,
         };
         let ring = self.lists[list].clone();
-        let epoch = self.random(60_000);
+        // The clock of a host goes on over restarts, so that stamps of an
+        // earlier run look valid.
+        let epoch = self.now;
         let now = Duration::from_millis(epoch);
         Host {
             run,
