membership: test unknown hosts and repeated start questions

Cause: no test failed when unknown hosts of the own data centre were made routable or when the question at start was not repeated.

Ruled out: covering both by the fleet tests, which pass over them by gossip.

Change: two tests in tests/records.rs.

Conclusion: both rules are held by tests.

--- a/crates/membership/tests/records.rs
+++ b/crates/membership/tests/records.rs
@@ -361,6 +361,44 @@
     );
 }
 
+/// Guards against work for a listed host of the own data centre that has not
+/// started, and against a cut-off data centre whose unknown hosts get none.
+#[test]
+fn unknown_hosts_are_routable_only_in_other_data_centres() {
+    let mut view = view(2, 3);
+    let (near, far) = (host(0, 1).name, host(1, 1).name);
+    assert!(!view.routable(&near) && view.routable(&far));
+    view.on_connect_failed(ms(10), &far);
+    assert!(!view.routable(&far));
+    view.on_answered(ms(20), &far);
+    assert!(view.routable(&far));
+    view.on_message(ms(30), &heartbeat(Vec::new()));
+    assert!(view.routable(&near));
+}
+
+/// Guards against a starting daemon that finds no peer and does not ask again,
+/// or asks again without a pause.
+#[test]
+fn start_is_repeated_with_a_growing_delay() {
+    let mut view = view(1, 6);
+    let (mut asked, mut answered) = (0, 0);
+    for tick in 0..300 {
+        let now = ms(100 * tick);
+        for action in view.on_tick(now) {
+            if let Action::Heartbeat { token, purpose, .. } = action {
+                asked += usize::from(purpose == Purpose::Start);
+                let ended = view.on_timeout(now, token);
+                answered += ended
+                    .iter()
+                    .filter(|a| matches!(a, Action::Asked { .. }))
+                    .count();
+            }
+        }
+    }
+    assert_eq!(asked, 3 * answered);
+    assert!((3..=20).contains(&answered), "{answered} times in 30 s");
+}
+
 /// Guards against an unknown or repeated token that changes a view.
 #[test]
 fn unknown_tokens_are_ignored() {
