membership: hold the push of a leave by a test

Cause: with leaving first in the queue, no test failed when hosts that learn of a leave did not push it on.

Ruled out: dropping the push.

Change: the test of a large data centre also asks for 1.5 s without loss; its limit of 3 s with 20% loss stays.

--- a/crates/membership/tests/faults.rs
+++ b/crates/membership/tests/faults.rs
@@ -26,19 +26,22 @@
     }
 }
 
-/// Guards against a leave that spreads by heartbeat rounds alone, which is too
-/// slow in a data centre of the design size (220 hosts).
+/// Guards against a leave that waits behind other changes, and against one that
+/// spreads by heartbeat rounds alone, in a data centre of the design size. The
+/// view may take half of the 3 s of P7 in calm and all of it with heavy loss.
 #[test]
-fn leaving_host_is_unroutable_in_a_large_data_centre_within_3_s() {
-    for seed in 0..10 {
-        let mut fleet = Fleet::new(seed, list(1, 220));
-        fleet.loss = 0.2;
-        fleet.run(ms(10_000));
-        let actions = fleet.views[9].leave(fleet.now);
-        fleet.act(9, actions);
-        fleet.run(ms(13_000));
-        let still = (0..220).filter(|&v| fleet.routable(v, 9)).count();
-        assert_eq!(still, 0, "seed {seed}");
+fn leaving_host_is_unroutable_in_a_large_data_centre_in_time() {
+    for (loss, seeds, limit) in [(0.0, 5, 1_500), (0.2, 10, 3_000)] {
+        for seed in 0..seeds {
+            let mut fleet = Fleet::new(seed, list(1, 220));
+            fleet.loss = loss;
+            fleet.run(ms(10_000));
+            let actions = fleet.views[9].leave(fleet.now);
+            fleet.act(9, actions);
+            fleet.run(ms(10_000 + limit));
+            let still = (0..220).filter(|&v| fleet.routable(v, 9)).count();
+            assert_eq!(still, 0, "loss {loss}, seed {seed}");
+        }
     }
 }
 
