Run keyed work at most once, at the holder of its key

Cause: the entry sent non-idempotent work like any other, so a resend through another entry ran it twice. Change: the entry hands keyed work to the holder by rendezvous over the published ring; the holder claims it in its book, runs short work detached from its caller, and answers resends from the record. The entry tells the holder its clock as heard before the request, so that time in sockets counts as age. Members ask each other for their rings once a second, all scopes in one message. Ruled out: pinning the work to the holder's own upstream (a slow upstream would slow a third of the confirmations); asking the holder's clock for each request (one more round trip; a clock of up to 3 s is reused).

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -170,6 +170,31 @@
         shared.ended && !shared.dropped
     }
 
+    /// Reads the whole body if it is known to be small enough to be kept, so
+    /// that no attempt depends on the caller's connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the body was cut.
+    pub async fn fill(&self) -> Result<(), Cut> {
+        let small = {
+            let shared = self.lock();
+            let rest = shared.source.size_hint().exact();
+            rest.is_some_and(|rest| rest <= KEPT_BYTES as u64)
+        };
+        if !small {
+            return Ok(());
+        }
+        let mut attempt = Attempt {
+            replay: self.clone(),
+            next: 0,
+        };
+        while let Some(frame) = attempt.frame().await {
+            frame?;
+        }
+        Ok(())
+    }
+
     /// Returns the body of one attempt.
     pub fn attempt(&self) -> Body {
         Attempt {
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -184,10 +184,14 @@
                 Work::Long => LONG_TIMEOUT,
             },
         };
+        let mut headers = passed_on(&head.headers);
+        for name in header::INTERNAL {
+            headers.remove(name);
+        }
         Ok(Self {
             method: head.method.clone(),
             uri: head.uri.clone(),
-            headers: passed_on(&head.headers),
+            headers,
             class: class.clone(),
             caller,
             deadline: now + timeout,
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -16,6 +16,7 @@
 use crate::call::{Call, Refusal};
 use crate::dispatch;
 use crate::edge::server;
+use crate::holder;
 use crate::kernel::{Context, Plugin, Port};
 use crate::peers;
 
@@ -87,7 +88,13 @@
         success: false,
         verdict: Verdict::MayHaveRun,
     };
-    match dispatch::serve(context, &snapshot, &call, &body).await {
+    // Work that may run twice needs no record of its key.
+    let served = if call.class.idempotent {
+        dispatch::serve(context, &snapshot, &call, &body).await
+    } else {
+        holder::serve(context, &snapshot, &call, &body).await
+    };
+    match served {
         Ok(answer) => {
             record.success = !answer.status().is_server_error();
             record.verdict = Verdict::Ran;
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -11,13 +11,15 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use savorylane_intent::{hosts, transfer};
+use savorylane_wire::Incarnation;
 use savorylane_wire::control::{Confirmation, Heartbeat, Notice, Question, Suspicion};
 use savorylane_wire::operator::{Scope, Summary};
-use savorylane_wire::rpc::{ControlServer, Fetch, Transfer};
+use savorylane_wire::rpc::{Clock, ControlClient, ControlServer, Fetch, Transfer};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::edge::rpc;
+use crate::holder::rings;
 use crate::kernel::{Context, Plugin, Port};
 use crate::{peers, summary};
 
@@ -42,7 +44,8 @@
         let Some(listener) = listener else { return };
         let methods = Desk(Arc::clone(&context)).into_rpc();
         let serve = rpc::serve(listener, stop.clone(), methods, |_| None);
-        tokio::join!(serve, peers::run(context, stop));
+        let rings = rings::run(Arc::clone(&context), stop.clone());
+        tokio::join!(serve, rings, peers::run(context, stop));
     })
 }
 
@@ -71,6 +74,12 @@
     clients.entry(address).or_insert_with(open).clone()
 }
 
+/// Asks the daemon at `address` for its run and clock.
+pub async fn clock(context: &Context, address: SocketAddr) -> Option<(Incarnation, Duration)> {
+    let answer = client(context, address).clock().await.ok()?;
+    Some((answer.run, Duration::from_micros(answer.now_us)))
+}
+
 /// Answers other daemons.
 struct Desk(Arc<Context>);
 
@@ -109,8 +118,15 @@
         }))
     }
 
-    async fn ring(&self, _message: Question) -> RpcResult<Option<Confirmation>> {
-        Ok(None)
+    async fn ring(&self, message: Question) -> RpcResult<Vec<Confirmation>> {
+        Ok(self.0.rings.answer(&message))
+    }
+
+    async fn clock(&self) -> RpcResult<Clock> {
+        Ok(Clock {
+            run: self.0.run,
+            now_us: self.0.now().as_micros() as u64,
+        })
     }
 
     async fn suspect(&self, _message: Suspicion) -> RpcResult<()> {
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -12,9 +12,10 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Body;
+use crate::body::{Body, Replay};
 use crate::call::{self, Call, Cause, Refusal};
 use crate::edge::server;
+use crate::holder::{self, Handed};
 use crate::kernel::{Context, Plugin, Port};
 
 /// Connections that one peer may open.
@@ -60,7 +61,7 @@
     context: &Arc<Context>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
-    let (mut head, body) = request.into_parts();
+    let (head, body) = request.into_parts();
     let Some(snapshot) = context.config.snapshot() else {
         return Err(Refusal::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -93,18 +94,25 @@
             format!("class {name} is not in force on this host"),
         ));
     };
+    let handed = match call::text(&head.headers, header::HOLD)? {
+        None => None,
+        Some(text) => Some(Handed::decode(&text).ok_or_else(|| {
+            Refusal::not_run(StatusCode::BAD_REQUEST, "malformed header savorylane-hold")
+        })?),
+    };
+    let caller: IpAddr =
+        call::number(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
+    let call = Arc::new(Call::read(&head, class, caller, Instant::now())?);
+    if let Some(handed) = handed {
+        let body = Replay::open(body, context.settings.body_bytes);
+        return holder::hold(context, &snapshot, &call, &body, &handed).await;
+    }
     if class.service != context.settings.service {
         return Err(Refusal::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "this host runs another service",
         ));
     }
-    let caller: IpAddr =
-        call::number(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
-    for name in [header::FROM, header::TO, header::CLASS, header::CALLER] {
-        head.headers.remove(name);
-    }
-    let call = Call::read(&head, class, caller, Instant::now())?;
     let body = body.map_err(Into::into).boxed_unsync();
     context.gatekeeper.run(&call, body).await
 }
--- /dev/null
+++ b/crates/daemon/src/holder/mod.rs
@@ -0,0 +1,293 @@
+//! At-most-once execution of keyed work: the entry hands it to the key's
+//! holder, which runs it or answers from its record.
+
+pub mod rings;
+mod runs;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, Response, StatusCode};
+use savorylane_intent::{Hash, Snapshot};
+use savorylane_ledger::book::{self, Claim, Reason, Request, key_time};
+use savorylane_ledger::entry::{Delivery, Step, undelivered};
+use savorylane_ledger::ring;
+use savorylane_wire::control::{Ring, Scope};
+use savorylane_wire::{Incarnation, Verdict, header};
+
+use crate::body::{Body, Replay};
+use crate::call::{Call, Cause, Refusal};
+use crate::dispatch;
+use crate::dispatch::remote::value;
+use crate::edge::control::clock;
+use crate::kernel::Context;
+
+pub use rings::Rings;
+pub use runs::Runs;
+
+/// Time after which a holder's clock is asked for again. A clock that was
+/// heard before a request makes the request look older than it is, and
+/// requests older than 10 s are refused.
+const CLOCK_AGE: Duration = Duration::from_secs(3);
+/// Time for a holder to tell its clock.
+const CLOCK_LIMIT: Duration = Duration::from_millis(500);
+
+/// A holder's clock as an entry heard it.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard {
+    /// Run of the holder.
+    pub run: Incarnation,
+    /// Time of the holder's own clock.
+    pub clock: Duration,
+    /// Time of the entry at which the holder was asked, which is before the
+    /// holder read its clock.
+    pub asked: Duration,
+}
+
+/// What the entry hands on with keyed work.
+#[derive(Clone, Copy, Debug)]
+pub struct Handed {
+    /// Run of the holder that is meant.
+    pub bound: Incarnation,
+    /// Ring by the entry's host list.
+    pub ring: Hash,
+    /// Time of the holder's clock before the entry received the request.
+    pub stamp: Duration,
+}
+
+impl Handed {
+    fn encode(&self) -> String {
+        format!("{} {} {}", self.bound, self.ring, self.stamp.as_micros())
+    }
+
+    /// Reads what [`Handed`] was encoded to.
+    pub fn decode(text: &str) -> Option<Self> {
+        let mut fields = text.split(' ');
+        let handed = Self {
+            bound: fields.next()?.parse().ok()?,
+            ring: fields.next()?.parse().ok()?,
+            stamp: Duration::from_micros(fields.next()?.parse().ok()?),
+        };
+        fields.next().is_none().then_some(handed)
+    }
+}
+
+/// Serves keyed work, at the entry.
+///
+/// # Errors
+///
+/// Returns the refusal of the holder, or that of the entry when the holder
+/// cannot be reached.
+pub async fn serve(
+    context: &Arc<Context>,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
+    body: &Replay,
+) -> Result<Response<Body>, Refusal> {
+    let received = context.now();
+    let Some(key) = &call.key else {
+        return dispatch::serve(context, snapshot, call, body).await;
+    };
+    fill(call, body).await?;
+    let ring = context.rings.ring(snapshot, scope(call));
+    let Some(holder) = ring::holder(&ring, &identity(call, key)).map(str::to_owned) else {
+        return Err(unknown(call, "no host holds keys of this region"));
+    };
+    if holder == context.settings.host {
+        let handed = Handed {
+            bound: context.run,
+            ring: ring.hash,
+            stamp: received,
+        };
+        return hold(context, snapshot, call, body, &handed).await;
+    }
+    let Some(host) = snapshot.host(&holder) else {
+        return Err(unknown(
+            call,
+            "the holder of the key is not in the host list",
+        ));
+    };
+    let Some(heard) = heard(context, &holder, host.control, received).await else {
+        // Nothing was sent, so an attempt that is the only one may still run.
+        return elsewhere(context, snapshot, call, body, Delivery::Never).await;
+    };
+    let waited = heard.asked.saturating_sub(received);
+    let handed = Handed {
+        bound: heard.run,
+        ring: ring.hash,
+        stamp: heard.clock.saturating_sub(waited),
+    };
+    hand_on(context, snapshot, call, body, host.data, &ring, &handed).await
+}
+
+async fn hand_on(
+    context: &Arc<Context>,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
+    body: &Replay,
+    address: SocketAddr,
+    ring: &Ring,
+    handed: &Handed,
+) -> Result<Response<Body>, Refusal> {
+    let mut extra = HeaderMap::new();
+    let from = format!("{}/{}", context.settings.host, context.incarnation());
+    extra.insert(header::FROM, value(&from));
+    extra.insert(header::HOLD, value(&handed.encode()));
+    if let Some(home) = &ring.scope.home {
+        extra.insert(header::HOME, value(home));
+    }
+    let clients = &context.dispatcher.clients;
+    let reply = clients.send(address, call, extra, body.attempt()).await;
+    match reply.result {
+        Err(refusal) if refusal.cause == Cause::Away && reply.load.is_none() => {
+            let delivery = match refusal.verdict {
+                Verdict::NotRun => Delivery::Never,
+                Verdict::MayHaveRun | Verdict::Ran => Delivery::Unknown,
+            };
+            elsewhere(context, snapshot, call, body, delivery).await
+        }
+        result => result,
+    }
+}
+
+/// Serves keyed work whose holder did not answer.
+async fn elsewhere(
+    context: &Arc<Context>,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
+    body: &Replay,
+    delivery: Delivery,
+) -> Result<Response<Body>, Refusal> {
+    match undelivered(call.attempt, delivery) {
+        Step::RunElsewhere => dispatch::serve(context, snapshot, call, body).await,
+        Step::Refuse(verdict) => Err(Refusal {
+            verdict,
+            cause: Cause::Away,
+            ..Refusal::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the holder of the key cannot be reached",
+            )
+        }),
+    }
+}
+
+/// Decides about keyed work, at the holder.
+///
+/// # Errors
+///
+/// Returns a refusal whose verdict is about the key.
+pub async fn hold(
+    context: &Arc<Context>,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
+    body: &Replay,
+    handed: &Handed,
+) -> Result<Response<Body>, Refusal> {
+    fill(call, body).await?;
+    let key = call.key.as_deref().unwrap_or_default();
+    let id = identity(call, key);
+    let now = context.now();
+    let request = Request {
+        key: &id,
+        attempt: call.attempt,
+        key_ms: key_time(key),
+        age: book::age(now, handed.stamp),
+        bound: handed.bound,
+        ring: handed.ring,
+    };
+    let claim = context.rings.with(&scope(call), |tenure| {
+        context.runs.claim(tenure, now, &request)
+    });
+    match claim {
+        None => Err(unknown(call, "this host knows no ring for the key")),
+        Some(Claim::Run) => runs::run(context, snapshot, call, body, id).await,
+        Some(Claim::Wait) => runs::wait(context, call, &id).await,
+        Some(Claim::Replay(answer)) => runs::replay(answer),
+        Some(Claim::Refuse(verdict, reason)) => Err(refuse(verdict, reason)),
+    }
+}
+
+/// Reads a small body before anything is claimed or sent.
+async fn fill(call: &Call, body: &Replay) -> Result<(), Refusal> {
+    let cut = |reason| Refusal {
+        cause: Cause::Request,
+        ..unknown(call, reason)
+    };
+    match tokio::time::timeout(remaining(call), body.fill()).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err(cut("the body of the request was cut")),
+        Err(_) => Err(cut("the body of the request did not come in time")),
+    }
+}
+
+/// Returns the scope of a call's key.
+fn scope(call: &Call) -> Scope {
+    Scope {
+        service: call.class.service.clone(),
+        home: call.home.clone(),
+    }
+}
+
+/// Returns the key as the book knows it. Callers choose keys that are unique
+/// within a service.
+fn identity(call: &Call, key: &str) -> String {
+    format!("{}\n{key}", call.class.service)
+}
+
+/// Returns the holder's clock as heard before the request, or asks for it.
+async fn heard(
+    context: &Context,
+    holder: &str,
+    address: SocketAddr,
+    received: Duration,
+) -> Option<Heard> {
+    if let Some(heard) = context.rings.heard(holder)
+        && received.saturating_sub(heard.asked) < CLOCK_AGE
+    {
+        return Some(heard);
+    }
+    let asked = context.now();
+    let answer = tokio::time::timeout(CLOCK_LIMIT, clock(context, address)).await;
+    let (run, clock) = answer.ok()??;
+    let heard = Heard { run, clock, asked };
+    context.rings.hear(holder, heard);
+    Some(heard)
+}
+
+/// Returns the refusal of a call that this entry knows too little of. Earlier
+/// attempts may have run; attempt 1 has none.
+fn unknown(call: &Call, reason: &str) -> Refusal {
+    let refusal = Refusal::unknown(StatusCode::SERVICE_UNAVAILABLE, reason);
+    match call.attempt {
+        Some(1) => Refusal {
+            verdict: Verdict::NotRun,
+            ..refusal
+        },
+        _ => refusal,
+    }
+}
+
+fn refuse(verdict: Verdict, reason: Reason) -> Refusal {
+    let text = match reason {
+        Reason::Incarnation => "the holder of the key was restarted",
+        Reason::Age => "the request took too long to reach the holder of the key",
+        Reason::Ring => "entry and holder follow different host lists",
+        Reason::Unconfirmed => "the holder of the key is cut off from the other members",
+        Reason::Uncovered => "the holder of the key does not remember long enough",
+        Reason::Expired => "the key is too old",
+        Reason::Unseen => "an earlier attempt with the key was not seen here",
+        Reason::Earlier => "an earlier attempt with the key may have run",
+        Reason::Overtaken => "the key was refused after this request was sent",
+        Reason::Full => "the holder remembers no further keys",
+    };
+    Refusal {
+        verdict,
+        ..Refusal::not_run(StatusCode::CONFLICT, text)
+    }
+}
+
+/// Returns the time that remains for a call.
+fn remaining(call: &Call) -> Duration {
+    call.remaining(Instant::now())
+}
--- /dev/null
+++ b/crates/daemon/src/holder/rings.rs
@@ -0,0 +1,239 @@
+//! Rings of this daemon: asks the members each second and keeps the tenures.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use savorylane_intent::Snapshot;
+use savorylane_ledger::{Settings, Tenure, ring};
+use savorylane_wire::control::{Confirmation, Question, Ring, Scope, Sender};
+use savorylane_wire::rpc::ControlClient;
+use tokio_util::sync::CancellationToken;
+
+use super::Heard;
+use super::runs::wall_ms;
+use crate::edge::control::client;
+use crate::kernel::Context;
+use crate::peers::address;
+
+/// Time between two evaluations.
+const TICK: Duration = Duration::from_millis(100);
+/// Evaluations between two rounds of questions: one round a second.
+const ROUND: u32 = 10;
+/// Time for a member to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(500);
+
+/// Rings by host list number and scope.
+type Known = HashMap<Scope, Arc<Ring>>;
+
+/// Tenures of this daemon, rings of the list in force, and holders' clocks.
+#[derive(Debug)]
+pub struct Rings {
+    settings: Settings,
+    me: Sender,
+    tenures: Mutex<BTreeMap<Scope, Tenure>>,
+    known: ArcSwap<Known>,
+    clocks: Mutex<HashMap<String, Heard>>,
+}
+
+impl Rings {
+    /// Creates the state of a daemon that has just started as `me`.
+    pub fn open(settings: Settings, me: Sender) -> Self {
+        Self {
+            settings,
+            me,
+            tenures: Mutex::default(),
+            known: ArcSwap::default(),
+            clocks: Mutex::default(),
+        }
+    }
+
+    /// Returns the ring of `scope` by the snapshot's host list.
+    pub fn ring(&self, snapshot: &Snapshot, scope: Scope) -> Arc<Ring> {
+        if let Some(ring) = self.known.load().get(&scope)
+            && ring.number == snapshot.list.number
+        {
+            return Arc::clone(ring);
+        }
+        let ring = Arc::new(ring::compute(&snapshot.list, &scope));
+        self.known.rcu(|known| {
+            let mut known = HashMap::clone(known);
+            known.retain(|_, known| known.number >= ring.number);
+            known.insert(scope.clone(), Arc::clone(&ring));
+            known
+        });
+        ring
+    }
+
+    /// Calls `use_tenure` with the tenure of `scope`; `None` if there is none.
+    pub fn with<T>(&self, scope: &Scope, use_tenure: impl FnOnce(&Tenure) -> T) -> Option<T> {
+        self.lock().get(scope).map(use_tenure)
+    }
+
+    /// Returns the last known clock of a host.
+    pub fn heard(&self, host: &str) -> Option<Heard> {
+        let clocks = self.clocks.lock();
+        let clocks = clocks.unwrap_or_else(PoisonError::into_inner);
+        clocks.get(host).copied()
+    }
+
+    /// Keeps the clock of a host.
+    pub fn hear(&self, host: &str, heard: Heard) {
+        let clocks = self.clocks.lock();
+        let mut clocks = clocks.unwrap_or_else(PoisonError::into_inner);
+        clocks.insert(host.to_owned(), heard);
+    }
+
+    /// Answers a member's questions; scopes that are unknown here are left out.
+    pub fn answer(&self, question: &Question) -> Vec<Confirmation> {
+        let tenures = self.lock();
+        let scopes = question.scopes.iter();
+        scopes
+            .filter_map(|scope| tenures.get(scope).map(Tenure::answer))
+            .collect()
+    }
+
+    /// Drops all evidence after a pause of the process.
+    pub fn on_pause(&self, now: Duration) {
+        for tenure in self.lock().values_mut() {
+            tenure.on_pause(now, wall_ms());
+        }
+    }
+
+    /// Takes on the rings of a snapshot. Scopes that are new within a run
+    /// never count as a first start: others may have served them.
+    fn adopt(&self, now: Duration, snapshot: &Snapshot) {
+        let mut tenures = self.lock();
+        let settings = Settings {
+            first_start: self.settings.first_start && tenures.is_empty(),
+            ..self.settings
+        };
+        for scope in scopes(snapshot) {
+            let ring = ring::compute(&snapshot.list, &scope);
+            match tenures.get_mut(&scope) {
+                Some(tenure) => tenure.on_ring(now, wall_ms(), ring),
+                None => {
+                    let tenure = Tenure::new(settings, self.me.clone(), now, wall_ms(), ring);
+                    tenures.insert(scope, tenure);
+                }
+            }
+        }
+    }
+
+    fn tick(&self, now: Duration) {
+        for tenure in self.lock().values_mut() {
+            tenure.on_tick(now, wall_ms());
+        }
+    }
+
+    /// Returns the hosts to ask, with the scopes to ask about. Only members
+    /// need answers.
+    fn questions(&self) -> BTreeMap<String, Vec<Scope>> {
+        let mut questions: BTreeMap<String, Vec<Scope>> = BTreeMap::new();
+        for (scope, tenure) in self.lock().iter() {
+            if !tenure.ring().members.contains(&self.me.host) {
+                continue;
+            }
+            for peer in tenure.peers() {
+                questions
+                    .entry(peer.to_owned())
+                    .or_default()
+                    .push(scope.clone());
+            }
+        }
+        questions
+    }
+
+    fn take(&self, now: Duration, answer: &Confirmation, asked: Duration) {
+        if let Some(tenure) = self.lock().get_mut(&answer.ring.scope) {
+            tenure.on_confirmation(now, wall_ms(), answer, asked);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Scope, Tenure>> {
+        self.tenures.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the scopes in which keys of the snapshot can be held.
+fn scopes(snapshot: &Snapshot) -> BTreeSet<Scope> {
+    let keyed = snapshot
+        .document
+        .classes
+        .iter()
+        .filter(|class| !class.idempotent);
+    let services: BTreeSet<&String> = keyed.map(|class| &class.service).collect();
+    let hosts = snapshot.list.hosts.iter();
+    let regions: BTreeSet<&String> = hosts.map(|host| &host.region).collect();
+    let mut scopes = BTreeSet::new();
+    for service in services {
+        let homes = regions.iter().map(|region| Some((*region).clone()));
+        for home in std::iter::once(None).chain(homes) {
+            scopes.insert(Scope {
+                service: service.clone(),
+                home,
+            });
+        }
+    }
+    scopes
+}
+
+/// Keeps the tenures until `stop`.
+pub async fn run(context: Arc<Context>, stop: CancellationToken) {
+    let mut current = context.config.watch();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut round = 0;
+    loop {
+        tokio::select! {
+            changed = current.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                if let Some(snapshot) = context.config.snapshot()
+                    && snapshot.list.number > 0
+                {
+                    context.rings.adopt(context.now(), &snapshot);
+                    ask(&context);
+                }
+            }
+            _ = ticks.tick() => {
+                context.rings.tick(context.now());
+                round += 1;
+                if round % ROUND == 0 {
+                    ask(&context);
+                }
+            }
+            () = stop.cancelled() => return,
+        }
+    }
+}
+
+/// Asks the members of the rings that this daemon is part of.
+fn ask(context: &Arc<Context>) {
+    for (host, scopes) in context.rings.questions() {
+        let context = Arc::clone(context);
+        tokio::spawn(async move { ask_one(&context, &host, scopes).await });
+    }
+}
+
+async fn ask_one(context: &Arc<Context>, host: &str, scopes: Vec<Scope>) {
+    let Some(address) = address(context, host) else {
+        return;
+    };
+    let client = client(context, address);
+    // The age of the evidence counts from before the question was sent.
+    let asked = context.now();
+    let question = Question {
+        from: context.rings.me.clone(),
+        scopes,
+    };
+    let answer = tokio::time::timeout(ANSWER_LIMIT, client.ring(question)).await;
+    let Ok(Ok(answers)) = answer else {
+        return;
+    };
+    for answer in &answers {
+        context.rings.take(context.now(), answer, asked);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/holder/runs.rs
@@ -0,0 +1,268 @@
+//! Keyed work that this holder runs, and those who wait for it.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body::{Body as _, Frame};
+use http_body_util::{BodyExt, StreamBody};
+use savorylane_intent::Snapshot;
+use savorylane_ledger::book::{Answer, Book, Claim, Request};
+use savorylane_ledger::{Settings, Tenure};
+use savorylane_wire::{Incarnation, Verdict, header};
+use tokio::sync::watch;
+
+use super::remaining;
+use crate::body::{self, Body, Replay};
+use crate::call::{Call, Refusal};
+use crate::dispatch;
+use crate::kernel::Context;
+
+/// Outcome that waiters are told.
+type Outcome = Result<Option<Arc<Answer>>, Refusal>;
+
+/// The book of this daemon, and who waits for which key.
+///
+/// Invariant: a key has an entry in `waiters` exactly while it runs.
+#[derive(Debug)]
+pub struct Runs {
+    inner: Mutex<Inner>,
+    answer_bytes: usize,
+}
+
+#[derive(Debug)]
+struct Inner {
+    book: Book,
+    waiters: HashMap<String, watch::Sender<Option<Outcome>>>,
+}
+
+impl Runs {
+    /// Creates the empty book of a daemon that has just started.
+    pub fn open(settings: Settings, run: Incarnation) -> Self {
+        Self {
+            inner: Mutex::new(Inner {
+                book: Book::new(settings, run),
+                waiters: HashMap::new(),
+            }),
+            answer_bytes: settings.answer_bytes,
+        }
+    }
+
+    /// Decides about a request.
+    pub fn claim(&self, tenure: &Tenure, now: Duration, request: &Request<'_>) -> Claim {
+        let mut inner = self.lock();
+        let claim = inner.book.claim(tenure, now, wall_ms(), request);
+        if claim == Claim::Run {
+            let (sender, _) = watch::channel(None);
+            inner.waiters.insert(request.key.to_owned(), sender);
+        }
+        claim
+    }
+
+    fn finish(&self, now: Duration, key: &str, verdict: Verdict, outcome: Outcome) {
+        let mut inner = self.lock();
+        let answer = match &outcome {
+            Ok(answer) => answer.as_deref().cloned(),
+            Err(_) => None,
+        };
+        inner.book.finish(now, key, verdict, answer);
+        if let Some(sender) = inner.waiters.remove(key) {
+            sender.send_replace(Some(outcome));
+        }
+    }
+
+    fn receiver(&self, key: &str) -> Option<watch::Receiver<Option<Outcome>>> {
+        self.lock().waiters.get(key).map(watch::Sender::subscribe)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A key that runs. Dropped without an outcome, it may have run.
+struct Running {
+    context: Arc<Context>,
+    key: String,
+    done: bool,
+}
+
+impl Running {
+    fn finish(mut self, verdict: Verdict, outcome: Outcome) {
+        self.done = true;
+        let now = self.context.now();
+        self.context.runs.finish(now, &self.key, verdict, outcome);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.done {
+            let refusal = given_up();
+            let now = self.context.now();
+            let runs = &self.context.runs;
+            runs.finish(now, &self.key, refusal.verdict, Err(refusal));
+        }
+    }
+}
+
+/// Runs keyed work that was claimed. A short request runs to its end even if
+/// its caller goes away, so that a resend finds the outcome.
+pub(super) async fn run(
+    context: &Arc<Context>,
+    snapshot: &Arc<Snapshot>,
+    call: &Arc<Call>,
+    body: &Replay,
+    key: String,
+) -> Result<Response<Body>, Refusal> {
+    let running = Running {
+        context: Arc::clone(context),
+        key,
+        done: false,
+    };
+    let (context, snapshot) = (Arc::clone(context), Arc::clone(snapshot));
+    let (call, body) = (Arc::clone(call), body.clone());
+    let detached = body.complete();
+    let work = async move {
+        match dispatch::serve(&context, &snapshot, &call, &body).await {
+            Ok(answer) => Ok(keep(running, answer).await),
+            Err(refusal) => {
+                running.finish(refusal.verdict, Err(refusal.clone()));
+                Err(refusal)
+            }
+        }
+    };
+    if !detached {
+        return work.await;
+    }
+    match tokio::spawn(work).await {
+        Ok(result) => result,
+        Err(_) => Err(given_up()),
+    }
+}
+
+/// Records an answer for resends, and returns it. An answer that is too large
+/// is passed on as it comes, and remembered as `ran` without its body.
+async fn keep(running: Running, answer: Response<Body>) -> Response<Body> {
+    let limit = running.context.runs.answer_bytes;
+    let (head, mut body) = answer.into_parts();
+    let mut read = BytesMut::new();
+    let mut cut = None;
+    while read.len() <= limit {
+        match body.frame().await {
+            None => break,
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    read.extend_from_slice(&bytes);
+                }
+            }
+            Some(Err(error)) => {
+                cut = Some(error);
+                break;
+            }
+        }
+    }
+    let read = read.freeze();
+    if cut.is_none() && body.is_end_stream() && read.len() <= limit {
+        let answer = Arc::new(record(&head, &read));
+        running.finish(Verdict::Ran, Ok(Some(answer)));
+        return Response::from_parts(head, body::full(read));
+    }
+    running.finish(Verdict::Ran, Ok(None));
+    Response::from_parts(head, resume(read, cut, body))
+}
+
+/// Returns a body of what was read, followed by the rest or by the cut.
+fn resume(read: Bytes, cut: Option<body::Cut>, rest: Body) -> Body {
+    use futures::StreamExt;
+    let first = futures::stream::iter([Ok(Frame::data(read))]);
+    match cut {
+        Some(cut) => {
+            let end = futures::stream::iter([Err(cut)]);
+            BodyExt::boxed_unsync(StreamBody::new(first.chain(end)))
+        }
+        None => {
+            let rest = http_body_util::BodyStream::new(rest);
+            BodyExt::boxed_unsync(StreamBody::new(first.chain(rest)))
+        }
+    }
+}
+
+fn record(head: &http::response::Parts, body: &Bytes) -> Answer {
+    let headers = head.headers.iter().filter_map(|(name, value)| {
+        let value = value.to_str().ok()?;
+        Some((name.as_str().to_owned(), value.to_owned()))
+    });
+    Answer {
+        status: head.status.as_u16(),
+        headers: headers.collect(),
+        body: Arc::from(body.as_ref()),
+    }
+}
+
+/// Waits for the attempt that runs, and returns its outcome.
+pub(super) async fn wait(
+    context: &Arc<Context>,
+    call: &Call,
+    key: &str,
+) -> Result<Response<Body>, Refusal> {
+    let Some(mut outcome) = context.runs.receiver(key) else {
+        return Err(given_up());
+    };
+    let told = async move {
+        let told = outcome.wait_for(Option::is_some).await;
+        told.ok().and_then(|told| told.clone())
+    };
+    match tokio::time::timeout(remaining(call), told).await {
+        Ok(Some(Ok(answer))) => replay(answer),
+        Ok(Some(Err(refusal))) => Err(refusal),
+        Ok(None) => Err(given_up()),
+        Err(_) => Err(Refusal::unknown(
+            StatusCode::GATEWAY_TIMEOUT,
+            "an earlier attempt with the key is still running",
+        )),
+    }
+}
+
+/// Returns the answer of a key that ran.
+pub(super) fn replay(answer: Option<Arc<Answer>>) -> Result<Response<Body>, Refusal> {
+    let Some(answer) = answer else {
+        return Err(Refusal {
+            verdict: Verdict::Ran,
+            ..Refusal::not_run(
+                StatusCode::CONFLICT,
+                "the key ran; its answer was too large to keep",
+            )
+        });
+    };
+    let mut response = Response::new(body::full(Bytes::copy_from_slice(&answer.body)));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.append(name, value);
+        }
+    }
+    headers.insert(
+        header::VERDICT,
+        HeaderValue::from_static(Verdict::Ran.as_str()),
+    );
+    Ok(response)
+}
+
+fn given_up() -> Refusal {
+    Refusal::unknown(
+        StatusCode::BAD_GATEWAY,
+        "an attempt with the key was given up",
+    )
+}
+
+/// Returns the time, milliseconds since the Unix epoch.
+pub(super) fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -22,6 +22,7 @@
 use crate::edge::upstream::Upstream;
 use crate::error::{BindSnafu, Error};
 use crate::gatekeeper::Gatekeeper;
+use crate::holder::{Rings, Runs};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::results::Results;
@@ -39,6 +40,9 @@
     pub settings: Settings,
     /// Start of this run; `now` counts from it.
     pub start: Instant,
+    /// The run that keys are bound to. Other than the incarnation in gossip it
+    /// never changes, because the records of keys belong to this process.
+    pub run: Incarnation,
     incarnation: ArcSwap<Incarnation>,
     /// Configuration in force.
     pub config: Store,
@@ -48,6 +52,10 @@
     pub gatekeeper: Arc<Gatekeeper>,
     /// Membership.
     pub peers: Peers,
+    /// Rings of idempotency keys.
+    pub rings: Rings,
+    /// Keyed work that this daemon runs or ran.
+    pub runs: Runs,
     /// Clients of other daemons' control ports.
     pub control: Clients,
     /// Summaries that were collected lately.
@@ -178,9 +186,21 @@
     let gatekeeper = Gatekeeper::open(settings.slots, Upstream::new(settings.upstream));
     let incarnation = incarnation();
     let own = listed(&settings, &addresses);
+    let me = Sender {
+        host: settings.host.clone(),
+        incarnation,
+    };
+    let ledger = savorylane_ledger::Settings {
+        horizon: settings.key_horizon,
+        first_start: settings.first_start,
+        ..savorylane_ledger::Settings::default()
+    };
     let context = Arc::new(Context {
         start: Instant::now(),
+        run: incarnation,
         incarnation: ArcSwap::from_pointee(incarnation),
+        rings: Rings::open(ledger, me),
+        runs: Runs::open(ledger, incarnation),
         peers: Peers::open(&own, incarnation),
         control: Clients::default(),
         summaries: summary::Cache::default(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod edge;
 pub mod error;
 pub mod gatekeeper;
+pub mod holder;
 pub mod kernel;
 pub mod logs;
 pub mod metrics;
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -238,6 +238,7 @@
         }
         Action::Paused(length) => {
             peers.fresh.send_replace(false);
+            context.rings.on_pause(context.now());
             context.trail.record(Event::Paused {
                 milliseconds: length.as_millis() as u64,
             });
--- a/crates/wire/src/control/ring.rs
+++ b/crates/wire/src/control/ring.rs
@@ -28,13 +28,13 @@
     pub hash: Hash,
 }
 
-/// Asks a member for its ring; answered by [`Confirmation`].
+/// Asks a member for its rings; each is answered by a [`Confirmation`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Question {
     /// Sender.
     pub from: Sender,
-    /// Ring that the question is about.
-    pub scope: Scope,
+    /// Rings that the question is about.
+    pub scopes: Vec<Scope>,
 }
 
 /// Ring that a daemon follows at the time of its answer.
--- a/crates/wire/src/header/mod.rs
+++ b/crates/wire/src/header/mod.rs
@@ -24,6 +24,11 @@
 pub const CALLER: &str = "savorylane-caller";
 /// What the gatekeeper knows of its upstream; on answers between daemons.
 pub const LOAD: &str = "savorylane-load";
+/// Keyed work for its holder: run of the holder, ring of the key and time of
+/// the holder's clock; between daemons.
+pub const HOLD: &str = "savorylane-hold";
+/// Headers that only daemons send; an entry drops them from callers' requests.
+pub const INTERNAL: [&str; 6] = [CALLER, CLASS, FROM, HOLD, LOAD, TO];
 /// Wait before another attempt is useful, in milliseconds; on refusals.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
 /// Hash of the key's ring by the entry's host list; between daemons.
--- a/crates/wire/src/rpc/mod.rs
+++ b/crates/wire/src/rpc/mod.rs
@@ -5,6 +5,7 @@
 use savorylane_intent::{Hash, Version};
 use serde::{Deserialize, Serialize};
 
+use crate::Incarnation;
 use crate::control::{Confirmation, Heartbeat, Notice, Question, Sender, Suspicion};
 use crate::operator::{Scope, Summary};
 
@@ -26,6 +27,15 @@
     pub content: String,
 }
 
+/// Clock of one run of a daemon.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Clock {
+    /// The run that holds keys.
+    pub run: Incarnation,
+    /// Time since the run started, microseconds.
+    pub now_us: u64,
+}
+
 /// Methods of the control port.
 #[rpc(client, server, namespace = "control")]
 pub trait Control {
@@ -49,9 +59,13 @@
     #[method(name = "hosts")]
     async fn hosts(&self, after: u64) -> RpcResult<Option<Transfer>>;
 
-    /// Returns the ring that the daemon follows.
+    /// Returns the rings that the daemon follows, as far as it knows them.
     #[method(name = "ring")]
-    async fn ring(&self, message: Question) -> RpcResult<Option<Confirmation>>;
+    async fn ring(&self, message: Question) -> RpcResult<Vec<Confirmation>>;
+
+    /// Returns the run of the daemon and the time of its own clock.
+    #[method(name = "clock")]
+    async fn clock(&self) -> RpcResult<Clock>;
 
     /// Tells of requests that may have crashed an upstream.
     #[method(name = "suspect")]
