ledger: deliver duplicates late in the schedules

Without the binding to an incarnation only one direct test failed, because a duplicate seldom came after a restart of the holder. Every third request now has a copy that comes within 4 s.

--- a/crates/ledger/tests/sim/request.rs
+++ b/crates/ledger/tests/sim/request.rs
@@ -40,8 +40,11 @@
             stamp: heard.map(|(_, stamp)| stamp),
             received: self.now,
         };
-        for _ in 0..1 + self.random(5) / 4 {
-            let delay = self.delay();
+        for copy in 0..1 + self.random(5) / 3 {
+            let delay = match copy {
+                0 => self.delay(),
+                _ => self.random(4000),
+            };
             self.after(delay, Event::Claim(sent.clone()));
         }
         Ok(())
