Notice a pause before a key is claimed, by the wall clock too

Cause: the ring rule is safe only if evidence is dropped before any claim after a gap of more than 2 s; the tick came too late for a request that ran first, and a suspended virtual machine stops the monotonic clock. Ruled out: checking in the tick alone. Change: the holder checks the gap at each claim.

--- a/crates/daemon/src/holder/mod.rs
+++ b/crates/daemon/src/holder/mod.rs
@@ -22,9 +22,10 @@
 use crate::dispatch::remote::value;
 use crate::edge::control::clock;
 use crate::kernel::Context;
+use crate::peers;
 
 pub use rings::Rings;
-pub use runs::Runs;
+pub use runs::{Runs, wall_ms};
 
 /// Time after which a holder's clock is asked for again. A clock that was
 /// heard before a request makes the request look older than it is, and
@@ -187,6 +188,7 @@
     fill(call, body).await?;
     let key = call.key.as_deref().unwrap_or_default();
     let id = identity(call, key);
+    peers::notice_pause(context);
     let now = context.now();
     let request = Request {
         key: &id,
--- a/crates/daemon/src/holder/runs.rs
+++ b/crates/daemon/src/holder/runs.rs
@@ -262,7 +262,7 @@
 }
 
 /// Returns the time, milliseconds since the Unix epoch.
-pub(super) fn wall_ms() -> u64 {
+pub fn wall_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.unwrap_or_default().as_millis() as u64
 }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::audit::Event;
 use crate::edge::control::client;
+use crate::holder::wall_ms;
 use crate::kernel::Context;
 
 /// Time for a document or host list to be fetched from a peer.
@@ -44,6 +45,9 @@
     asked: watch::Sender<Option<usize>>,
     /// Time of the last tick, milliseconds of `Context::now`.
     ticked_ms: AtomicU64,
+    /// The same by the wall clock, which goes on while a virtual machine is
+    /// suspended.
+    ticked_wall_ms: AtomicU64,
     fetching: AtomicBool,
     fetching_hosts: AtomicBool,
 }
@@ -60,6 +64,7 @@
             fresh: watch::Sender::new(true),
             asked: watch::Sender::new(None),
             ticked_ms: AtomicU64::new(0),
+            ticked_wall_ms: AtomicU64::new(wall_ms()),
             fetching: AtomicBool::new(false),
             fetching_hosts: AtomicBool::new(false),
         }
@@ -119,18 +124,24 @@
     }
 }
 
-/// Waits, for a bounded time, until what this daemon knows is current. Called
-/// before a request is routed: a request can be the first thing that runs
-/// after a pause.
-pub async fn refresh(context: &Arc<Context>) {
+/// Notices a pause of the process before anything is decided on what was known
+/// before it: a request can be the first thing that runs after the pause.
+pub fn notice_pause(context: &Arc<Context>) {
     let peers = &context.peers;
-    let since = context
-        .now()
-        .as_millis()
-        .saturating_sub(peers.ticked_ms.load(Ordering::Relaxed).into());
-    if since > PAUSE.as_millis() {
+    let ticked = Duration::from_millis(peers.ticked_ms.load(Ordering::Relaxed));
+    let ticked_wall_ms = peers.ticked_wall_ms.load(Ordering::Relaxed);
+    let gap = context.now().saturating_sub(ticked);
+    let wall_gap = Duration::from_millis(wall_ms().saturating_sub(ticked_wall_ms));
+    if gap.max(wall_gap) > PAUSE {
         tick(context);
     }
+}
+
+/// Waits, for a bounded time, until what this daemon knows is current. Called
+/// before a request is routed.
+pub async fn refresh(context: &Arc<Context>) {
+    notice_pause(context);
+    let peers = &context.peers;
     if *peers.fresh.borrow() {
         return;
     }
@@ -147,8 +158,16 @@
 
 fn tick(context: &Arc<Context>) {
     let now = context.now();
+    let peers = &context.peers;
     let ms = now.as_millis() as u64;
-    context.peers.ticked_ms.store(ms, Ordering::Relaxed);
+    let gap_ms = ms.saturating_sub(peers.ticked_ms.swap(ms, Ordering::Relaxed));
+    let wall = wall_ms();
+    let wall_gap_ms = wall.saturating_sub(peers.ticked_wall_ms.swap(wall, Ordering::Relaxed));
+    if u128::from(gap_ms.max(wall_gap_ms)) > PAUSE.as_millis() {
+        // The view notices a pause by its own clock only, which can have stood
+        // still with the process.
+        context.rings.on_pause(now);
+    }
     let actions = context.peers.view().on_tick(now);
     perform(context, actions);
 }
@@ -238,7 +257,6 @@
         }
         Action::Paused(length) => {
             peers.fresh.send_replace(false);
-            context.rings.on_pause(context.now());
             context.trail.record(Event::Paused {
                 milliseconds: length.as_millis() as u64,
             });
--- a/crates/wire/src/header/mod.rs
+++ b/crates/wire/src/header/mod.rs
@@ -31,9 +31,3 @@
 pub const INTERNAL: [&str; 6] = [CALLER, CLASS, FROM, HOLD, LOAD, TO];
 /// Wait before another attempt is useful, in milliseconds; on refusals.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
-/// Hash of the key's ring by the entry's host list; between daemons.
-pub const RING: &str = "savorylane-ring";
-/// Time of the receiver's own clock that the sender had last heard when it
-/// received the request, in milliseconds; between daemons. On answers, the
-/// time of the sender's clock.
-pub const STAMP: &str = "savorylane-stamp";
