client: add status, wait, audit and drain

Cause: the operator port could only be asked with a hand-written JSON-RPC request, so an operator could not see lagging hosts or wait for a version.

Ruled out: counting only hosts in the state `alive` in `wait`. A suspected host, or one in a cut-off data centre, may still serve an older version, so all hosts but leaving and gone ones count. Comparing hashes for equality was also ruled out: a greater hash of the same number replaces the wanted version for good, and the wait would never end.

Change: four commands over `OperatorClient`, their settings, and exit codes 3 (daemon cannot be reached) and 4 (daemon answers with an error). The tests run the built client against a jsonrpsee server on port 0.

Conclusion: operators can use the operator port with the client alone. The commands were not yet run against a daemon.

--- a/crates/client/src/arguments/mod.rs
+++ b/crates/client/src/arguments/mod.rs
@@ -8,7 +8,7 @@
 
 use bpaf::{Bpaf, Parser};
 
-/// Edits, checks, compares and splits intent documents
+/// Edits intent documents, shows the state of a deployment and drains hosts
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 pub(crate) enum Arguments {
@@ -54,6 +54,66 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+
+    /// Shows whether the targets are met, and the version of each host
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        daemon: Daemon,
+        /// Requests to count, by where they entered: `host`, `data-centre` or
+        /// `fleet`; `fleet` by default
+        #[bpaf(long, env("SAVORYLANE_SCOPE"), argument("SCOPE"))]
+        scope: Option<String>,
+    },
+
+    /// Waits until all live hosts have a version in force
+    #[bpaf(command)]
+    Wait {
+        #[bpaf(external)]
+        daemon: Daemon,
+        /// Number of the version
+        #[bpaf(long, env("SAVORYLANE_VERSION"), argument("NUMBER"))]
+        version: Option<String>,
+        /// First hexadecimal digits of the hash of the version
+        #[bpaf(long, env("SAVORYLANE_HASH"), argument("PREFIX"))]
+        hash: Option<String>,
+        /// Longest wait, in seconds
+        #[bpaf(long, env("SAVORYLANE_LIMIT_S"), argument("SECONDS"))]
+        limit_s: Option<String>,
+    },
+
+    /// Shows the audit trail of a daemon
+    #[bpaf(command)]
+    Audit {
+        #[bpaf(external)]
+        daemon: Daemon,
+        /// Shows entries after this sequence number; 0 by default
+        #[bpaf(long, env("SAVORYLANE_AFTER"), argument("SEQUENCE"))]
+        after: Option<String>,
+        /// Shows at most this many entries; 100 by default
+        #[bpaf(long, env("SAVORYLANE_MOST"), argument("COUNT"))]
+        most: Option<String>,
+    },
+
+    /// Makes a host leave, and waits until it runs nothing
+    #[bpaf(command)]
+    Drain {
+        #[bpaf(external)]
+        daemon: Daemon,
+        /// Longest wait, in seconds; 60 by default
+        #[bpaf(long, env("SAVORYLANE_LIMIT_S"), argument("SECONDS"))]
+        limit_s: Option<String>,
+    },
+}
+
+/// Daemon to ask, and the form of the result.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct Daemon {
+    #[bpaf(external)]
+    pub(crate) output: Option<String>,
+    /// Address of the daemon's operator port
+    #[bpaf(long, env("SAVORYLANE_OPERATOR"), argument("IP:PORT"))]
+    pub(crate) operator: Option<String>,
 }
 
 /// Edit of a class and its target.
--- /dev/null
+++ b/crates/client/src/command/audit/mod.rs
@@ -0,0 +1,47 @@
+//! `audit`: shows the audit trail of a daemon.
+
+use std::path::Path;
+
+use savorylane_wire::operator::Entry;
+use serde_json::Value;
+
+use crate::fault::Fault;
+use crate::file;
+use crate::remote::Remote;
+use crate::report::{self, Output};
+
+/// Asks for audit entries and prints them, oldest first; as JSON, one a line.
+///
+/// # Errors
+///
+/// Returns [`Fault::Unreachable`] or [`Fault::Answer`] of the daemon, or
+/// [`Fault::File`].
+pub(super) fn run(output: Output, remote: &Remote, after: u64, most: u64) -> Result<(), Fault> {
+    let entries = remote.audit(after, most)?;
+    let text = match output {
+        Output::Json => entries.iter().map(report::json).collect(),
+        Output::Human => {
+            let mut rows = vec![["SEQUENCE", "AT", "KIND", "DETAILS"].map(String::from)];
+            rows.extend(entries.iter().map(row));
+            report::table(&rows)
+        }
+    };
+    file::write(Path::new("-"), text.as_bytes())
+}
+
+fn row(entry: &Entry) -> [String; 4] {
+    let kind = entry.event.get("kind").and_then(Value::as_str);
+    let members = entry.event.as_object().into_iter().flatten();
+    // Values stay JSON, so that a line break within one cannot look like
+    // another entry.
+    let details: Vec<String> = members
+        .filter(|(name, _)| *name != "kind")
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    [
+        entry.sequence.to_string(),
+        entry.at.clone(),
+        kind.unwrap_or("-").into(),
+        details.join(" "),
+    ]
+}
--- a/crates/client/src/command/mod.rs
+++ b/crates/client/src/command/mod.rs
@@ -1,12 +1,20 @@
 //! Commands of the client, one module each.
 
+mod audit;
 mod diff;
+mod drain;
 mod split;
+mod status;
 mod target;
 mod validate;
+mod wait;
+
+use std::net::SocketAddr;
 
 use crate::fault::Fault;
-use crate::settings::{Command, Settings};
+use crate::remote::Remote;
+use crate::report::Output;
+use crate::settings::{Action, Command, Settings};
 
 /// Runs the command of `settings`.
 ///
@@ -25,5 +33,16 @@
         Command::Validate { file } => validate::run(output, file),
         Command::Diff { old, new } => diff::run(output, old, new),
         Command::Split { file, out } => split::run(output, file, out),
+        Command::Remote { operator, action } => ask(output, *operator, action),
+    }
+}
+
+fn ask(output: Output, operator: SocketAddr, action: &Action) -> Result<(), Fault> {
+    let remote = Remote::open(operator)?;
+    match action {
+        Action::Status { scope } => status::run(output, &remote, *scope),
+        Action::Wait { wanted, limit } => wait::run(output, &remote, wanted, *limit),
+        Action::Audit { after, most } => audit::run(output, &remote, *after, *most),
+        Action::Drain { limit } => drain::run(output, &remote, *limit),
     }
 }
--- a/crates/client/src/fault/mod.rs
+++ b/crates/client/src/fault/mod.rs
@@ -1,5 +1,6 @@
 //! Reasons for which a run fails.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 use savorylane_intent::bound;
@@ -10,6 +11,12 @@
 /// Exit code for a bad setting.
 pub(crate) const BAD_SETTING: u8 = 2;
 
+/// Exit code for a daemon that cannot be reached.
+const UNREACHABLE: u8 = 3;
+
+/// Exit code for a daemon that answers with an error.
+const REMOTE_ERROR: u8 = 4;
+
 /// Exit code for all other faults.
 const FAILED: u8 = 1;
 
@@ -59,6 +66,34 @@
         /// What does not fit, and what is accepted.
         reason: String,
     },
+    /// A daemon cannot be reached.
+    #[snafu(display("daemon at {operator}: cannot be reached: {reason}"))]
+    Unreachable {
+        /// Address of its operator port.
+        operator: SocketAddr,
+        /// Error of the system or the library.
+        reason: String,
+    },
+    /// A daemon answers with an error.
+    #[snafu(display("daemon at {operator}: answered with an error: {reason}"))]
+    Answer {
+        /// Address of its operator port.
+        operator: SocketAddr,
+        /// The error.
+        reason: String,
+    },
+    /// A condition was not reached.
+    #[snafu(display("{reason}"))]
+    Unmet {
+        /// What is missing.
+        reason: String,
+    },
+    /// The client itself cannot run.
+    #[snafu(display("cannot start the runtime: {source}"))]
+    Runtime {
+        /// Error of the system.
+        source: std::io::Error,
+    },
 }
 
 impl Fault {
@@ -95,7 +130,13 @@
         }
         match self {
             Self::Missing { .. } | Self::Setting { .. } => ExitCode::from(BAD_SETTING),
-            Self::Edit { .. } | Self::File { .. } | Self::Refused { .. } => ExitCode::from(FAILED),
+            Self::Unreachable { .. } => ExitCode::from(UNREACHABLE),
+            Self::Answer { .. } => ExitCode::from(REMOTE_ERROR),
+            Self::Edit { .. }
+            | Self::File { .. }
+            | Self::Refused { .. }
+            | Self::Runtime { .. }
+            | Self::Unmet { .. } => ExitCode::from(FAILED),
         }
     }
 }
--- a/crates/client/src/main.rs
+++ b/crates/client/src/main.rs
@@ -1,13 +1,15 @@
 //! Operators' client of savorylane: edits, checks, compares and splits intent
-//! documents.
+//! documents, and asks daemons.
 //!
-//! The exit code is 0 for success, 1 for a refused document or a failed read
-//! or write, and 2 for a bad setting.
+//! The exit code is 0 for success, 1 for a refused document, a failed read or
+//! write or a wait that passed its limit, 2 for a bad setting, 3 for a daemon
+//! that cannot be reached and 4 for one that answers with an error.
 
 mod arguments;
 mod command;
 mod fault;
 mod file;
+mod remote;
 mod report;
 mod settings;
 
--- /dev/null
+++ b/crates/client/src/remote/mod.rs
@@ -0,0 +1,112 @@
+//! Connection to the operator port of one daemon.
+
+use std::error::Error;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::transport::Error as Transport;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use savorylane_wire::operator::{Entry, OperatorClient, Scope, Status, Summary};
+use snafu::ResultExt;
+use tokio::runtime::{Builder, Runtime};
+
+use crate::fault::{Fault, RuntimeSnafu};
+
+/// Time for one answer. A summary of the fleet asks other daemons, of which
+/// some may be out of reach.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+
+/// A daemon that can be asked.
+#[derive(Debug)]
+pub(crate) struct Remote {
+    operator: SocketAddr,
+    client: HttpClient,
+    runtime: Runtime,
+}
+
+impl Remote {
+    /// Prepares the connection; it is made when a question is asked.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::Runtime`] if the process lacks the resources.
+    pub(crate) fn open(operator: SocketAddr) -> Result<Self, Fault> {
+        let mut builder = Builder::new_current_thread();
+        let runtime = builder.enable_all().build().context(RuntimeSnafu)?;
+        let client = HttpClientBuilder::default()
+            .request_timeout(ANSWER_LIMIT)
+            .build(format!("http://{operator}"))
+            .map_err(|error| fault(operator, &error))?;
+        Ok(Self {
+            operator,
+            client,
+            runtime,
+        })
+    }
+
+    /// Returns the state of the daemon and of the hosts as it sees them.
+    pub(crate) fn status(&self) -> Result<Status, Fault> {
+        self.ask(self.client.status(), ANSWER_LIMIT)
+    }
+
+    /// Returns the state, or a fault if it is not there within `limit`.
+    pub(crate) fn status_within(&self, limit: Duration) -> Result<Status, Fault> {
+        self.ask(self.client.status(), limit.min(ANSWER_LIMIT))
+    }
+
+    /// Returns the results of all classes.
+    pub(crate) fn summary(&self, scope: Scope) -> Result<Summary, Fault> {
+        self.ask(self.client.summary(scope), ANSWER_LIMIT)
+    }
+
+    /// Returns up to `most` audit entries after `after`.
+    pub(crate) fn audit(&self, after: u64, most: u64) -> Result<Vec<Entry>, Fault> {
+        self.ask(self.client.audit(after, most), ANSWER_LIMIT)
+    }
+
+    /// Makes the host leave.
+    pub(crate) fn drain(&self) -> Result<Status, Fault> {
+        self.ask(self.client.drain(), ANSWER_LIMIT)
+    }
+
+    fn ask<Answer>(
+        &self,
+        question: impl Future<Output = Result<Answer, ClientError>>,
+        limit: Duration,
+    ) -> Result<Answer, Fault> {
+        let answer = self
+            .runtime
+            .block_on(async { tokio::time::timeout(limit, question).await });
+        answer
+            .unwrap_or(Err(ClientError::RequestTimeout))
+            .map_err(|error| fault(self.operator, &error))
+    }
+}
+
+fn fault(operator: SocketAddr, error: &ClientError) -> Fault {
+    let answer = |reason: String| Fault::Answer { operator, reason };
+    let unreachable = |reason: String| Fault::Unreachable { operator, reason };
+    match error {
+        ClientError::Call(error) => answer(format!("{} (code {})", error.message(), error.code())),
+        ClientError::RequestTimeout => unreachable("no answer in time".into()),
+        ClientError::Transport(error) => match error.downcast_ref::<Transport>() {
+            Some(Transport::Rejected { status_code }) => answer(format!(
+                "HTTP status {status_code}; is this the operator port?"
+            )),
+            _ => unreachable(innermost(error.as_ref())),
+        },
+        error => answer(format!("{}; is this the operator port?", innermost(error))),
+    }
+}
+
+/// Returns the text of the cause that other errors wrap, which names what the
+/// system reported.
+fn innermost(error: &(dyn Error + 'static)) -> String {
+    let mut error = error;
+    while let Some(source) = error.source() {
+        error = source;
+    }
+    error.to_string()
+}
--- a/crates/client/src/report/mod.rs
+++ b/crates/client/src/report/mod.rs
@@ -2,6 +2,7 @@
 
 use savorylane_intent::document::Target;
 use savorylane_intent::{Document, Version, delta};
+use savorylane_wire::Load;
 use serde::Serialize;
 
 /// Form of the result.
@@ -83,6 +84,15 @@
     }
 }
 
+/// Returns the load of a host as one line.
+pub(crate) fn load(load: &Load) -> String {
+    let leaving = if load.leaving { ", leaving" } else { "" };
+    format!(
+        "running {}, queued {}, limit {}, service time {} us{leaving}",
+        load.running, load.queued, load.limit, load.service_us
+    )
+}
+
 /// Returns `rows` with aligned columns.
 pub(crate) fn table<const COLUMNS: usize>(rows: &[[String; COLUMNS]]) -> String {
     let mut text = String::new();
--- a/crates/client/src/settings/mod.rs
+++ b/crates/client/src/settings/mod.rs
@@ -1,10 +1,15 @@
 //! Checked settings of one run.
 
+mod remote;
+
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::str::FromStr;
+use std::time::Duration;
 
 use savorylane_intent::bound;
 use savorylane_intent::document::{Class, Target, Work};
+use savorylane_wire::operator::Scope;
 
 use crate::arguments::{self, Arguments, Fields, Files};
 use crate::fault::Fault;
@@ -52,6 +57,51 @@
         /// Folder for the values.
         out: PathBuf,
     },
+    /// Asks a daemon.
+    Remote {
+        /// Address of its operator port.
+        operator: SocketAddr,
+        /// What to ask.
+        action: Action,
+    },
+}
+
+/// What a daemon is asked for.
+#[derive(Debug)]
+pub(crate) enum Action {
+    /// Shows results and hosts.
+    Status {
+        /// Requests to count.
+        scope: Scope,
+    },
+    /// Waits for a version.
+    Wait {
+        /// The version.
+        wanted: Wanted,
+        /// Longest wait.
+        limit: Duration,
+    },
+    /// Shows the audit trail.
+    Audit {
+        /// Sequence number that the entries follow.
+        after: u64,
+        /// Entries to show at most.
+        most: u64,
+    },
+    /// Drains the host.
+    Drain {
+        /// Longest wait.
+        limit: Duration,
+    },
+}
+
+/// Version to wait for.
+#[derive(Debug)]
+pub(crate) struct Wanted {
+    /// Number of the version.
+    pub(crate) number: u64,
+    /// First digits of the hash; empty if any hash will do.
+    pub(crate) hash: String,
 }
 
 /// Edit of a class.
@@ -115,6 +165,7 @@
             }
             (output, Command::Split { file, out })
         }
+        other => return remote::check(other),
     };
     Ok(Settings {
         output: check_output(output)?,
