--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -64,14 +64,35 @@
 
 /// A refused setting.
 #[derive(Clone, Debug, Eq, PartialEq, Snafu)]
-#[snafu(display("--{flag}: `{value}` is not accepted; {accepted}"))]
-pub struct Fault {
-    /// Flag without the dashes.
-    pub flag: &'static str,
-    /// The refused value.
-    pub value: String,
-    /// What is accepted, with units.
-    pub accepted: String,
+pub enum Fault {
+    /// A needed value is not given.
+    #[snafu(display("--{flag}: no value is given; {accepted}"))]
+    Missing {
+        /// Flag without the dashes.
+        flag: &'static str,
+        /// How to give the value.
+        accepted: String,
+    },
+    /// A value is refused.
+    #[snafu(display("--{flag}: `{value}` is not accepted; {accepted}"))]
+    Value {
+        /// Flag without the dashes.
+        flag: &'static str,
+        /// The refused value.
+        value: String,
+        /// What is accepted, with units.
+        accepted: String,
+    },
+}
+
+impl Fault {
+    fn value(flag: &'static str, value: impl Into<String>, accepted: impl Into<String>) -> Self {
+        Self::Value {
+            flag,
+            value: value.into(),
+            accepted: accepted.into(),
+        }
+    }
 }
 
 /// Settings as they stand on the command line, not yet checked.
@@ -91,6 +112,7 @@
     peer: Vec<String>,
     key_horizon_s: String,
     first_start: bool,
+    first_start_variable: Option<String>,
     drain_limit_s: String,
     body_mb: String,
     caller_connections: String,
@@ -99,7 +121,7 @@
     check: bool,
 }
 
-fn required(
+fn argument(
     flag: &'static str,
     variable: &'static str,
     meta: &'static str,
@@ -108,6 +130,22 @@
     long(flag).env(variable).help(help).argument::<String>(meta)
 }
 
+fn required(
+    flag: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<String> {
+    // The library's own error does not name the environment variable.
+    let missing = move || {
+        Err(Fault::Missing {
+            flag,
+            accepted: format!("give --{flag} {meta} or set {variable}"),
+        })
+    };
+    argument(flag, variable, meta, help).fallback_with(missing)
+}
+
 fn optional(
     flag: &'static str,
     variable: &'static str,
@@ -115,26 +153,36 @@
     help: &'static str,
     default: &'static str,
 ) -> impl Parser<String> {
-    required(flag, variable, meta, help)
+    argument(flag, variable, meta, help)
         .fallback(default.to_owned())
         .display_fallback()
 }
 
 /// Returns the parser of the command line.
 pub fn parser() -> OptionParser<Result<Command, Fault>> {
-    let host = required("host", "SAVORYLANE_HOST", "NAME", "Name of this host");
-    let region = required("region", "SAVORYLANE_REGION", "NAME", "Region of the host");
+    let host = required(
+        "host",
+        "SAVORYLANE_HOST",
+        "NAME",
+        "Name of this host; needed",
+    );
+    let region = required(
+        "region",
+        "SAVORYLANE_REGION",
+        "NAME",
+        "Region of the host; needed",
+    );
     let data_centre = required(
         "data-centre",
         "SAVORYLANE_DATA_CENTRE",
         "NAME",
-        "Data centre of the host",
+        "Data centre of the host; needed",
     );
     let service = required(
         "service",
         "SAVORYLANE_SERVICE",
         "NAME",
-        "Service that the upstream of this host runs",
+        "Service that the upstream of this host runs; needed",
     );
     let entry = optional(
         "entry",
@@ -168,7 +216,7 @@
         "upstream",
         "SAVORYLANE_UPSTREAM",
         "IP:PORT",
-        "Address of the host's upstream",
+        "Address of the host's upstream; needed",
     );
     let slots = optional(
         "slots",
@@ -177,18 +225,18 @@
         "Requests that the upstream runs at once",
         "6",
     );
-    let platform = required(
+    let platform = argument(
         "platform",
         "SAVORYLANE_PLATFORM",
         "IP:PORT",
-        "Address of the platform; may be repeated",
+        "Address of the platform; may be repeated or a list with commas",
     )
     .many();
-    let peer = required(
+    let peer = argument(
         "peer",
         "SAVORYLANE_PEER",
         "IP:PORT",
-        "Control address of a daemon that is asked at the start; may be repeated",
+        "Control address of a daemon that is asked at the start; may be repeated or a list with commas",
     )
     .many();
     let key_horizon_s = optional(
@@ -199,9 +247,14 @@
         "30",
     );
     let first_start = long("first-start")
-        .env("SAVORYLANE_FIRST_START")
-        .help("States that no earlier process of the deployment served within the key horizon")
+        .help("States that no earlier process of the deployment served within the key horizon; or set SAVORYLANE_FIRST_START to `true`")
         .switch();
+    // A switch with a variable is on whatever the value is, also for `false`.
+    // A false first start lets keyed work run twice.
+    let first_start_variable = bpaf::env("SAVORYLANE_FIRST_START")
+        .help("`true` or `false`; as --first-start")
+        .argument::<String>("BOOL")
+        .optional();
     let drain_limit_s = optional(
         "drain-limit-s",
         "SAVORYLANE_DRAIN_LIMIT_S",
@@ -253,6 +306,7 @@
         peer,
         key_horizon_s,
         first_start,
+        first_start_variable,
         drain_limit_s,
         body_mb,
         caller_connections,
@@ -281,22 +335,17 @@
         platform: list("platform", &raw.platform)?,
         peers: list("peer", &raw.peer)?,
         key_horizon: Duration::from_secs(number("key-horizon-s", &raw.key_horizon_s, 1, 86_400)?),
-        first_start: raw.first_start,
+        first_start: raw.first_start || first_start(raw.first_start_variable.as_deref())?,
         drain_limit: Duration::from_secs(number("drain-limit-s", &raw.drain_limit_s, 1, 3600)?),
         body_bytes: number::<u64>("body-mb", &raw.body_mb, 1, 4096)? * 1_000_000,
         caller_connections: number("caller-connections", &raw.caller_connections, 1, 65_536)?,
         policy: policy(&raw.policy)?,
-        log_level: raw.log_level.parse().map_err(|_| Fault {
-            flag: "log-level",
-            value: raw.log_level.clone(),
-            accepted: "one of error, warn, info, debug, trace".into(),
-        })?,
+        log_level: log_level(&raw.log_level)?,
     };
     if settings.platform.is_empty() && settings.peers.is_empty() {
-        return Err(Fault {
+        return Err(Fault::Missing {
             flag: "platform",
-            value: String::new(),
-            accepted: "at least one --platform or --peer address is needed".into(),
+            accepted: "give --platform IP:PORT or --peer IP:PORT, or set SAVORYLANE_PLATFORM or SAVORYLANE_PEER".into(),
         });
     }
     let ports = [
@@ -307,11 +356,11 @@
     ];
     for (index, (flag, port)) in ports.iter().enumerate() {
         if port.port() != 0 && ports[..index].iter().any(|(_, other)| other == port) {
-            return Err(Fault {
+            return Err(Fault::value(
                 flag,
-                value: port.to_string(),
-                accepted: "entry, data, control and operator need different addresses".into(),
-            });
+                port.to_string(),
+                "entry, data, control and operator need different addresses",
+            ));
         }
     }
     Ok(Command {
@@ -326,32 +375,54 @@
         "random" => Ok(Policy::Random),
         "round-robin" => Ok(Policy::RoundRobin),
         "least-outstanding" => Ok(Policy::LeastOutstanding),
-        _ => Err(Fault {
-            flag: "policy",
-            value: value.into(),
-            accepted: "one of savorylane, random, round-robin, least-outstanding".into(),
-        }),
+        _ => Err(Fault::value(
+            "policy",
+            value,
+            "one of savorylane, random, round-robin, least-outstanding",
+        )),
+    }
+}
+
+fn first_start(value: Option<&str>) -> Result<bool, Fault> {
+    match value {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(value) => Err(Fault::value(
+            "first-start",
+            value,
+            "SAVORYLANE_FIRST_START is `true` or `false`; the flag takes no value",
+        )),
+    }
+}
+
+fn log_level(value: &str) -> Result<log::LevelFilter, Fault> {
+    match value {
+        "error" => Ok(log::LevelFilter::Error),
+        "warn" => Ok(log::LevelFilter::Warn),
+        "info" => Ok(log::LevelFilter::Info),
+        "debug" => Ok(log::LevelFilter::Debug),
+        "trace" => Ok(log::LevelFilter::Trace),
+        _ => Err(Fault::value(
+            "log-level",
+            value,
+            "one of error, warn, info, debug, trace",
+        )),
     }
 }
 
 fn name(flag: &'static str, value: &str) -> Result<String, Fault> {
     let accepted = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
     if value.is_empty() || value.len() > 64 || !value.chars().all(accepted) {
-        return Err(Fault {
-            flag,
-            value: value.into(),
-            accepted: "1 to 64 letters, digits, `-`, `_` or `.`".into(),
-        });
+        let accepted = "1 to 64 letters, digits, `-`, `_` or `.`";
+        return Err(Fault::value(flag, value, accepted));
     }
     Ok(value.into())
 }
 
 fn address(flag: &'static str, value: &str) -> Result<SocketAddr, Fault> {
-    value.parse().map_err(|_| Fault {
-        flag,
-        value: value.into(),
-        accepted: "an IP number and a port, for example 127.0.0.1:8080".into(),
-    })
+    let accepted = "an IP number and a port, for example 127.0.0.1:8080";
+    let parsed = value.parse();
+    parsed.map_err(|_| Fault::value(flag, value, accepted))
 }
 
 fn remote(flag: &'static str, value: &str) -> Result<SocketAddr, Fault> {
@@ -361,17 +432,16 @@
         IpAddr::V6(ip) => ip.is_unspecified(),
     };
     if unspecified || address.port() == 0 {
-        return Err(Fault {
-            flag,
-            value: value.into(),
-            accepted: "an IP number that can be connected to and a port above 0".into(),
-        });
+        let accepted = "an IP number that can be connected to and a port above 0";
+        return Err(Fault::value(flag, value, accepted));
     }
     Ok(address)
 }
 
 fn list(flag: &'static str, values: &[String]) -> Result<Vec<SocketAddr>, Fault> {
-    values.iter().map(|value| remote(flag, value)).collect()
+    // A variable cannot be repeated, so that a list is accepted as well.
+    let values = values.iter().flat_map(|value| value.split(','));
+    values.map(|value| remote(flag, value)).collect()
 }
 
 fn number<N>(flag: &'static str, value: &str, least: N, most: N) -> Result<N, Fault>
@@ -380,10 +450,9 @@
 {
     match value.parse::<N>() {
         Ok(number) if number >= least && number <= most => Ok(number),
-        _ => Err(Fault {
-            flag,
-            value: value.into(),
-            accepted: format!("a whole number from {least} to {most}"),
-        }),
+        _ => {
+            let accepted = format!("a whole number from {least} to {most}");
+            Err(Fault::value(flag, value, accepted))
+        }
     }
 }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -19,18 +19,18 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// A daemon in a process of its own; killed when dropped.
-pub struct Daemon {
+pub(crate) struct Daemon {
     /// The process.
-    pub child: Child,
+    pub(crate) child: Child,
     /// Bound addresses by flag.
-    pub addresses: BTreeMap<String, SocketAddr>,
+    pub(crate) addresses: BTreeMap<String, SocketAddr>,
     /// Name of the host.
-    pub host: String,
+    pub(crate) host: String,
 }
 
 impl Daemon {
     /// Starts the built binary with ports that the system picks.
-    pub fn start(host: &str, data_centre: &str, more: &[String]) -> Self {
+    pub(crate) fn start(host: &str, data_centre: &str, more: &[String]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_savorylaned"))
             .args(["--host", host, "--region", "north"])
             .args(["--data-centre", data_centre, "--service", "stock"])
@@ -58,7 +58,7 @@
     }
 
     /// Returns the entry of a host list.
-    pub fn listed(&self, data_centre: &str) -> Host {
+    pub(crate) fn listed(&self, data_centre: &str) -> Host {
         Host {
             name: self.host.clone(),
             region: "north".into(),
@@ -81,7 +81,7 @@
 }
 
 /// Returns a document with one short class.
-pub fn document(number: u64) -> Document {
+pub(crate) fn document(number: u64) -> Document {
     Document {
         number,
         deployment: "test".into(),
@@ -106,23 +106,23 @@
 }
 
 /// Returns a host list of `hosts`.
-pub fn list(number: u64, hosts: Vec<Host>) -> List {
+pub(crate) fn list(number: u64, hosts: Vec<Host>) -> List {
     List { number, hosts }
 }
 
 /// An answer that was read whole.
 #[derive(Debug)]
-pub struct Answer {
+pub(crate) struct Answer {
     /// Status.
-    pub status: StatusCode,
+    pub(crate) status: StatusCode,
     /// Value of the verdict header.
-    pub verdict: String,
+    pub(crate) verdict: String,
     /// Body.
-    pub body: Bytes,
+    pub(crate) body: Bytes,
 }
 
 /// Sends a GET request and reads the whole answer.
-pub async fn get(address: SocketAddr, path: &str) -> Result<Answer, String> {
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Result<Answer, String> {
     let client: Client<HttpConnector, Full<Bytes>> =
         Client::builder(TokioExecutor::new()).build_http();
     let request = Request::get(format!("http://{address}{path}"))
@@ -147,7 +147,7 @@
 }
 
 /// Repeats a GET request until it is answered with success.
-pub async fn get_until_ok(address: SocketAddr, path: &str) -> Answer {
+pub(crate) async fn get_until_ok(address: SocketAddr, path: &str) -> Answer {
     let start = Instant::now();
     loop {
         let answer = get(address, path).await;
