platform: read a damaged value again, and audit oversized ones

Cause: a watch went on from the revision that it had read, also when the manifest or host list was refused. A good version that was truncated on its way was then read again only after the next publication. A value above the limit was treated as a lost connection: it left no audit entry, and the retries backed off to 30 s. A torn read was repeated within the watch, with delays of up to 10 s in which a newer manifest was not seen.

Ruled out: repeating the read within the watch's answer, which hides newer revisions; keeping the old revision in the watch, which reads at once and without a delay.

Change: a value that was not taken is watched on with a jittered delay as the longest wait, and is then read again; a newer revision ends the wait. A refused value with the same content is not parsed or audited again. A value above the limit is refused with an audit entry.

--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -33,9 +33,6 @@
 /// Readers read a new version one after the other in this step, so that the
 /// first one's notice spares the others the read.
 const RANK_STEP: Duration = Duration::from_millis(100);
-/// Reads of a torn version end when the delay has grown to this; the next
-/// manifest or a peer brings a whole one.
-const TORN_MAX: Duration = Duration::from_secs(10);
 /// Source that the audit trail names.
 const SOURCE: &str = "platform";
 /// Largest value that is read, bytes; the platform holds up to a megabyte.
@@ -48,7 +45,19 @@
 /// A value and its revision.
 struct Value {
     revision: u64,
-    bytes: Bytes,
+    /// Content; `None` if it is larger than [`VALUE_BYTES`].
+    bytes: Option<Bytes>,
+}
+
+/// What became of a value that was read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Taken {
+    /// It is in force, or needs no further read.
+    Done,
+    /// It is invalid. Another read is of use only if it gives other content.
+    Refused,
+    /// The document's parts did not match the manifest and may match later.
+    Torn,
 }
 
 /// Why a read gave no value.
@@ -139,16 +148,39 @@
     }
 }
 
+/// Watches a value. A value that was not taken is read again after a delay,
+/// because it may have been damaged on its way; a newer one ends the delay.
 async fn watch(context: &Arc<Context>, platform: &Platform, key: &str) {
     let mut delay = Delay::default();
-    let mut revision = 0;
+    let mut repair = Delay::default();
+    // Revisions of the last value that was taken and of the last one read.
+    let (mut taken, mut seen) = (0, 0);
+    let mut refused = None;
     loop {
-        match platform.watch(key, revision).await {
-            Ok(value) => {
+        let wait = match seen > taken {
+            true => jittered(&mut repair),
+            false => WATCH,
+        };
+        match platform.watch(key, seen, wait).await {
+            Ok(Some(value)) => {
+                delay.reset();
+                seen = value.revision;
+                if refused.as_ref() == Some(&value.bytes) {
+                    continue;
+                }
+                match take(context, platform, key, value.bytes.as_deref()).await {
+                    Taken::Done => {
+                        taken = seen;
+                        refused = None;
+                        repair.reset();
+                    }
+                    Taken::Refused => refused = Some(value.bytes),
+                    Taken::Torn => refused = None,
+                }
+            }
+            Ok(None) => {
                 delay.reset();
-                let Some(value) = value else { continue };
-                revision = value.revision;
-                take(context, platform, key, &value.bytes).await;
+                seen = taken;
             }
             Err(error) => {
                 log::warn!("cannot watch {key} at the platform: {error}");
@@ -160,37 +192,46 @@
 
 async fn read(context: &Arc<Context>, platform: &Platform, key: &str) {
     match platform.read(key).await {
-        Ok(value) => take(context, platform, key, &value.bytes).await,
+        Ok(value) => {
+            take(context, platform, key, value.bytes.as_deref()).await;
+        }
         Err(error) => log::warn!("cannot read {key} at the platform: {error}"),
     }
 }
 
-async fn take(context: &Arc<Context>, platform: &Platform, key: &str, bytes: &Bytes) {
+async fn take(
+    context: &Arc<Context>,
+    platform: &Platform,
+    key: &str,
+    bytes: Option<&[u8]>,
+) -> Taken {
     let refused = |reason: String| {
         context.trail.record(Event::Refused {
             source: SOURCE.into(),
             reason,
         });
+        Taken::Refused
+    };
+    let Some(bytes) = bytes else {
+        return refused(format!("{key}: larger than {VALUE_BYTES} bytes"));
     };
     if key == HOSTS {
-        match hosts::parse(bytes) {
+        return match hosts::parse(bytes) {
             Ok(list) => {
                 context.config.offer_hosts(&context.trail, list, SOURCE);
+                Taken::Done
             }
             Err(fault) => refused(format!("host list: {fault}")),
-        }
-        return;
+        };
+    }
+    match Manifest::parse(bytes) {
+        Ok(manifest) => read_document(context, platform, &manifest).await,
+        Err(fault) => refused(format!("manifest: {fault}")),
     }
-    let manifest = match Manifest::parse(bytes) {
-        Ok(manifest) => manifest,
-        Err(fault) => return refused(format!("manifest: {fault}")),
-    };
-    read_document(context, platform, &manifest).await;
 }
 
 /// Reads the parts of a manifest, unless a peer delivers the version first.
-/// A torn read is repeated, because the platform may still be writing.
-async fn read_document(context: &Arc<Context>, platform: &Platform, manifest: &Manifest) {
+async fn read_document(context: &Arc<Context>, platform: &Platform, manifest: &Manifest) -> Taken {
     let rank = context.peers.view().reader_rank(&manifest.version());
     if context.settings.readers == Readers::Ranked {
         // A host that is no reader reads at once: it starts and found no peer.
@@ -199,23 +240,27 @@
         let delivered = current.wait_for(|current| current.version >= Some(manifest.version()));
         let _ = tokio::time::timeout(wait, delivered).await;
     }
-    let mut delay = Delay::default();
-    while context.config.wants(manifest) {
-        let mut parts = Vec::new();
-        for part in &manifest.parts {
-            match platform.read(&part.key).await {
-                Ok(value) => parts.push(value.bytes),
-                Err(error) => log::warn!("cannot read {}: {error}", part.key),
-            }
-        }
-        let borrowed: Vec<&[u8]> = parts.iter().map(|part| part.as_ref()).collect();
-        let outcome = context.config.offer(&context.trail, SOURCE, |store| {
-            store.offer_parts(manifest, &borrowed)
-        });
-        if !matches!(outcome, Outcome::Torn { .. }) || delay.bound() >= TORN_MAX {
-            return;
+    if !context.config.wants(manifest) {
+        return Taken::Done;
+    }
+    let mut parts = Vec::new();
+    for part in &manifest.parts {
+        match platform.read(&part.key).await {
+            Ok(Value {
+                bytes: Some(bytes), ..
+            }) => parts.push(bytes),
+            Ok(_) => log::warn!("{} is larger than {VALUE_BYTES} bytes", part.key),
+            Err(error) => log::warn!("cannot read {}: {error}", part.key),
         }
-        tokio::time::sleep(jittered(&mut delay)).await;
+    }
+    let borrowed: Vec<&[u8]> = parts.iter().map(|part| part.as_ref()).collect();
+    let outcome = context.config.offer(&context.trail, SOURCE, |store| {
+        store.offer_parts(manifest, &borrowed)
+    });
+    match outcome {
+        Outcome::Torn { .. } => Taken::Torn,
+        // The hashes of the parts matched, so another read gives the same.
+        _ => Taken::Done,
     }
 }
 
@@ -239,11 +284,11 @@
         value.ok_or_else(|| "no such value".into())
     }
 
-    /// Waits until the value of `key` has a revision above `after`.
-    async fn watch(&self, key: &str, after: u64) -> Result<Option<Value>, Failure> {
-        let wait = WATCH.as_millis();
-        let path = format!("/v1/values/{key}?after={after}&wait_ms={wait}");
-        self.get(&path, WATCH + Duration::from_secs(2)).await
+    /// Waits up to `wait` until the value of `key` has a revision above `after`.
+    async fn watch(&self, key: &str, after: u64, wait: Duration) -> Result<Option<Value>, Failure> {
+        let ms = wait.as_millis();
+        let path = format!("/v1/values/{key}?after={after}&wait_ms={ms}");
+        self.get(&path, wait + Duration::from_secs(2)).await
     }
 
     async fn get(&self, path: &str, limit: Duration) -> Result<Option<Value>, Failure> {
@@ -273,7 +318,11 @@
             .to_str()?
             .parse()?;
         let body = Limited::new(answer.into_body(), VALUE_BYTES);
-        let bytes = body.collect().await?.to_bytes();
+        let bytes = match body.collect().await {
+            Ok(body) => Some(body.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => None,
+            Err(error) => return Err(error),
+        };
         Ok(Some(Value { revision, bytes }))
     }
 }
