daemon: test failures of the platform on running daemons

Six daemons in three data centres and a stand-in platform run in the test's process. The tests cover a rolled back, stale, torn, truncated, oversized and unreachable platform, and two documents under one number, with the promised 4 s as bound.

Ruled out: separate processes, because no signal is needed and the audit trail is read in place.

--- /dev/null
+++ b/crates/daemon/tests/config_faults.rs
@@ -0,0 +1,188 @@
+//! Failures of the platform, and updates that cross one another.
+
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod common;
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod fleet;
+
+use std::time::Duration;
+
+use common::{document, get, get_until_ok};
+use fleet::{Fleet, IN_FORCE, Member, versioned, with_service, within};
+use http::StatusCode;
+use savorylane_daemon::audit::Event;
+use savorylane_intent::Document;
+use savorylane_intent::adopt::Outcome;
+use savorylane_standin::platform::{Clients, Outage};
+
+const HOSTS: [&str; 6] = ["a1", "a2", "b1", "b2", "c1", "c2"];
+
+/// Says whether the trail of any member has a refusal.
+fn refusals(fleet: &Fleet) -> usize {
+    let entries = fleet.members.iter().flat_map(Member::trail);
+    let refused = entries.filter(|entry| {
+        matches!(
+            &entry.event,
+            Event::Refused { .. }
+                | Event::Offer {
+                    outcome: Outcome::Refused { .. } | Outcome::Torn { .. },
+                    ..
+                }
+        )
+    });
+    refused.count()
+}
+
+/// Guards against a version that some data centre receives late or never.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_version_is_in_force_everywhere_in_time() {
+    let fleet = Fleet::start(&HOSTS).await;
+    for number in 2..5 {
+        fleet.platform.publish_document(&versioned(number));
+        let taken = fleet.reach(number, IN_FORCE).await;
+        println!("version {number} in force everywhere after {taken:?}");
+        for member in &fleet.members {
+            let gone = get(member.entry(), &format!("/v{}/x", number - 1)).await;
+            assert_eq!(gone.unwrap().status, StatusCode::NOT_FOUND);
+            get_until_ok(member.entry(), &format!("/v{number}/x")).await;
+        }
+    }
+    fleet.end();
+}
+
+/// Guards against a platform that serves an older state: daemons must not go
+/// back, and must take the next good version.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_platform_state_never_lowers_the_version() {
+    let fleet = Fleet::start(&HOSTS).await;
+    fleet.platform.publish_document(&document(5));
+    fleet.reach(5, IN_FORCE).await;
+    // Rolled back: the older document is the newest revision.
+    fleet.platform.publish_document(&document(3));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.reach(5, Duration::from_millis(100)).await;
+    // Stale: a new version is published, and the platform hides it.
+    fleet.platform.freeze(Clients::All);
+    fleet.platform.publish_document(&document(6));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.reach(5, Duration::from_millis(100)).await;
+    fleet.platform.fault(|faults| faults.stale.clear());
+    fleet.reach(6, IN_FORCE).await;
+    fleet.end();
+}
+
+/// Guards against content that is damaged on its way: it must be refused with
+/// an audit entry, never applied in part, and must not block the next version.
+async fn damaged(
+    damage: impl FnOnce(&mut savorylane_standin::platform::Faults),
+    repair: impl FnOnce(&mut savorylane_standin::platform::Faults),
+) {
+    let fleet = Fleet::start(&HOSTS).await;
+    // The torn fault answers with another part, so one must be there.
+    fleet.platform.publish_document(&versioned(2));
+    fleet.reach(2, IN_FORCE).await;
+    assert_eq!(refusals(&fleet), 0);
+    fleet.platform.fault(damage);
+    fleet.platform.publish_document(&versioned(3));
+    let noticed = || refusals(&fleet) > 0;
+    within(IN_FORCE, noticed, || "no audit entry".into()).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for member in &fleet.members {
+        assert_eq!(member.number(), 2);
+        let path = get(member.entry(), "/v3/x").await.unwrap();
+        assert_eq!(path.status, StatusCode::NOT_FOUND);
+        get_until_ok(member.entry(), "/v2/x").await;
+    }
+    fleet.platform.fault(repair);
+    // The value is read again although no newer revision is published.
+    fleet.reach(3, IN_FORCE).await;
+    fleet.platform.publish_document(&versioned(4));
+    fleet.reach(4, IN_FORCE).await;
+    fleet.end();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_torn_version_is_refused() {
+    damaged(|faults| faults.torn = true, |faults| faults.torn = false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_truncated_version_is_refused() {
+    let damage = |faults: &mut savorylane_standin::platform::Faults| faults.truncated = true;
+    damaged(damage, |faults| faults.truncated = false).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_oversized_version_is_refused() {
+    let damage =
+        |faults: &mut savorylane_standin::platform::Faults| faults.oversized = Some(3 << 20);
+    damaged(damage, |faults| faults.oversized = None).await;
+}
+
+/// Guards against daemons that keep whichever of two documents with one number
+/// they read first.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_documents_with_one_number_end_the_same() {
+    let mut pair: [Document; 2] = [with_service(2, "left"), with_service(2, "right")];
+    pair.sort_by_key(Document::version);
+    let [lesser, greater] = pair;
+    for order in [[&lesser, &greater], [&greater, &lesser]] {
+        let fleet = Fleet::start(&HOSTS).await;
+        // Some daemons have read one document before the other is published.
+        let first = fleet.platform.publish_document(order[0]);
+        within(
+            IN_FORCE,
+            || fleet.members.iter().any(|member| member.number() == 2),
+            || "no daemon took the first document".into(),
+        )
+        .await;
+        assert!(fleet.platform.publish_document(order[1]) > first);
+        let same = || {
+            let mut versions = fleet.members.iter().map(Member::version);
+            versions.all(|version| version == Some(greater.version()))
+        };
+        within(IN_FORCE, same, || "the versions differ".into()).await;
+        fleet.end();
+    }
+}
+
+/// Guards against an outage that stops daemons, keeps new ones from starting,
+/// or is followed by a burst of calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_platform_outage_stops_no_daemon() {
+    let mut fleet = Fleet::start(&HOSTS).await;
+    fleet.meet().await;
+    for outage in [Outage::Refused, Outage::Unavailable] {
+        fleet.platform.fault(|faults| faults.outage = outage);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for member in &fleet.members {
+            get_until_ok(member.entry(), "/stock/x").await;
+        }
+    }
+    // A daemon that starts during the outage learns all from a peer.
+    let peer = fleet.members[0].listed.control;
+    let late = Member::start(&fleet, "c3", |settings| settings.peers = vec![peer]).await;
+    fleet.members.push(late);
+    let taken = fleet.reach(1, IN_FORCE).await;
+    println!("the daemon that started during the outage served after {taken:?}");
+    get_until_ok(fleet.members[6].entry(), "/stock/late").await;
+    let before = fleet.platform.counters();
+    fleet.platform.fault(|faults| faults.outage = Outage::None);
+    fleet.platform.publish_document(&document(2));
+    fleet.publish_hosts(2);
+    let taken = fleet.reach(2, Duration::from_secs(4)).await;
+    let after = fleet.platform.counters();
+    let most = after.seconds.iter().max().copied().unwrap_or_default();
+    println!("converged {taken:?} after the outage; {most} calls in the busiest second");
+    println!("calls {} then {}", before.calls(), after.calls());
+    // 2 readers x 2 values x 3 data centres stand; the reads of the parts and
+    // retries come on top. The platform allows 2,000 a second at 1,100 hosts.
+    within(
+        IN_FORCE,
+        || fleet.platform.counters().waiting <= 12,
+        || format!("{} calls stand", fleet.platform.counters().waiting),
+    )
+    .await;
+    assert!(after.calls() - before.calls() <= 12 + 12 + 6 * 2);
+    fleet.end();
+}
--- /dev/null
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -0,0 +1,257 @@
+//! Daemons, upstreams and platforms within the test's process.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use savorylane_daemon::audit::Entry;
+use savorylane_daemon::settings::{Readers, Settings};
+use savorylane_daemon::{Handle, spawn};
+use savorylane_intent::Version;
+use savorylane_intent::document::{Document, Service};
+use savorylane_intent::hosts::{Host, State};
+use savorylane_policy::route::Policy;
+use savorylane_standin::upstream::Record;
+use savorylane_standin::{platform, upstream};
+use tokio_util::sync::CancellationToken;
+
+use crate::common::{document, list};
+
+/// Promised time until an accepted version is in force everywhere.
+pub(crate) const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// A daemon and its upstream.
+pub(crate) struct Member {
+    /// The daemon.
+    pub(crate) handle: Handle,
+    /// Its upstream.
+    pub(crate) upstream: upstream::Handle,
+    /// Entry of the host list.
+    pub(crate) listed: Host,
+}
+
+impl Member {
+    /// Starts a daemon named `<data centre><digit>` with an upstream.
+    pub(crate) async fn start(
+        fleet: &Fleet,
+        host: &str,
+        change: impl FnOnce(&mut Settings),
+    ) -> Self {
+        let settings = upstream::Settings::default();
+        let upstream = upstream::spawn(settings, &fleet.record, &fleet.cancel).unwrap();
+        let mut settings = settings_of(host, upstream.addr, fleet.platform.addr());
+        change(&mut settings);
+        let service = settings.service.clone();
+        let data_centre = settings.data_centre.clone();
+        let handle = spawn(settings).await.unwrap();
+        let listed = Host {
+            name: host.into(),
+            region: "north".into(),
+            data_centre,
+            service,
+            entry: handle.addresses["entry"],
+            data: handle.addresses["data"],
+            control: handle.addresses["control"],
+            operator: handle.addresses["operator"],
+            state: State::Live,
+        };
+        Self {
+            handle,
+            upstream,
+            listed,
+        }
+    }
+
+    /// Returns the address for callers.
+    pub(crate) fn entry(&self) -> SocketAddr {
+        self.listed.entry
+    }
+
+    /// Returns the version in force.
+    pub(crate) fn version(&self) -> Option<Version> {
+        self.handle.context.config.version()
+    }
+
+    /// Returns the number of the document in force, 0 before one is.
+    pub(crate) fn number(&self) -> u64 {
+        self.version().map_or(0, |version| version.number)
+    }
+
+    /// Returns the audit trail, oldest entry first.
+    pub(crate) fn trail(&self) -> Vec<Entry> {
+        self.handle.context.trail.after(0, usize::MAX)
+    }
+}
+
+/// A platform and the daemons that read it.
+pub(crate) struct Fleet {
+    /// Ends everything when dropped by [`Fleet::end`].
+    pub(crate) cancel: CancellationToken,
+    /// The platform.
+    pub(crate) platform: platform::Handle,
+    /// What all upstreams ran.
+    pub(crate) record: Arc<Record>,
+    /// The daemons.
+    pub(crate) members: Vec<Member>,
+}
+
+impl Fleet {
+    /// Starts a platform without values.
+    pub(crate) fn open() -> Self {
+        let cancel = CancellationToken::new();
+        Self {
+            platform: platform::spawn(1, &cancel).unwrap(),
+            cancel,
+            record: Arc::default(),
+            members: Vec::new(),
+        }
+    }
+
+    /// Starts `hosts`, publishes their list and the document 1, and waits
+    /// until it is in force on all of them.
+    pub(crate) async fn start(hosts: &[&str]) -> Self {
+        let mut fleet = Self::open();
+        for host in hosts {
+            let member = Member::start(&fleet, host, |_| ()).await;
+            fleet.members.push(member);
+        }
+        fleet.publish_hosts(1);
+        fleet.platform.publish_document(&document(1));
+        fleet.reach(1, Duration::from_secs(10)).await;
+        fleet
+    }
+
+    /// Publishes the list of all members.
+    pub(crate) fn publish_hosts(&self, number: u64) {
+        let hosts = self.members.iter().map(|member| member.listed.clone());
+        self.platform.publish_hosts(&list(number, hosts.collect()));
+    }
+
+    /// Waits until the document `number` is in force on all members.
+    pub(crate) async fn reach(&self, number: u64, limit: Duration) -> Duration {
+        let numbers = || -> Vec<u64> { self.members.iter().map(Member::number).collect() };
+        let all = || numbers().iter().all(|&other| other == number);
+        within(limit, all, || format!("{:?}", numbers())).await
+    }
+
+    /// Waits until `member` sees all members alive.
+    pub(crate) async fn meet(&self) {
+        let met = || {
+            self.members.iter().all(|member| {
+                let view = member.handle.context.peers.view();
+                let alive = view.status().filter(|status| status.record.is_some());
+                alive.count() >= self.members.len()
+            })
+        };
+        within(Duration::from_secs(10), met, || "members unknown".into()).await;
+    }
+
+    /// Ends the daemons and stand-ins.
+    pub(crate) fn end(self) {
+        for member in self.members {
+            member.handle.abort();
+        }
+        self.cancel.cancel();
+    }
+}
+
+/// Waits until `done` and returns how long that took.
+pub(crate) async fn within(
+    limit: Duration,
+    done: impl Fn() -> bool,
+    describe: impl Fn() -> String,
+) -> Duration {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < limit, "not in {limit:?}: {}", describe());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
+
+/// Runs `send` every `gap` for `length` without waiting for it to end, and
+/// returns the time of each start with its result.
+pub(crate) async fn open_loop<T, F>(
+    gap: Duration,
+    length: Duration,
+    send: impl Fn(usize) -> F,
+) -> Vec<(Duration, Duration, T)>
+where
+    T: Send + 'static,
+    F: Future<Output = T> + Send + 'static,
+{
+    let start = Instant::now();
+    let mut ticks = tokio::time::interval(gap);
+    let mut sent = Vec::new();
+    while start.elapsed() < length {
+        ticks.tick().await;
+        let began = start.elapsed();
+        let request = send(sent.len());
+        sent.push(tokio::spawn(async move {
+            let result = request.await;
+            (began, start.elapsed() - began, result)
+        }));
+    }
+    let mut results = Vec::new();
+    for request in sent {
+        results.push(request.await.unwrap());
+    }
+    results
+}
+
+/// Returns the settings of a daemon; the first letters of its name are its
+/// data centre.
+pub(crate) fn settings_of(host: &str, upstream: SocketAddr, platform: SocketAddr) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        host: host.into(),
+        region: "north".into(),
+        data_centre: host.trim_end_matches(|c: char| c.is_ascii_digit()).into(),
+        service: "stock".into(),
+        entry: any,
+        data: any,
+        control: any,
+        operator: any,
+        upstream,
+        slots: 6,
+        platform: vec![platform],
+        peers: Vec::new(),
+        key_horizon: Duration::from_secs(30),
+        first_start: true,
+        drain_limit: Duration::from_secs(10),
+        body_bytes: 64_000_000,
+        caller_connections: 256,
+        readers: Readers::Ranked,
+        policy: Policy::Savorylane,
+        log_level: log::LevelFilter::Off,
+    }
+}
+
+/// Returns [`document`] with a second class whose path `/v<number>/` exists in
+/// this version only.
+pub(crate) fn versioned(number: u64) -> Document {
+    let mut document = document(number);
+    let mut class = document.classes[0].clone();
+    class.name = format!("only-{number}");
+    class.path_prefix = format!("/v{number}/");
+    document.classes.push(class);
+    document
+}
+
+/// Returns [`document`] with a second service, which changes its hash.
+pub(crate) fn with_service(number: u64, name: &str) -> Document {
+    let mut document = document(number);
+    document.services.push(Service { name: name.into() });
+    document
+}
+
+/// Counts equal values.
+pub(crate) fn tally<T: Eq + std::hash::Hash>(values: impl Iterator<Item = T>) -> HashMap<T, usize> {
+    let mut counts = HashMap::new();
+    for value in values {
+        *counts.entry(value).or_default() += 1;
+    }
+    counts
+}
