--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -395,11 +395,7 @@
     match value {
         "all" => Ok(Readers::All),
         "ranked" => Ok(Readers::Ranked),
-        _ => Err(Fault {
-            flag: "readers",
-            value: value.into(),
-            accepted: "one of ranked, all".into(),
-        }),
+        _ => Err(Fault::value("readers", value, "one of ranked, all")),
     }
 }
 
