Stop new work for an upstream whose health report says it drains

Ruled out: leaving for good on one report (reports mislead; two that agree are needed, and the drain can end). The health report is used for nothing else, because it lags and lies.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -12,6 +12,8 @@
 use hyper::body::Incoming;
 use tokio::time::Sleep;
 
+use crate::edge::server::STREAM_WINDOW;
+
 /// Why a body ended early. The connection or stream is then reset, so that a
 /// cut body is never taken for a complete one.
 pub type Cut = Box<dyn std::error::Error + Send + Sync>;
@@ -19,10 +21,10 @@
 /// Body of a request or an answer.
 pub type Body = UnsyncBoxBody<Bytes, Cut>;
 
-/// Bytes of a request body that are kept for another attempt. One HTTP/2
-/// stream window, so that a gatekeeper that refuses a request before reading
-/// its body never makes another attempt impossible.
-const KEPT_BYTES: usize = 65_536 + 16_384;
+/// Bytes of a request body that are kept for another attempt: one HTTP/2
+/// stream window and what the client reads ahead, so that a gatekeeper that
+/// refuses a request before it reads the body leaves another attempt possible.
+const KEPT_BYTES: usize = STREAM_WINDOW as usize + 65_536;
 
 /// Returns a body without content.
 pub fn empty() -> Body {
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod control;
 pub mod data;
+pub mod health;
 pub mod operator;
 pub mod platform;
 pub mod rpc;
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -27,6 +27,13 @@
 pub const PING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of all headers of a request, bytes.
 const HEADER_BYTES: u32 = 16_384;
+/// Window of one HTTP/2 stream, bytes. A gatekeeper that refuses a request has
+/// been sent at most this much of its body, which the entry keeps for another
+/// attempt.
+pub const STREAM_WINDOW: u32 = 262_144;
+/// Window of one HTTP/2 connection, bytes: 64 uploads can wait for a slot
+/// before they hold up those that have one.
+const CONNECTION_WINDOW: u32 = 64 * STREAM_WINDOW;
 /// Streams of one HTTP/2 connection.
 const STREAMS_MAX: u32 = 1024;
 
@@ -92,6 +99,8 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
         .max_header_list_size(HEADER_BYTES)
         .max_concurrent_streams(STREAMS_MAX);
     builder
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
-use http::{HeaderValue, Request, Response, Uri, uri};
+use http::{HeaderValue, Request, Response, StatusCode, Uri, uri};
 use http_body_util::BodyExt;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Body;
+use crate::body::{self, Body};
 use crate::call::Call;
 use crate::kernel::{Context, Plugin};
 
@@ -82,6 +82,20 @@
 }
 
 impl Upstream {
+    /// Says whether the health report at `path` tells that the upstream
+    /// drains; `None` if there is no report.
+    pub async fn draining(&self, path: &str) -> Option<bool> {
+        let uri = format!("http://{}{path}", self.address).parse().ok()?;
+        let mut request = Request::new(body::empty());
+        *request.uri_mut() = uri;
+        let answer = self.client.request(request).await.ok()?;
+        match answer.status() {
+            StatusCode::SERVICE_UNAVAILABLE => Some(true),
+            status if status.is_success() => Some(false),
+            _ => None,
+        }
+    }
+
     /// Says whether the upstream takes a connection.
     pub async fn reachable(&self) -> bool {
         let connect = tokio::net::TcpStream::connect(self.address);
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -35,6 +35,8 @@
     changed: Notify,
     /// Set when a connection to the upstream broke.
     suspicious: AtomicBool,
+    /// Set while the upstream says that it drains.
+    draining: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -77,6 +79,7 @@
             upstream,
             changed: Notify::new(),
             suspicious: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
         })
     }
 
@@ -122,6 +125,23 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Returns the client of the upstream.
+    pub fn upstream(&self) -> &Upstream {
+        &self.upstream
+    }
+
+    /// Refuses new and waiting work while the upstream drains. What runs is
+    /// finished.
+    pub fn set_draining(&self, draining: bool) {
+        self.draining.store(draining, Ordering::Relaxed);
+        if draining {
+            let mut inner = self.lock();
+            inner.gate.close();
+            inner.pump(self.now());
+        }
+        self.changed.notify_one();
+    }
+
     /// Refuses new work from now on.
     pub fn leave(&self) {
         self.lock().gate.leave();
@@ -206,7 +226,7 @@
                 let up = self.upstream.reachable().await;
                 let mut inner = self.lock();
                 let now = self.now();
-                if up {
+                if up && !self.draining.load(Ordering::Relaxed) {
                     inner.gate.reopen(now);
                 } else {
                     inner.gate.close();
--- /dev/null
+++ b/crates/daemon/src/settings/arguments.rs
@@ -0,0 +1,249 @@
+//! Command line and environment variables.
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+use super::check::check_all;
+use super::{Command, Fault};
+
+/// Settings as they stand on the command line, not yet checked.
+#[derive(Clone, Debug)]
+pub(super) struct Raw {
+    pub(super) host: String,
+    pub(super) region: String,
+    pub(super) data_centre: String,
+    pub(super) service: String,
+    pub(super) entry: String,
+    pub(super) data: String,
+    pub(super) control: String,
+    pub(super) operator: String,
+    pub(super) upstream: String,
+    pub(super) health: Option<String>,
+    pub(super) slots: String,
+    pub(super) platform: Vec<String>,
+    pub(super) peer: Vec<String>,
+    pub(super) key_horizon_s: String,
+    pub(super) first_start: bool,
+    pub(super) first_start_variable: Option<String>,
+    pub(super) drain_limit_s: String,
+    pub(super) body_mb: String,
+    pub(super) caller_connections: String,
+    pub(super) readers: String,
+    pub(super) policy: String,
+    pub(super) log_level: String,
+    pub(super) check: bool,
+}
+
+fn argument(
+    flag: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<String> {
+    long(flag).env(variable).help(help).argument::<String>(meta)
+}
+
+fn required(
+    flag: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+) -> impl Parser<String> {
+    // The library's own error does not name the environment variable.
+    let missing = move || {
+        Err(Fault::Missing {
+            flag,
+            accepted: format!("give --{flag} {meta} or set {variable}"),
+        })
+    };
+    argument(flag, variable, meta, help).fallback_with(missing)
+}
+
+fn optional(
+    flag: &'static str,
+    variable: &'static str,
+    meta: &'static str,
+    help: &'static str,
+    default: &'static str,
+) -> impl Parser<String> {
+    argument(flag, variable, meta, help)
+        .fallback(default.to_owned())
+        .display_fallback()
+}
+
+/// Returns the parser of the command line.
+pub fn parser() -> OptionParser<Result<Command, Fault>> {
+    let host = required(
+        "host",
+        "SAVORYLANE_HOST",
+        "NAME",
+        "Name of this host; needed",
+    );
+    let region = required(
+        "region",
+        "SAVORYLANE_REGION",
+        "NAME",
+        "Region of the host; needed",
+    );
+    let data_centre = required(
+        "data-centre",
+        "SAVORYLANE_DATA_CENTRE",
+        "NAME",
+        "Data centre of the host; needed",
+    );
+    let service = required(
+        "service",
+        "SAVORYLANE_SERVICE",
+        "NAME",
+        "Service that the upstream of this host runs; needed",
+    );
+    let entry = optional(
+        "entry",
+        "SAVORYLANE_ENTRY",
+        "IP:PORT",
+        "Where callers connect",
+        "0.0.0.0:8080",
+    );
+    let data = optional(
+        "data",
+        "SAVORYLANE_DATA",
+        "IP:PORT",
+        "Where other daemons send requests",
+        "0.0.0.0:8081",
+    );
+    let control = optional(
+        "control",
+        "SAVORYLANE_CONTROL",
+        "IP:PORT",
+        "Where other daemons send control messages",
+        "0.0.0.0:8082",
+    );
+    let operator = optional(
+        "operator",
+        "SAVORYLANE_OPERATOR",
+        "IP:PORT",
+        "Where operators connect and metrics are read",
+        "127.0.0.1:8083",
+    );
+    let upstream = required(
+        "upstream",
+        "SAVORYLANE_UPSTREAM",
+        "IP:PORT",
+        "Address of the host's upstream; needed",
+    );
+    let health = argument(
+        "health",
+        "SAVORYLANE_HEALTH",
+        "PATH",
+        "Path of the upstream's health report; while it answers 503, no new work is sent",
+    )
+    .optional();
+    let slots = optional(
+        "slots",
+        "SAVORYLANE_SLOTS",
+        "COUNT",
+        "Requests that the upstream runs at once",
+        "6",
+    );
+    let platform = argument(
+        "platform",
+        "SAVORYLANE_PLATFORM",
+        "IP:PORT",
+        "Address of the platform; may be repeated or a list with commas",
+    )
+    .many();
+    let peer = argument(
+        "peer",
+        "SAVORYLANE_PEER",
+        "IP:PORT",
+        "Control address of a daemon that is asked at the start; may be repeated or a list with commas",
+    )
+    .many();
+    let key_horizon_s = optional(
+        "key-horizon-s",
+        "SAVORYLANE_KEY_HORIZON_S",
+        "SECONDS",
+        "Time after which callers no longer resend an unmarked idempotency key",
+        "30",
+    );
+    let first_start = long("first-start")
+        .help("States that no earlier process of the deployment served within the key horizon; or set SAVORYLANE_FIRST_START to `true`")
+        .switch();
+    // A switch with a variable is on whatever the value is, also for `false`.
+    // A false first start lets keyed work run twice.
+    let first_start_variable = bpaf::env("SAVORYLANE_FIRST_START")
+        .help("`true` or `false`; as --first-start")
+        .argument::<String>("BOOL")
+        .optional();
+    let drain_limit_s = optional(
+        "drain-limit-s",
+        "SAVORYLANE_DRAIN_LIMIT_S",
+        "SECONDS",
+        "Time that a shutdown waits for requests in flight",
+        "60",
+    );
+    let body_mb = optional(
+        "body-mb",
+        "SAVORYLANE_BODY_MB",
+        "MEGABYTES",
+        "Largest request body",
+        "64",
+    );
+    let caller_connections = optional(
+        "caller-connections",
+        "SAVORYLANE_CALLER_CONNECTIONS",
+        "COUNT",
+        "Connections that one caller address may open",
+        "256",
+    );
+    let readers = optional(
+        "readers",
+        "SAVORYLANE_READERS",
+        "NAME",
+        "Who watches the platform: ranked, two hosts of each data centre, or all, for comparison",
+        "ranked",
+    );
+    let policy = optional(
+        "policy",
+        "SAVORYLANE_POLICY",
+        "NAME",
+        "How hosts are chosen: savorylane, or a baseline: random, round-robin, least-outstanding",
+        "savorylane",
+    );
+    let log_level = optional(
+        "log-level",
+        "SAVORYLANE_LOG_LEVEL",
+        "LEVEL",
+        "One of error, warn, info, debug, trace",
+        "info",
+    );
+    let check = long("check").help("Checks the settings and exits").switch();
+    construct!(Raw {
+        host,
+        region,
+        data_centre,
+        service,
+        entry,
+        data,
+        control,
+        operator,
+        upstream,
+        health,
+        slots,
+        platform,
+        peer,
+        key_horizon_s,
+        first_start,
+        first_start_variable,
+        drain_limit_s,
+        body_mb,
+        caller_connections,
+        readers,
+        policy,
+        log_level,
+        check
+    })
+    .map(check_all)
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Daemon of savorylane: entry for callers and gatekeeper of one upstream")
+}
--- /dev/null
+++ b/crates/daemon/src/settings/check.rs
@@ -0,0 +1,168 @@
+//! Checks of the settings.
+
+use std::fmt::Display;
+use std::net::{IpAddr, SocketAddr};
+use std::str::FromStr;
+use std::time::Duration;
+
+use savorylane_intent::bound;
+use savorylane_policy::route::Policy;
+
+use super::arguments::Raw;
+use super::{Command, Fault, Readers, Settings};
+
+pub(super) fn check_all(raw: Raw) -> Result<Command, Fault> {
+    let settings = Settings {
+        host: name("host", &raw.host)?,
+        region: name("region", &raw.region)?,
+        data_centre: name("data-centre", &raw.data_centre)?,
+        service: name("service", &raw.service)?,
+        entry: address("entry", &raw.entry)?,
+        data: address("data", &raw.data)?,
+        control: address("control", &raw.control)?,
+        operator: address("operator", &raw.operator)?,
+        upstream: remote("upstream", &raw.upstream)?,
+        health: raw.health.map(|path| health(&path)).transpose()?,
+        slots: number("slots", &raw.slots, 1, 4096)?,
+        platform: list("platform", &raw.platform)?,
+        peers: list("peer", &raw.peer)?,
+        key_horizon: Duration::from_secs(number("key-horizon-s", &raw.key_horizon_s, 1, 86_400)?),
+        first_start: raw.first_start || first_start(raw.first_start_variable.as_deref())?,
+        drain_limit: Duration::from_secs(number("drain-limit-s", &raw.drain_limit_s, 1, 3600)?),
+        body_bytes: number::<u64>("body-mb", &raw.body_mb, 1, 4096)? * 1_000_000,
+        caller_connections: number("caller-connections", &raw.caller_connections, 1, 65_536)?,
+        readers: readers(&raw.readers)?,
+        policy: policy(&raw.policy)?,
+        log_level: log_level(&raw.log_level)?,
+    };
+    if settings.platform.is_empty() && settings.peers.is_empty() {
+        return Err(Fault::Missing {
+            flag: "platform",
+            accepted: "give --platform IP:PORT or --peer IP:PORT, or set SAVORYLANE_PLATFORM or SAVORYLANE_PEER".into(),
+        });
+    }
+    let ports = [
+        ("entry", settings.entry),
+        ("data", settings.data),
+        ("control", settings.control),
+        ("operator", settings.operator),
+    ];
+    for (index, (flag, port)) in ports.iter().enumerate() {
+        if port.port() != 0 && ports[..index].iter().any(|(_, other)| other == port) {
+            return Err(Fault::value(
+                flag,
+                port.to_string(),
+                "entry, data, control and operator need different addresses",
+            ));
+        }
+    }
+    Ok(Command {
+        settings,
+        check: raw.check,
+    })
+}
+
+fn health(value: &str) -> Result<String, Fault> {
+    let accepted = "a path from `/`, without `?`, `#` and spaces";
+    let visible = |c: char| c.is_ascii_graphic() && !"?#".contains(c);
+    if !value.starts_with('/') || !value.chars().all(visible) {
+        return Err(Fault::value("health", value, accepted));
+    }
+    Ok(value.into())
+}
+
+fn readers(value: &str) -> Result<Readers, Fault> {
+    match value {
+        "all" => Ok(Readers::All),
+        "ranked" => Ok(Readers::Ranked),
+        _ => Err(Fault::value("readers", value, "one of ranked, all")),
+    }
+}
+
+fn policy(value: &str) -> Result<Policy, Fault> {
+    match value {
+        "savorylane" => Ok(Policy::Savorylane),
+        "random" => Ok(Policy::Random),
+        "round-robin" => Ok(Policy::RoundRobin),
+        "least-outstanding" => Ok(Policy::LeastOutstanding),
+        _ => Err(Fault::value(
+            "policy",
+            value,
+            "one of savorylane, random, round-robin, least-outstanding",
+        )),
+    }
+}
+
+fn first_start(value: Option<&str>) -> Result<bool, Fault> {
+    match value {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(value) => Err(Fault::value(
+            "first-start",
+            value,
+            "SAVORYLANE_FIRST_START is `true` or `false`; the flag takes no value",
+        )),
+    }
+}
+
+fn log_level(value: &str) -> Result<log::LevelFilter, Fault> {
+    match value {
+        "error" => Ok(log::LevelFilter::Error),
+        "warn" => Ok(log::LevelFilter::Warn),
+        "info" => Ok(log::LevelFilter::Info),
+        "debug" => Ok(log::LevelFilter::Debug),
+        "trace" => Ok(log::LevelFilter::Trace),
+        _ => Err(Fault::value(
+            "log-level",
+            value,
+            "one of error, warn, info, debug, trace",
+        )),
+    }
+}
+
+fn name(flag: &'static str, value: &str) -> Result<String, Fault> {
+    // The same names as in host lists, or the host would never be found there.
+    if !bound::is_name(value) {
+        let accepted = "1 to 63 of a-z, 0-9, `-`, `_` and `.`, with a letter or digit at both ends";
+        return Err(Fault::value(flag, value, accepted));
+    }
+    Ok(value.into())
+}
+
+fn address(flag: &'static str, value: &str) -> Result<SocketAddr, Fault> {
+    let accepted = "an IP number and a port, for example 127.0.0.1:8080";
+    let parsed = value.parse();
+    parsed.map_err(|_| Fault::value(flag, value, accepted))
+}
+
+fn remote(flag: &'static str, value: &str) -> Result<SocketAddr, Fault> {
+    let address = address(flag, value)?;
+    let unspecified = match address.ip() {
+        IpAddr::V4(ip) => ip.is_unspecified(),
+        IpAddr::V6(ip) => ip.is_unspecified(),
+    };
+    if unspecified || address.port() == 0 {
+        let accepted = "an IP number that can be connected to and a port above 0";
+        return Err(Fault::value(flag, value, accepted));
+    }
+    Ok(address)
+}
+
+fn list(flag: &'static str, values: &[String]) -> Result<Vec<SocketAddr>, Fault> {
+    // A variable cannot be repeated, so that a list is accepted as well.
+    let values = values.iter().flat_map(|value| value.split(','));
+    values.map(|value| remote(flag, value)).collect()
+}
+
+fn number<N>(flag: &'static str, value: &str, least: N, most: N) -> Result<N, Fault>
+where
+    N: Copy + Display + FromStr + PartialOrd,
+{
+    match value.parse::<N>() {
+        Ok(number) if number >= least && number <= most => Ok(number),
+        _ => {
+            let accepted = format!("a whole number from {least} to {most}");
+            Err(Fault::value(flag, value, accepted))
+        }
+    }
+}
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -215,6 +215,7 @@
         control: any,
         operator: any,
         upstream,
+        health: None,
         slots: 6,
         platform: vec![platform],
         peers: Vec::new(),
--- /dev/null
+++ b/crates/daemon/tests/health.rs
@@ -0,0 +1,51 @@
+//! An upstream that says in its health report that it drains.
+
+#[allow(dead_code)] // Each test file uses a part.
+mod common;
+#[allow(dead_code)] // Each test file uses a part.
+mod fleet;
+
+use std::time::Duration;
+
+use common::get;
+use fleet::{Fleet, IN_FORCE, Member};
+use http::StatusCode;
+
+/// Promised time after which a leaving upstream gets no new work.
+const LEFT: Duration = Duration::from_secs(3);
+
+/// Guards against new work at an upstream that drains while host list and
+/// daemon still take it for live, and against one that never gets work again
+/// after it ended its drain.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_upstream_gets_no_new_work() {
+    let mut fleet = Fleet::open();
+    for host in ["a1", "a2"] {
+        let member = Member::start(&fleet, host, |settings| {
+            settings.health = Some("/health".into());
+        });
+        let member = member.await;
+        fleet.members.push(member);
+    }
+    fleet.publish_hosts(1);
+    fleet.platform.publish_document(&fleet::versioned(1));
+    fleet.reach(1, IN_FORCE).await;
+
+    fleet.members[0].upstream.drain();
+    tokio::time::sleep(LEFT).await;
+    let late = fleet.record.counts().late.len();
+    for number in 0..40 {
+        let path = format!("/stock/{number}");
+        let entry = fleet.members[number % 2].entry();
+        let answer = get(entry, &path).await.unwrap();
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    }
+    assert_eq!(fleet.record.counts().late.len(), late);
+
+    fleet.members[0].upstream.mode(|mode| mode.drain = None);
+    tokio::time::sleep(LEFT).await;
+    fleet.members[1].upstream.crash();
+    let answer = get(fleet.members[0].entry(), "/stock/again").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    fleet.end();
+}
