--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -125,6 +125,15 @@
     }
 }
 
+/// What was wrong with a caller's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// It is larger than the limit.
+    Oversized,
+    /// It is malformed or ended early.
+    Broken,
+}
+
 /// A caller's body that several attempts can send, as long as no more than
 /// the kept bytes were read.
 #[derive(Clone)]
@@ -140,6 +149,7 @@
     limit: u64,
     ended: bool,
     dropped: bool,
+    fault: Option<Fault>,
 }
 
 impl Replay {
@@ -155,6 +165,7 @@
                 limit,
                 ended,
                 dropped: false,
+                fault: None,
             })),
         }
     }
@@ -170,6 +181,11 @@
         shared.ended && !shared.dropped
     }
 
+    /// Returns what was wrong with the part that was read.
+    pub fn fault(&self) -> Option<Fault> {
+        self.lock().fault
+    }
+
     /// Returns the body of one attempt.
     pub fn attempt(&self) -> Body {
         Attempt {
@@ -213,7 +229,10 @@
                     shared.ended = true;
                     return Poll::Ready(None);
                 }
-                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error.into()))),
+                Poll::Ready(Some(Err(error))) => {
+                    shared.fault = Some(Fault::Broken);
+                    return Poll::Ready(Some(Err(error.into())));
+                }
                 Poll::Ready(Some(Ok(frame))) => frame,
             };
             // Trailers of a request are not passed on.
@@ -223,6 +242,7 @@
             shared.ended = shared.source.is_end_stream();
             shared.read_bytes += bytes.len() as u64;
             if shared.read_bytes > shared.limit {
+                shared.fault = Some(Fault::Oversized);
                 return Poll::Ready(Some(Err("the body is larger than the limit".into())));
             }
             if shared.kept_bytes + bytes.len() <= KEPT_BYTES && !shared.dropped {
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -6,6 +6,7 @@
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Response, StatusCode, Uri};
+use savorylane_intent::bound;
 use savorylane_intent::document::{Class, Work};
 use savorylane_wire::{Verdict, header};
 use serde::{Deserialize, Serialize};
@@ -170,15 +171,25 @@
             return Err(bad(header::ATTEMPT, "a number from 1"));
         }
         let key = text(&head.headers, header::IDEMPOTENCY_KEY)?;
-        if key
-            .as_ref()
-            .is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES)
-        {
-            return Err(bad(header::IDEMPOTENCY_KEY, "1 to 256 characters"));
+        let visible = |key: &String| {
+            (1..=KEY_BYTES).contains(&key.len()) && key.bytes().all(|byte| byte.is_ascii_graphic())
+        };
+        if key.as_ref().is_some_and(|key| !visible(key)) {
+            let accepted = "1 to 256 visible ASCII characters";
+            return Err(bad(header::IDEMPOTENCY_KEY, accepted));
+        }
+        let home = text(&head.headers, header::HOME)?;
+        if home.as_ref().is_some_and(|home| !bound::is_name(home)) {
+            return Err(bad(header::HOME, "the name of a region"));
         }
         let timeout = match number::<u64>(&head.headers, header::TIMEOUT_MS)? {
-            Some(0) => return Err(bad(header::TIMEOUT_MS, "a number of milliseconds above 0")),
-            Some(ms) => Duration::from_millis(ms).min(TIMEOUT_MAX),
+            Some(ms) => match Duration::from_millis(ms) {
+                time if time.is_zero() || time > TIMEOUT_MAX => {
+                    let accepted = "a number of milliseconds from 1 to 3600000";
+                    return Err(bad(header::TIMEOUT_MS, accepted));
+                }
+                time => time,
+            },
             None => match class.work {
                 Work::Short => SHORT_TIMEOUT,
                 Work::Long => LONG_TIMEOUT,
@@ -196,7 +207,7 @@
             attempts_left: number(&head.headers, header::ATTEMPTS_LEFT)?,
             key,
             attempt,
-            home: text(&head.headers, header::HOME)?,
+            home,
         })
     }
 
@@ -250,8 +261,8 @@
     match text(headers, name)? {
         None => Ok(None),
         Some(value) => match value.trim().parse() {
-            Ok(number) => Ok(Some(number)),
-            Err(_) => Err(bad(name, "a whole number")),
+            Ok(number) if !value.starts_with('+') => Ok(Some(number)),
+            _ => Err(bad(name, "a whole number")),
         },
     }
 }
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -8,12 +8,12 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
 use savorylane_intent::document::Class;
-use savorylane_wire::Verdict;
+use savorylane_wire::{Verdict, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Observer, Replay, Watched};
-use crate::call::{Call, Refusal};
+use crate::body::{self, Body, Observer, Replay, Watched};
+use crate::call::{Call, Cause, Refusal};
 use crate::dispatch;
 use crate::edge::server;
 use crate::kernel::{Context, Plugin, Port};
@@ -62,7 +62,11 @@
             "no configuration is in force yet",
         ));
     };
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    // Only daemons send these; a caller's would steer what they decide.
+    for name in BETWEEN_DAEMONS {
+        head.headers.remove(name);
+    }
     let Some(class) = snapshot.class(head.method.as_str(), head.uri.path()) else {
         return Err(Refusal::not_run(
             StatusCode::NOT_FOUND,
@@ -73,7 +77,7 @@
     if body.size_hint().lower() > limit {
         return Err(Refusal::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is larger than {limit} bytes"),
+            oversized(limit),
         ));
     }
     let call = Arc::new(Call::read(&head, class, peer.ip(), Instant::now())?);
@@ -91,13 +95,43 @@
             record.verdict = Verdict::Ran;
             Ok(answer.map(|body| Watched::wrap(body, call.deadline, record)))
         }
-        Err(refusal) => {
+        Err(mut refusal) => {
+            blame(&mut refusal, body.fault(), limit);
             record.verdict = refusal.verdict;
             Err(refusal)
         }
     }
 }
 
+/// Headers that callers do not send.
+const BETWEEN_DAEMONS: [&str; 7] = [
+    header::CALLER,
+    header::CLASS,
+    header::FROM,
+    header::LOAD,
+    header::RING,
+    header::STAMP,
+    header::TO,
+];
+
+/// Names the caller's body as the reason of a refusal, where it is. The
+/// upstream may have run what it got of the body, so the verdict stays.
+fn blame(refusal: &mut Refusal, fault: Option<body::Fault>, limit: u64) {
+    (refusal.status, refusal.reason) = match fault {
+        None => return,
+        Some(body::Fault::Oversized) => (StatusCode::PAYLOAD_TOO_LARGE, oversized(limit)),
+        Some(body::Fault::Broken) => (
+            StatusCode::BAD_REQUEST,
+            "the body is malformed or ended early".into(),
+        ),
+    };
+    refusal.cause = Cause::Request;
+}
+
+fn oversized(limit: u64) -> String {
+    format!("the body is larger than {limit} bytes")
+}
+
 /// Counts a request in results and metrics when its answer has ended.
 struct Record {
     context: Arc<Context>,
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -4,6 +4,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::{IpAddr, SocketAddr};
+use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -14,6 +16,7 @@
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
@@ -27,6 +30,9 @@
 pub const PING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size of all headers of a request, bytes.
 const HEADER_BYTES: u32 = 16_384;
+/// Headers of a request. Upstreams commonly accept 100, and the daemon adds a
+/// few; a request at the upstream's bound would be refused there only.
+const HEADERS_MAX: usize = 90;
 /// Streams of one HTTP/2 connection.
 const STREAMS_MAX: u32 = 1024;
 
@@ -61,7 +67,10 @@
         };
         let _ = stream.set_nodelay(true);
         let handle = handle.clone();
+        let begun = Arc::new(AtomicBool::new(false));
+        let begin = Arc::clone(&begun);
         let service = service_fn(move |request| {
+            begin.store(true, Ordering::Relaxed);
             let answer = handle(request, peer);
             async move { Ok::<_, Infallible>(answer.await) }
         });
@@ -70,10 +79,21 @@
             .into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            if let Err(error) = watched.await {
+            let _place = place;
+            let mut watched = pin!(watched);
+            // The library's limit starts once it knows the protocol, so a
+            // silent connection would hold its place for ever.
+            let ended = match timeout(HEAD_TIMEOUT, &mut watched).await {
+                Ok(ended) => ended,
+                Err(_) if begun.load(Ordering::Relaxed) => watched.await,
+                Err(_) => {
+                    log::debug!("a connection of {peer} was closed: it sent no request in time");
+                    return;
+                }
+            };
+            if let Err(error) = ended {
                 log::debug!("a connection of {peer} ended: {error}");
             }
-            drop(place);
         });
     }
     drop(listener);
@@ -86,6 +106,7 @@
         .http1()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
+        .max_headers(HEADERS_MAX)
         .max_buf_size(HEADER_BYTES as usize);
     builder
         .http2()
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long};
+use savorylane_intent::bound;
 use savorylane_policy::route::Policy;
 use snafu::Snafu;
 
@@ -74,11 +75,11 @@
         accepted: String,
     },
     /// A value is refused.
-    #[snafu(display("--{flag}: `{value}` is not accepted; {accepted}"))]
+    #[snafu(display("--{flag}: {value} is not accepted; {accepted}"))]
     Value {
         /// Flag without the dashes.
         flag: &'static str,
-        /// The refused value.
+        /// The refused value, quoted and escaped.
         value: String,
         /// What is accepted, with units.
         accepted: String,
@@ -86,10 +87,10 @@
 }
 
 impl Fault {
-    fn value(flag: &'static str, value: impl Into<String>, accepted: impl Into<String>) -> Self {
+    fn value(flag: &'static str, value: &str, accepted: impl Into<String>) -> Self {
         Self::Value {
             flag,
-            value: value.into(),
+            value: bound::quote(value),
             accepted: accepted.into(),
         }
     }
@@ -358,7 +359,7 @@
         if port.port() != 0 && ports[..index].iter().any(|(_, other)| other == port) {
             return Err(Fault::value(
                 flag,
-                port.to_string(),
+                &port.to_string(),
                 "entry, data, control and operator need different addresses",
             ));
         }
@@ -410,11 +411,11 @@
     }
 }
 
+/// Checks a name as that of a host list is checked: a daemon under another
+/// name could never be listed.
 fn name(flag: &'static str, value: &str) -> Result<String, Fault> {
-    let accepted = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-    if value.is_empty() || value.len() > 64 || !value.chars().all(accepted) {
-        let accepted = "1 to 64 letters, digits, `-`, `_` or `.`";
-        return Err(Fault::value(flag, value, accepted));
+    if !bound::is_name(value) {
+        return Err(Fault::value(flag, value, bound::NAME_FORM));
     }
     Ok(value.into())
 }
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -40,6 +40,8 @@
     let other = get(entry, "/elsewhere").await.unwrap();
     assert_eq!(other.status, StatusCode::NOT_FOUND);
     assert_eq!(other.verdict, "not-run");
+    let reason = String::from_utf8_lossy(&other.body);
+    assert!(reason.contains("no class matches"), "{reason}");
 
     daemons.remove(1);
     for number in 0..50 {
