--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -172,7 +172,8 @@
 
     /// Says whether another attempt can send the whole body.
     pub fn repeatable(&self) -> bool {
-        !self.lock().dropped
+        let shared = self.lock();
+        !shared.dropped && shared.fault.is_none()
     }
 
     /// Says whether nothing remains to be read from the caller.
