--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -127,6 +127,15 @@
     }
 }
 
+/// What was wrong with a caller's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// It is larger than the limit.
+    Oversized,
+    /// It is malformed or ended early.
+    Broken,
+}
+
 /// A caller's body that several attempts can send, as long as no more than
 /// the kept bytes were read.
 #[derive(Clone)]
@@ -142,6 +151,7 @@
     limit: u64,
     ended: bool,
     dropped: bool,
+    fault: Option<Fault>,
 }
 
 impl Replay {
@@ -157,13 +167,15 @@
                 limit,
                 ended,
                 dropped: false,
+                fault: None,
             })),
         }
     }
 
     /// Says whether another attempt can send the whole body.
     pub fn repeatable(&self) -> bool {
-        !self.lock().dropped
+        let shared = self.lock();
+        !shared.dropped && shared.fault.is_none()
     }
 
     /// Says whether nothing remains to be read from the caller.
@@ -197,6 +209,11 @@
         Ok(())
     }
 
+    /// Returns what was wrong with the part that was read.
+    pub fn fault(&self) -> Option<Fault> {
+        self.lock().fault
+    }
+
     /// Returns the body of one attempt.
     pub fn attempt(&self) -> Body {
         Attempt {
@@ -240,7 +257,10 @@
                     shared.ended = true;
                     return Poll::Ready(None);
                 }
-                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error.into()))),
+                Poll::Ready(Some(Err(error))) => {
+                    shared.fault = Some(Fault::Broken);
+                    return Poll::Ready(Some(Err(error.into())));
+                }
                 Poll::Ready(Some(Ok(frame))) => frame,
             };
             // Trailers of a request are not passed on.
@@ -250,6 +270,7 @@
             shared.ended = shared.source.is_end_stream();
             shared.read_bytes += bytes.len() as u64;
             if shared.read_bytes > shared.limit {
+                shared.fault = Some(Fault::Oversized);
                 return Poll::Ready(Some(Err("the body is larger than the limit".into())));
             }
             if shared.kept_bytes + bytes.len() <= KEPT_BYTES && !shared.dropped {
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -12,8 +12,8 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Observer, Replay, Watched};
-use crate::call::{Call, Refusal};
+use crate::body::{self, Body, Observer, Replay, Watched};
+use crate::call::{Call, Cause, Refusal};
 use crate::dispatch;
 use crate::edge::server;
 use crate::holder;
@@ -76,7 +76,7 @@
     if body.size_hint().lower() > limit {
         return Err(Refusal::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is larger than {limit} bytes"),
+            oversized(limit),
         ));
     }
     let call = Arc::new(Call::read(&head, class, peer.ip(), Instant::now())?);
@@ -100,13 +100,32 @@
             record.verdict = Verdict::Ran;
             Ok(answer.map(|body| Watched::wrap(body, call.deadline, record)))
         }
-        Err(refusal) => {
+        Err(mut refusal) => {
+            blame(&mut refusal, body.fault(), limit);
             record.verdict = refusal.verdict;
             Err(refusal)
         }
     }
 }
 
+/// Names the caller's body as the reason of a refusal, where it is. The
+/// upstream may have run what it got of the body, so the verdict stays.
+fn blame(refusal: &mut Refusal, fault: Option<body::Fault>, limit: u64) {
+    (refusal.status, refusal.reason) = match fault {
+        None => return,
+        Some(body::Fault::Oversized) => (StatusCode::PAYLOAD_TOO_LARGE, oversized(limit)),
+        Some(body::Fault::Broken) => (
+            StatusCode::BAD_REQUEST,
+            "the body is malformed or ended early".into(),
+        ),
+    };
+    refusal.cause = Cause::Request;
+}
+
+fn oversized(limit: u64) -> String {
+    format!("the body is larger than {limit} bytes")
+}
+
 /// Counts a request in results and metrics when its answer has ended.
 struct Record {
     context: Arc<Context>,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -51,7 +51,7 @@
         if port.port() != 0 && ports[..index].iter().any(|(_, other)| other == port) {
             return Err(Fault::value(
                 flag,
-                port.to_string(),
+                &port.to_string(),
                 "entry, data, control and operator need different addresses",
             ));
         }
@@ -121,10 +121,10 @@
 }
 
 fn name(flag: &'static str, value: &str) -> Result<String, Fault> {
-    // The same names as in host lists, or the host would never be found there.
+    // The same names as in host lists: a daemon under another name could never
+    // be listed.
     if !bound::is_name(value) {
-        let accepted = "1 to 63 of a-z, 0-9, `-`, `_` and `.`, with a letter or digit at both ends";
-        return Err(Fault::value(flag, value, accepted));
+        return Err(Fault::value(flag, value, bound::NAME_FORM));
     }
     Ok(value.into())
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use savorylane_intent::bound;
 use savorylane_policy::route::Policy;
 use snafu::Snafu;
 
@@ -90,11 +91,11 @@
         accepted: String,
     },
     /// A value is refused.
-    #[snafu(display("--{flag}: `{value}` is not accepted; {accepted}"))]
+    #[snafu(display("--{flag}: {value} is not accepted; {accepted}"))]
     Value {
         /// Flag without the dashes.
         flag: &'static str,
-        /// The refused value.
+        /// The refused value, quoted and escaped.
         value: String,
         /// What is accepted, with units.
         accepted: String,
@@ -102,10 +103,10 @@
 }
 
 impl Fault {
-    fn value(flag: &'static str, value: impl Into<String>, accepted: impl Into<String>) -> Self {
+    fn value(flag: &'static str, value: &str, accepted: impl Into<String>) -> Self {
         Self::Value {
             flag,
-            value: value.into(),
+            value: bound::quote(value),
             accepted: accepted.into(),
         }
     }
