peers: route after a pause only when the announced version is in force

Cause: a request that waits for the refresh after a pause went on when the asked peers had answered, while the fetch of the version that they announced was still under way. It was then served by the version of before the pause. An announcement that arrived during a fetch was dropped, so that a refresh could end with a version that another peer had already replaced. A request on another thread could also pass between the tick that records the new time and the moment at which the pause is known.

Ruled out: a longer wait after the answers, which has no right length.

Change: the refresh ends when no fetch is under way; a fetch goes on to the greatest version that was announced meanwhile; the tick marks a gap before it records its time. The limit of 1 s is as before.

--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -44,10 +44,18 @@
     asked: watch::Sender<Option<usize>>,
     /// Time of the last tick, milliseconds of `Context::now`.
     ticked_ms: AtomicU64,
-    fetching: AtomicBool,
+    fetching: watch::Sender<Fetching>,
     fetching_hosts: AtomicBool,
 }
 
+/// Fetch of a document that is under way.
+#[derive(Debug, Default)]
+struct Fetching {
+    active: bool,
+    /// Host with the greatest version that was announced since the fetch began.
+    next: Option<(Arc<str>, Version)>,
+}
+
 impl Peers {
     /// Creates the view of the daemon on `own`.
     pub fn open(own: &Host, incarnation: Incarnation) -> Self {
@@ -60,7 +68,7 @@
             fresh: watch::Sender::new(true),
             asked: watch::Sender::new(None),
             ticked_ms: AtomicU64::new(0),
-            fetching: AtomicBool::new(false),
+            fetching: watch::Sender::default(),
             fetching_hosts: AtomicBool::new(false),
         }
     }
@@ -127,7 +135,7 @@
     let since = context
         .now()
         .as_millis()
-        .saturating_sub(peers.ticked_ms.load(Ordering::Relaxed).into());
+        .saturating_sub(peers.ticked_ms.load(Ordering::Acquire).into());
     if since > PAUSE.as_millis() {
         tick(context);
     }
@@ -148,8 +156,15 @@
 fn tick(context: &Arc<Context>) {
     let now = context.now();
     let ms = now.as_millis() as u64;
-    context.peers.ticked_ms.store(ms, Ordering::Relaxed);
-    let actions = context.peers.view().on_tick(now);
+    let peers = &context.peers;
+    // After a pause, requests of other threads must wait from the moment at
+    // which the new time of the tick hides the gap from them.
+    let last = peers.ticked_ms.load(Ordering::Acquire);
+    if u128::from(ms.saturating_sub(last)) > PAUSE.as_millis() {
+        peers.fresh.send_replace(false);
+    }
+    peers.ticked_ms.store(ms, Ordering::Release);
+    let actions = peers.view().on_tick(now);
     perform(context, actions);
 }
 
@@ -194,7 +209,11 @@
 
 /// Carries out what the view asks for.
 pub fn perform(context: &Arc<Context>, actions: Vec<Action>) {
-    for action in actions {
+    // The fetch that an answer leads to begins before the answer counts.
+    let (ends, others): (Vec<Action>, Vec<Action>) = actions
+        .into_iter()
+        .partition(|action| matches!(action, Action::Asked { .. }));
+    for action in others.into_iter().chain(ends) {
         perform_one(context, action);
     }
 }
@@ -217,11 +236,19 @@
             if purpose == Purpose::Start {
                 peers.asked.send_replace(Some(answers));
             }
-            peers.fresh.send_replace(true);
+            tokio::spawn(confirm(Arc::clone(context)));
         }
         Action::Behind { host, version } => {
-            if !peers.fetching.swap(true, Ordering::Relaxed) {
-                tokio::spawn(fetch(Arc::clone(context), host, version));
+            let mut start = false;
+            peers.fetching.send_modify(|fetching| {
+                let known = fetching.next.as_ref().map(|(_, known)| *known);
+                if known < Some(version) {
+                    fetching.next = Some((host, version));
+                }
+                start = !std::mem::replace(&mut fetching.active, true);
+            });
+            if start {
+                tokio::spawn(fetch(Arc::clone(context)));
             }
         }
         Action::HostsBehind { host, number } => {
@@ -303,17 +330,34 @@
     }
 }
 
-async fn fetch(context: Arc<Context>, host: Arc<str>, version: Version) {
-    if let Some(address) = address(&context, &host)
-        && context.config.version() < Some(version)
-    {
-        let base = context.config.version().map(|version| version.hash);
-        let outcome = fetch_from(&context, address, &host, base).await;
-        if matches!(outcome, Some(Outcome::Baseless { .. })) {
-            fetch_from(&context, address, &host, None).await;
+/// Fetches until no greater version is announced.
+async fn fetch(context: Arc<Context>) {
+    loop {
+        let mut next = None;
+        context.peers.fetching.send_modify(|fetching| {
+            next = fetching.next.take();
+            fetching.active = next.is_some();
+        });
+        let Some((host, version)) = next else { return };
+        if let Some(address) = address(&context, &host)
+            && context.config.version() < Some(version)
+        {
+            let base = context.config.version().map(|version| version.hash);
+            let outcome = fetch_from(&context, address, &host, base).await;
+            if matches!(outcome, Some(Outcome::Baseless { .. })) {
+                fetch_from(&context, address, &host, None).await;
+            }
         }
     }
-    context.peers.fetching.store(false, Ordering::Relaxed);
+}
+
+/// Lets requests go on when the versions that the asked peers announced are in
+/// force.
+async fn confirm(context: Arc<Context>) {
+    let mut fetching = context.peers.fetching.subscribe();
+    // The sender lives as long as the context.
+    let _ = fetching.wait_for(|fetching| !fetching.active).await;
+    context.peers.fresh.send_replace(true);
 }
 
 /// Fetches the document of the daemon at `address` and offers it.
