daemon: test that a resumed process answers by the newest version

A daemon process is stopped by SIGSTOP while three versions are published. Requests that wait in its sockets are the first thing that it sees. Paths exist in one version each, so the answer shows the version.

Ruled out: a daemon within the test's process, which cannot be stopped.

--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Daemons, upstreams and platforms within the test's process.
 
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+pub(crate) mod process;
+
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
--- /dev/null
+++ b/crates/daemon/tests/fleet/process.rs
@@ -0,0 +1,111 @@
+//! Daemons as separate processes, for failures that need a signal.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use savorylane_intent::document::Document;
+use savorylane_intent::hosts::Host;
+use savorylane_standin::upstream;
+use savorylane_wire::operator::{OperatorClient, Status};
+
+use super::Fleet;
+use crate::common::{Daemon, list};
+
+/// A daemon in a process of its own, and its upstream in this one.
+pub(crate) struct Process {
+    /// The process; killed when dropped.
+    pub(crate) daemon: Daemon,
+    /// Its upstream.
+    pub(crate) upstream: upstream::Handle,
+    /// Entry of the host list.
+    pub(crate) listed: Host,
+}
+
+impl Process {
+    /// Starts a daemon; the first letters of its name are its data centre.
+    pub(crate) fn start(fleet: &Fleet, host: &str, upstream: upstream::Settings) -> Self {
+        let upstream = upstream::spawn(upstream, &fleet.record, &fleet.cancel).unwrap();
+        Self::start_at(fleet, host, upstream, &[])
+    }
+
+    /// Starts a daemon in front of a running upstream.
+    pub(crate) fn start_at(
+        fleet: &Fleet,
+        host: &str,
+        upstream: upstream::Handle,
+        more: &[String],
+    ) -> Self {
+        let data_centre = host.trim_end_matches(|c: char| c.is_ascii_digit());
+        let mut arguments = vec![
+            format!("--platform={}", fleet.platform.addr()),
+            format!("--upstream={}", upstream.addr),
+        ];
+        arguments.extend_from_slice(more);
+        let daemon = Daemon::start(host, data_centre, &arguments);
+        let listed = daemon.listed(data_centre);
+        Self {
+            daemon,
+            upstream,
+            listed,
+        }
+    }
+
+    /// Returns the address for callers.
+    pub(crate) fn entry(&self) -> SocketAddr {
+        self.listed.entry
+    }
+
+    /// Sends the signal `name` to the process.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.daemon.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status().unwrap();
+        assert!(sent.success(), "signal {name} to {id}");
+    }
+
+    /// Returns a client of the operator port.
+    pub(crate) fn operator(&self) -> HttpClient {
+        HttpClientBuilder::default()
+            .request_timeout(Duration::from_secs(2))
+            .build(format!("http://{}", self.listed.operator))
+            .unwrap()
+    }
+
+    /// Returns the state, if the daemon answers.
+    pub(crate) async fn status(&self) -> Option<Status> {
+        self.operator().status().await.ok()
+    }
+}
+
+/// Publishes the list of `processes` and `document`, and waits until the
+/// document is in force and all see each other.
+pub(crate) async fn publish(fleet: &Fleet, processes: &[Process], document: &Document) {
+    let hosts = processes.iter().map(|process| process.listed.clone());
+    fleet.platform.publish_hosts(&list(1, hosts.collect()));
+    fleet.platform.publish_document(document);
+    let all: Vec<&Process> = processes.iter().collect();
+    reach(&all, document.number, Duration::from_secs(10)).await;
+}
+
+/// Waits until the document `number` is in force on all `processes`, and they
+/// see each other.
+pub(crate) async fn reach(processes: &[&Process], number: u64, limit: Duration) -> Duration {
+    let start = Instant::now();
+    for process in processes {
+        loop {
+            let status = process.status().await;
+            let met = status.as_ref().is_some_and(|status| {
+                let known = |host: &&savorylane_wire::operator::Host| host.state == "alive";
+                status.version.map(|version| version.number) == Some(number)
+                    && status.hosts.iter().filter(known).count() + 1 >= processes.len()
+            });
+            if met {
+                break;
+            }
+            assert!(start.elapsed() < limit, "not in {limit:?}: {status:?}");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    start.elapsed()
+}
--- /dev/null
+++ b/crates/daemon/tests/pause_faults.rs
@@ -0,0 +1,78 @@
+//! Processes that are paused and resume with outdated state.
+
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod common;
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use common::get;
+use fleet::process::{Process, publish, reach};
+use fleet::{Fleet, IN_FORCE, versioned};
+use http::StatusCode;
+use savorylane_standin::upstream;
+
+/// Longer than the 2 s from which a gap counts as a pause.
+const PAUSE: Duration = Duration::from_millis(2_500);
+/// Requests that wait at the stopped daemon, of each version.
+const WAITING: usize = 8;
+
+/// Guards against a daemon that resumes and serves by the version that was in
+/// force before the pause. The requests wait in its sockets, so they are the
+/// first thing that it sees.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_daemon_answers_by_the_newest_version() {
+    let fleet = Fleet::open();
+    let start = |host| Process::start(&fleet, host, upstream::Settings::default());
+    let processes = ["a1", "a2", "b1"].map(start);
+    publish(&fleet, &processes, &versioned(1)).await;
+    let [paused, others @ ..] = &processes;
+    let others: Vec<&Process> = others.iter().collect();
+    let mut oldest = 1;
+    for _ in 0..2 {
+        paused.signal("-STOP");
+        let stopped = Instant::now();
+        for number in oldest + 1..=oldest + 3 {
+            fleet.platform.publish_document(&versioned(number));
+            for other in &others {
+                let start = Instant::now();
+                while get(other.entry(), &format!("/v{number}/x"))
+                    .await
+                    .is_ok_and(|answer| answer.status == StatusCode::NOT_FOUND)
+                {
+                    assert!(
+                        start.elapsed() < IN_FORCE,
+                        "version {number} is not in force"
+                    );
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            }
+        }
+        let newest = oldest + 3;
+        tokio::time::sleep(PAUSE.saturating_sub(stopped.elapsed())).await;
+        let entry = paused.entry();
+        let send = |number: u64| {
+            let path = format!("/v{number}/x");
+            tokio::spawn(async move { get(entry, &path).await.unwrap() })
+        };
+        let old: Vec<_> = (0..WAITING).map(|_| send(oldest)).collect();
+        let new: Vec<_> = (0..WAITING).map(|_| send(newest)).collect();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        paused.signal("-CONT");
+        let resumed = Instant::now();
+        for request in old {
+            let answer = request.await.unwrap();
+            assert_eq!(answer.status, StatusCode::NOT_FOUND, "{answer:?}");
+        }
+        for request in new {
+            let answer = request.await.unwrap();
+            assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        }
+        println!("all answers {:?} after the wake", resumed.elapsed());
+        let all: Vec<&Process> = processes.iter().collect();
+        reach(&all, newest, Duration::from_secs(10)).await;
+        oldest = newest;
+    }
+    fleet.cancel.cancel();
+}
