--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -48,10 +48,18 @@
     /// The same by the wall clock, which goes on while a virtual machine is
     /// suspended.
     ticked_wall_ms: AtomicU64,
-    fetching: AtomicBool,
+    fetching: watch::Sender<Fetching>,
     fetching_hosts: AtomicBool,
 }
 
+/// Fetch of a document that is under way.
+#[derive(Debug, Default)]
+struct Fetching {
+    active: bool,
+    /// Host with the greatest version that was announced since the fetch began.
+    next: Option<(Arc<str>, Version)>,
+}
+
 impl Peers {
     /// Creates the view of the daemon on `own`.
     pub fn open(own: &Host, incarnation: Incarnation) -> Self {
@@ -65,7 +73,7 @@
             asked: watch::Sender::new(None),
             ticked_ms: AtomicU64::new(0),
             ticked_wall_ms: AtomicU64::new(wall_ms()),
-            fetching: AtomicBool::new(false),
+            fetching: watch::Sender::default(),
             fetching_hosts: AtomicBool::new(false),
         }
     }
@@ -91,6 +99,14 @@
         self.asked.subscribe()
     }
 
+    /// Returns the time since the last tick, by the clock that tells more.
+    fn gap(&self, now: Duration) -> Duration {
+        let ticked = Duration::from_millis(self.ticked_ms.load(Ordering::Acquire));
+        let ticked_wall_ms = self.ticked_wall_ms.load(Ordering::Acquire);
+        let wall_gap = Duration::from_millis(wall_ms().saturating_sub(ticked_wall_ms));
+        now.saturating_sub(ticked).max(wall_gap)
+    }
+
     fn set_routable(&self, host: &str, routable: bool) {
         self.unroutable.rcu(|set| {
             let mut set = HashSet::clone(set);
@@ -128,11 +144,7 @@
 /// before it: a request can be the first thing that runs after the pause.
 pub fn notice_pause(context: &Arc<Context>) {
     let peers = &context.peers;
-    let ticked = Duration::from_millis(peers.ticked_ms.load(Ordering::Relaxed));
-    let ticked_wall_ms = peers.ticked_wall_ms.load(Ordering::Relaxed);
-    let gap = context.now().saturating_sub(ticked);
-    let wall_gap = Duration::from_millis(wall_ms().saturating_sub(ticked_wall_ms));
-    if gap.max(wall_gap) > PAUSE {
+    if peers.gap(context.now()) > PAUSE {
         tick(context);
     }
 }
@@ -160,15 +172,17 @@
     let now = context.now();
     let peers = &context.peers;
     let ms = now.as_millis() as u64;
-    let gap_ms = ms.saturating_sub(peers.ticked_ms.swap(ms, Ordering::Relaxed));
-    let wall = wall_ms();
-    let wall_gap_ms = wall.saturating_sub(peers.ticked_wall_ms.swap(wall, Ordering::Relaxed));
-    if u128::from(gap_ms.max(wall_gap_ms)) > PAUSE.as_millis() {
-        // The view notices a pause by its own clock only, which can have stood
-        // still with the process.
+    // After a pause, requests of other threads must wait, and claims of keys
+    // find no evidence, from the moment at which the new time of the tick hides
+    // the gap from them. The view notices a pause by its own clock only, which
+    // can have stood still with the process.
+    if peers.gap(now) > PAUSE {
+        peers.fresh.send_replace(false);
         context.rings.on_pause(now);
     }
-    let actions = context.peers.view().on_tick(now);
+    peers.ticked_wall_ms.store(wall_ms(), Ordering::Release);
+    peers.ticked_ms.store(ms, Ordering::Release);
+    let actions = peers.view().on_tick(now);
     perform(context, actions);
 }
 
@@ -213,7 +227,11 @@
 
 /// Carries out what the view asks for.
 pub fn perform(context: &Arc<Context>, actions: Vec<Action>) {
-    for action in actions {
+    // The fetch that an answer leads to begins before the answer counts.
+    let (ends, others): (Vec<Action>, Vec<Action>) = actions
+        .into_iter()
+        .partition(|action| matches!(action, Action::Asked { .. }));
+    for action in others.into_iter().chain(ends) {
         perform_one(context, action);
     }
 }
@@ -236,11 +254,19 @@
             if purpose == Purpose::Start {
                 peers.asked.send_replace(Some(answers));
             }
-            peers.fresh.send_replace(true);
+            tokio::spawn(confirm(Arc::clone(context)));
         }
         Action::Behind { host, version } => {
-            if !peers.fetching.swap(true, Ordering::Relaxed) {
-                tokio::spawn(fetch(Arc::clone(context), host, version));
+            let mut start = false;
+            peers.fetching.send_modify(|fetching| {
+                let known = fetching.next.as_ref().map(|(_, known)| *known);
+                if known < Some(version) {
+                    fetching.next = Some((host, version));
+                }
+                start = !std::mem::replace(&mut fetching.active, true);
+            });
+            if start {
+                tokio::spawn(fetch(Arc::clone(context)));
             }
         }
         Action::HostsBehind { host, number } => {
@@ -322,17 +348,34 @@
     }
 }
 
-async fn fetch(context: Arc<Context>, host: Arc<str>, version: Version) {
-    if let Some(address) = address(&context, &host)
-        && context.config.version() < Some(version)
-    {
-        let base = context.config.version().map(|version| version.hash);
-        let outcome = fetch_from(&context, address, &host, base).await;
-        if matches!(outcome, Some(Outcome::Baseless { .. })) {
-            fetch_from(&context, address, &host, None).await;
+/// Fetches until no greater version is announced.
+async fn fetch(context: Arc<Context>) {
+    loop {
+        let mut next = None;
+        context.peers.fetching.send_modify(|fetching| {
+            next = fetching.next.take();
+            fetching.active = next.is_some();
+        });
+        let Some((host, version)) = next else { return };
+        if let Some(address) = address(&context, &host)
+            && context.config.version() < Some(version)
+        {
+            let base = context.config.version().map(|version| version.hash);
+            let outcome = fetch_from(&context, address, &host, base).await;
+            if matches!(outcome, Some(Outcome::Baseless { .. })) {
+                fetch_from(&context, address, &host, None).await;
+            }
         }
     }
-    context.peers.fetching.store(false, Ordering::Relaxed);
+}
+
+/// Lets requests go on when the versions that the asked peers announced are in
+/// force.
+async fn confirm(context: Arc<Context>) {
+    let mut fetching = context.peers.fetching.subscribe();
+    // The sender lives as long as the context.
+    let _ = fetching.wait_for(|fetching| !fetching.active).await;
+    context.peers.fresh.send_replace(true);
 }
 
 /// Fetches the document of the daemon at `address` and offers it.
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use savorylane_daemon::settings::Settings;
+use savorylane_daemon::settings::{Readers, Settings};
 use savorylane_daemon::{Handle, spawn};
 use savorylane_intent::document::{Class, Document, Service, Target, Work};
 use savorylane_intent::hosts::{Host, List, State};
@@ -78,6 +78,7 @@
         control: any,
         operator: any,
         upstream,
+        health: None,
         slots: 6,
         platform: vec![platform],
         peers: Vec::new(),
@@ -86,6 +87,7 @@
         drain_limit: Duration::from_secs(1),
         body_bytes: BODY_BYTES,
         caller_connections: 256,
+        readers: Readers::Ranked,
         policy: Policy::Savorylane,
         log_level: log::LevelFilter::Off,
     }
