daemon: connect to other daemons from the data address

Requests to other daemons came from an address that the system picked, so neither a firewall nor the stand-in links could tell which host sent them. Ruled out: reading the sender from savorylane-from, which is compressed inside HTTP/2.

Dispatcher::open takes the address of the data port and binds outgoing connections to it; an unspecified address keeps the earlier behaviour.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 pub mod table;
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -23,7 +24,7 @@
 use table::{Class, Table};
 
 /// Clients and estimates of the other daemons.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatcher {
     /// Estimates and class state.
     pub table: Table,
@@ -31,6 +32,16 @@
     pub clients: Clients,
 }
 
+impl Dispatcher {
+    /// Returns a dispatcher whose connections come from `local`.
+    pub fn open(local: IpAddr) -> Self {
+        Self {
+            table: Table::default(),
+            clients: Clients::open(local),
+        }
+    }
+}
+
 /// Result of one attempt.
 type Attempt = Pin<Box<dyn Future<Output = Result<Response<Body>, Refusal>> + Send>>;
 
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -1,6 +1,6 @@
 //! Sends requests to the data ports of other daemons.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -30,15 +30,6 @@
     long: Client<HttpConnector, Body>,
 }
 
-impl Default for Clients {
-    fn default() -> Self {
-        Self {
-            short: client(),
-            long: client(),
-        }
-    }
-}
-
 /// What came back from a daemon.
 pub struct Reply {
     /// Answer of the upstream, or the refusal.
@@ -48,6 +39,16 @@
 }
 
 impl Clients {
+    /// Returns clients whose connections come from `local`, so that a firewall
+    /// can tell daemons from others. The system picks the source if `local` is
+    /// unspecified.
+    pub fn open(local: IpAddr) -> Self {
+        Self {
+            short: client(local),
+            long: client(local),
+        }
+    }
+
     /// Sends a call with the additional headers `extra` to the daemon at
     /// `address`.
     pub async fn send(
@@ -169,8 +170,9 @@
     HeaderValue::from_str(text).expect("a checked name is a valid header value")
 }
 
-fn client() -> Client<HttpConnector, Body> {
+fn client(local: IpAddr) -> Client<HttpConnector, Body> {
     let mut connector = HttpConnector::new();
+    connector.set_local_address((!local.is_unspecified()).then_some(local));
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     Client::builder(TokioExecutor::new())
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -168,7 +168,7 @@
         gatekeeper,
         results: Results::default(),
         metrics: Metrics::open(),
-        dispatcher: Dispatcher::default(),
+        dispatcher: Dispatcher::open(settings.data.ip()),
         leaving: CancellationToken::new(),
         stop: CancellationToken::new(),
         settings,
