--- /dev/null
+++ b/crates/standin/examples/measure/churn.rs
@@ -0,0 +1,118 @@
+//! Hosts that leave and arrive while requests are served.
+
+use std::time::Duration;
+
+use savorylane_intent::document::Work;
+use savorylane_intent::hosts::State;
+use savorylane_standin::deployment::LONG;
+use savorylane_standin::fleet::{Failure, Member};
+use savorylane_standin::load::{End, Rate};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::options::Options;
+use crate::phase;
+
+const INTERVAL: Duration = Duration::from_secs(2);
+/// The host list shows a leaving host this much later.
+const LIST_LAG: Duration = Duration::from_secs(1);
+/// New work that reaches an upstream later than this after it began to leave
+/// is late.
+const GRACE: Duration = Duration::from_secs(3);
+const LOAD: f64 = 0.4;
+
+pub(crate) async fn run(options: &Options) -> Result<(), Failure> {
+    let policy = options.policies(&["savorylane"]).remove(0);
+    let flags = vec![format!("--policy={policy}"), "--drain-limit-s=20".into()];
+    let deployment = options.deployment(5.0);
+    let hosts = options.hosts.unwrap_or(18);
+    let mut fleet = options.fleet(deployment, hosts, flags).await?;
+    let mut report = options.report(&fleet, &policy);
+    // Callers use entries that stay: the load generator does not look for
+    // another entry.
+    let stay = fleet.document.services.len() * 2;
+    let entries: Vec<_> = fleet.entries(|_| true).into_iter().take(stay).collect();
+    let mut classes = phase::short(&fleet, LOAD);
+    let long = fleet
+        .document
+        .classes
+        .iter()
+        .find(|class| class.work == Work::Long);
+    let long = long.ok_or("the document has no long class")?;
+    let slots = (hosts / fleet.document.services.len() * fleet.plan.deployment.slots) as f64;
+    let uploads = 0.2 * slots / fleet.plan.deployment.mean(LONG).as_secs_f64();
+    classes.push(
+        fleet
+            .plan
+            .deployment
+            .load(&long.name, Rate::constant(uploads)),
+    );
+    let seed = options.seed * 1000;
+    let warm = classes.clone();
+    phase::start(seed, options.time(5.0), warm, entries.clone()).await?;
+    let duration = options.time(60.0);
+    let start = Instant::now();
+    let load = phase::start(seed + 1, duration, classes, entries);
+    let mut ends = Vec::new();
+    let mut changes = 0;
+    while start.elapsed() + INTERVAL < duration {
+        sleep_until(start + INTERVAL * (changes + 1)).await;
+        let old = fleet.members[stay].place.clone();
+        let mut new = old.clone();
+        let round = hosts + changes as usize;
+        new.name = format!("{}-{}-{round}", new.service, new.data_centre.name);
+        eprintln!("{} leaves, {} arrives", old.name, new.name);
+        fleet.start(new, round).await?;
+        let member = fleet.take(&old.name).ok_or("the host does not run")?;
+        // The new host is listed at once, the leaving one still as live.
+        fleet.listed_only.clear();
+        fleet.listed_only.push(member.listed.clone());
+        fleet.publish_hosts();
+        member.upstream.drain();
+        ends.push(tokio::spawn(leave(member)));
+        sleep(LIST_LAG).await;
+        for host in &mut fleet.listed_only {
+            host.state = State::Leaving;
+        }
+        fleet.publish_hosts();
+        changes += 1;
+    }
+    let results = load.await?;
+    let mut cut_daemons = 0;
+    for end in ends {
+        cut_daemons += usize::from(!end.await?.is_empty());
+    }
+    let counts = fleet.record.counts();
+    let late = counts.late.iter().filter(|late| late.after > GRACE).count();
+    let latest = counts
+        .late
+        .iter()
+        .map(|late| late.after)
+        .max()
+        .unwrap_or_default();
+    let cut = results.outcomes.iter();
+    let cut = cut.filter(|outcome| !matches!(outcome.end, End::Done | End::Refused));
+    report.add(None, "changes", f64::from(changes), "hosts");
+    report.add(None, "requests_cut", cut.count() as f64, "requests");
+    report.add(None, "late_assignments", late as f64, "requests");
+    report.add(
+        None,
+        "assigned_while_leaving",
+        counts.late.len() as f64,
+        "requests",
+    );
+    report.add(None, "latest_assignment", latest.as_secs_f64(), "s");
+    report.add(None, "daemons_that_cut", cut_daemons as f64, "daemons");
+    for class in &results.classes {
+        report.add(Some(&class.class), "p50", class.latency_ms(0.5), "ms");
+        report.add(Some(&class.class), "p99", class.latency_ms(0.99), "ms");
+    }
+    phase::add_ends(&mut report, "", &results);
+    report.print()?;
+    fleet.abort();
+    Ok(())
+}
+
+/// Shuts the daemon down. The links to its ports end with the fleet.
+async fn leave(member: Member) -> Vec<&'static str> {
+    member.daemon.shutdown().await
+}
--- /dev/null
+++ b/crates/standin/examples/measure/head_of_line.rs
@@ -0,0 +1,77 @@
+//! Latency of short work beside uploads.
+
+use savorylane_intent::document::Work;
+use savorylane_standin::deployment::LONG;
+use savorylane_standin::fleet::Failure;
+use savorylane_standin::load::Rate;
+
+use crate::options::Options;
+use crate::phase;
+
+/// Share of the capacity that short work takes: half of the third of the slots
+/// that uploads may never take.
+const SHORT: f64 = 1.0 / 6.0;
+
+pub(crate) async fn run(options: &Options) -> Result<(), Failure> {
+    let policy = options.policies(&["savorylane"]).remove(0);
+    let deployment = options.deployment(5.0);
+    let flags = vec![format!("--policy={policy}")];
+    let fleet = options
+        .fleet(deployment, options.hosts.unwrap_or(18), flags)
+        .await?;
+    let mut report = options.report(&fleet, &policy);
+    let deployment = &fleet.plan.deployment;
+    let long = fleet
+        .document
+        .classes
+        .iter()
+        .find(|class| class.work == Work::Long);
+    let long = long.ok_or("the document has no long class")?;
+    let hosts = fleet
+        .members
+        .iter()
+        .filter(|member| member.place.service == long.service);
+    // The gate leaves a third of the slots to short work.
+    let slots = deployment.slots - (deployment.slots / 3).max(1);
+    let capacity = (hosts.count() * slots) as f64 / deployment.mean(LONG).as_secs_f64();
+    report.add(Some(&long.name), "capacity", capacity, "per_s");
+    let seed = options.seed * 1000;
+    phase::start(
+        seed,
+        options.time(5.0),
+        phase::short(&fleet, SHORT),
+        fleet.entries(|_| true),
+    )
+    .await?;
+    for (number, times) in [0.0, 1.0, 2.0, 4.0].into_iter().enumerate() {
+        eprintln!("uploads at {times} times their capacity");
+        let mut classes = phase::short(&fleet, SHORT);
+        if times > 0.0 {
+            classes.push(deployment.load(&long.name, Rate::constant(times * capacity)));
+        }
+        let duration = options.time(24.0);
+        let entries = fleet.entries(|_| true);
+        let results = phase::start(seed + 1 + number as u64, duration, classes, entries).await?;
+        for class in &results.classes {
+            for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+                let name = format!("{name}_at_{times}");
+                report.add(Some(&class.class), &name, class.latency_ms(quantile), "ms");
+            }
+            if class.class == long.name {
+                // Uploads that end after the phase's last arrival count over
+                // the time that they took.
+                let goodput = class.done as f64 / results.elapsed.as_secs_f64();
+                report.add(
+                    Some(&class.class),
+                    &format!("goodput_at_{times}"),
+                    goodput,
+                    "per_s",
+                );
+            }
+        }
+        phase::add_ends(&mut report, &format!("at_{times}_"), &results);
+    }
+    report.print()?;
+    fleet.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/examples/measure/overhead.rs
@@ -0,0 +1,95 @@
+//! Latency and processor time that entry and gatekeeper add to a call.
+
+use savorylane_standin::fleet::Failure;
+use savorylane_standin::load::{Rate, Results};
+
+use crate::options::Options;
+use crate::phase;
+use crate::process;
+
+/// Requests per second, far below the capacity.
+const RATE: f64 = 300.0;
+
+pub(crate) async fn run(options: &Options) -> Result<(), Failure> {
+    let policy = options.policies(&["savorylane"]).remove(0);
+    // One data centre: latency of the network is no overhead.
+    let mut options = options.clone();
+    options.flat = true;
+    let deployment = options.deployment(1.0);
+    let flags = vec![format!("--policy={policy}")];
+    let fleet = options
+        .fleet(deployment, options.hosts.unwrap_or(18), flags)
+        .await?;
+    let mut report = options.report(&fleet, &policy);
+    let class = fleet.document.classes[0].clone();
+    let here = |service: &str| service == class.service;
+    // Entries of other services: each call takes both hops.
+    let entries = fleet.entries(|member| !here(&member.place.service));
+    let members = fleet
+        .members
+        .iter()
+        .filter(|member| here(&member.place.service));
+    let upstreams: Vec<_> = members.map(|member| member.upstream.addr).collect();
+    let seed = options.seed * 1000;
+    let phase = |number, seconds: f64, rate, entries: &[_]| {
+        let load = vec![
+            fleet
+                .plan
+                .deployment
+                .load(&class.name, Rate::constant(rate)),
+        ];
+        phase::start(seed + number, options.time(seconds), load, entries.to_vec())
+    };
+    phase(0, 5.0, RATE, &entries).await?;
+    phase(1, 5.0, RATE, &upstreams).await?;
+    let before = process::processor();
+    tokio::time::sleep(options.time(6.0)).await;
+    let idle = (process::processor() - before).as_secs_f64() / options.time(6.0).as_secs_f64();
+    report.add(None, "idle_processor", idle, "cores");
+    // Alternating, so that other load on the machine meets both alike.
+    let mut runs: [Vec<(Results, f64)>; 2] = Default::default();
+    for round in 0..4 {
+        for (kind, entries) in [&upstreams, &entries].into_iter().enumerate() {
+            eprintln!("{}", ["direct", "through the daemons"][kind]);
+            let before = process::processor();
+            let results = phase(2 + 2 * round + kind as u64, 12.0, RATE, entries).await?;
+            let used = (process::processor() - before).as_secs_f64();
+            let used = used - idle * results.elapsed.as_secs_f64();
+            runs[kind].push((results, used));
+        }
+    }
+    let mut quantiles = Vec::new();
+    let mut processor = Vec::new();
+    for (kind, name) in ["direct", "through"].into_iter().enumerate() {
+        let mut latency = runs[kind][0].0.classes[0].latency.clone();
+        for (results, _) in &runs[kind][1..] {
+            latency.add(&results.classes[0].latency)?;
+        }
+        let p = [0.5, 0.99].map(|quantile| phase::quantile(&latency, quantile));
+        report.add(None, &format!("{name}_p50"), p[0], "ms");
+        report.add(None, &format!("{name}_p99"), p[1], "ms");
+        quantiles.push(p);
+        let used: f64 = runs[kind].iter().map(|(_, used)| used).sum();
+        processor.push(used / latency.len() as f64 * 1e6);
+        report.add(
+            None,
+            &format!("{name}_processor"),
+            processor[kind],
+            "us_per_call",
+        );
+    }
+    report.add(None, "added_p50", quantiles[1][0] - quantiles[0][0], "ms");
+    report.add(None, "added_p99", quantiles[1][1] - quantiles[0][1], "ms");
+    report.add(
+        None,
+        "added_processor",
+        processor[1] - processor[0],
+        "us_per_call",
+    );
+    for (results, _) in &runs[1] {
+        phase::add_ends(&mut report, "", results);
+    }
+    report.print()?;
+    fleet.abort();
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/examples/measure/phase.rs
@@ -0,0 +1,97 @@
+//! One phase of load and its figures.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use savorylane_intent::document::Work;
+use savorylane_standin::fleet::Fleet;
+use savorylane_standin::load::{self, Class, Plan, Rate, Resend, Results};
+use savorylane_standin::report::Report;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Callers. Each has one HTTP/2 connection to an entry.
+const CALLERS: u8 = 16;
+
+/// Starts load at all entries. `seed` names the phase: request ids contain it.
+pub(crate) fn start(
+    seed: u64,
+    duration: Duration,
+    classes: Vec<Class>,
+    entries: Vec<SocketAddr>,
+) -> JoinHandle<Results> {
+    let plan = Plan {
+        seed,
+        duration,
+        limit: usize::MAX,
+        classes,
+        entries,
+        http2: true,
+        callers: CALLERS,
+        home: None,
+        resend: Resend {
+            attempts: 1,
+            wait: Duration::ZERO,
+            mark: false,
+        },
+    };
+    load::spawn(plan, &CancellationToken::new())
+}
+
+/// Returns load of all short classes at `share` of the capacity of their
+/// service.
+pub(crate) fn short(fleet: &Fleet, share: f64) -> Vec<Class> {
+    let classes = fleet.document.classes.iter();
+    let short = classes.filter(|class| class.work == Work::Short);
+    short
+        .map(|class| {
+            let rate = share * fleet.capacity(&class.service);
+            fleet
+                .plan
+                .deployment
+                .load(&class.name, Rate::constant(rate))
+        })
+        .collect()
+}
+
+/// Returns the latencies of the done requests of the classes that `pick`
+/// selects, in microseconds.
+pub(crate) fn latency(results: &Results, pick: impl Fn(&str) -> bool) -> Histogram<u64> {
+    let mut sum: Option<Histogram<u64>> = None;
+    for class in results.classes.iter().filter(|class| pick(&class.class)) {
+        match &mut sum {
+            Some(sum) => sum.add(&class.latency).expect("the bounds are equal"),
+            None => sum = Some(class.latency.clone()),
+        }
+    }
+    sum.expect("the plan has a class that is picked")
+}
+
+/// Returns a quantile in milliseconds.
+pub(crate) fn quantile(latency: &Histogram<u64>, quantile: f64) -> f64 {
+    latency.value_at_quantile(quantile) as f64 / 1e3
+}
+
+/// Adds the ends of all classes, so that latencies of done requests are not
+/// read without what was left out of them.
+pub(crate) fn add_ends(report: &mut Report, prefix: &str, results: &Results) {
+    for class in &results.classes {
+        let ends = [
+            ("offered", class.offered),
+            ("done", class.done),
+            ("refused", class.refused),
+            ("failed", class.failed),
+            ("wrong", class.wrong),
+            ("cut", class.cut),
+            ("timeout", class.timeout),
+        ];
+        let seen = ends
+            .iter()
+            .filter(|(name, count)| *count > 0 || *name == "done");
+        for (name, count) in seen {
+            let name = format!("{prefix}{name}");
+            report.add(Some(&class.class), &name, *count as f64, "requests");
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/examples/measure/process.rs
@@ -0,0 +1,31 @@
+//! What the process used, read from procfs.
+
+use std::fs;
+use std::time::Duration;
+
+/// Clock ticks per second of procfs; fixed on Linux.
+const TICKS: f64 = 100.0;
+/// Page size in bytes, that of x86-64.
+const PAGE: f64 = 4096.0;
+
+/// Returns the processor time of all threads so far.
+pub(crate) fn processor() -> Duration {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    // The command name stands in parentheses and may hold spaces.
+    let fields = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index)?.parse::<f64>().ok();
+    let ticks = ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0);
+    Duration::from_secs_f64(ticks / TICKS)
+}
+
+/// Returns the resident memory in megabytes.
+pub(crate) fn memory_mb() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<f64>().ok())
+        .unwrap_or(0.0)
+        * PAGE
+        / 1e6
+}
--- a/crates/standin/src/delay/mod.rs
+++ b/crates/standin/src/delay/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Single delays are up to 1 ms too short or too long; their mean is about right.
 
+use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -44,6 +45,20 @@
     pub bandwidth: Option<f64>,
 }
 
+/// The `/24` network of an address; zeros for IPv6.
+pub type Network = [u8; 3];
+
+/// Returns the network of `address`.
+pub fn network(address: IpAddr) -> Network {
+    match address {
+        IpAddr::V4(address) => {
+            let [a, b, c, _] = address.octets();
+            [a, b, c]
+        }
+        IpAddr::V6(_) => [0; 3],
+    }
+}
+
 /// Bytes relayed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Counters {
@@ -67,6 +82,10 @@
 #[derive(Debug)]
 struct State {
     settings: Settings,
+    /// Latencies of connections from these networks.
+    delays: BTreeMap<Network, Duration>,
+    /// Bytes of both directions by network of the connecting side.
+    traffic: Mutex<BTreeMap<Network, Arc<AtomicU64>>>,
     forward: Direction,
     backward: Direction,
     /// Number of the next connection.
@@ -109,11 +128,27 @@
 ///
 /// Returns the error of binding the port.
 pub fn spawn(settings: Settings, cancel: &CancellationToken) -> io::Result<Handle> {
+    spawn_by_source(settings, BTreeMap::new(), cancel)
+}
+
+/// Starts a link whose latency depends on the network that connects; the
+/// settings hold the latency of all other networks.
+///
+/// # Errors
+///
+/// Returns the error of binding the port.
+pub fn spawn_by_source(
+    settings: Settings,
+    delays: BTreeMap<Network, Duration>,
+    cancel: &CancellationToken,
+) -> io::Result<Handle> {
     let bound = Port::bind()?;
     let addr = bound.0.addr;
     let links = Links::new(cancel.child_token());
     let state = Arc::new(State {
         settings,
+        delays,
+        traffic: Mutex::default(),
         forward: Direction::new(),
         backward: Direction::new(),
         next: AtomicU64::new(0),
@@ -157,20 +192,53 @@
             connections: self.links.accepted(),
         }
     }
+
+    /// Returns the bytes of both directions by network of the connecting side.
+    pub fn traffic(&self) -> BTreeMap<Network, u64> {
+        let traffic = self.state.traffic.lock().unwrap();
+        let bytes = |bytes: &Arc<AtomicU64>| bytes.load(Ordering::Relaxed);
+        traffic
+            .iter()
+            .map(|(n, count)| (*n, bytes(count)))
+            .collect()
+    }
+}
+
+/// One connection.
+struct Link {
+    number: u64,
+    delay: Duration,
+    traffic: Arc<AtomicU64>,
 }
 
 impl State {
     async fn connect(&self, number: u64, near: Tap) -> io::Result<()> {
+        let network = network(near.link.peer.ip());
+        let link = Link {
+            number,
+            delay: self
+                .delays
+                .get(&network)
+                .copied()
+                .unwrap_or(self.settings.delay),
+            traffic: self
+                .traffic
+                .lock()
+                .unwrap()
+                .entry(network)
+                .or_default()
+                .clone(),
+        };
         // The kernel completes the handshake on loopback at once; over the
         // modelled link it takes a round trip.
-        wait_until(Instant::now() + 2 * self.settings.delay).await;
+        wait_until(Instant::now() + 2 * link.delay).await;
         let far = TcpStream::connect(self.settings.target).await?;
         far.set_nodelay(true)?;
         let (near_read, near_write) = split(near);
         let (far_read, far_write) = split(far);
         tokio::try_join!(
-            self.pump(number, &self.forward, near_read, far_write),
-            self.pump(number, &self.backward, far_read, near_write),
+            self.pump(&link, &self.forward, near_read, far_write),
+            self.pump(&link, &self.backward, far_read, near_write),
         )?;
         Ok(())
     }
@@ -181,11 +249,12 @@
 
     async fn pump(
         &self,
-        number: u64,
+        link: &Link,
         direction: &Direction,
         mut read: impl AsyncRead + Unpin,
         mut write: impl AsyncWrite + Unpin,
     ) -> io::Result<()> {
+        let number = link.number;
         let (sender, mut receiver) = mpsc::channel::<(Instant, Bytes)>(IN_FLIGHT);
         let reader = async move {
             loop {
@@ -195,7 +264,8 @@
                     continue;
                 }
                 let departure = direction.depart(length, self.settings.bandwidth);
-                let arrival = departure + self.settings.delay;
+                link.traffic.fetch_add(length as u64, Ordering::Relaxed);
+                let arrival = departure + link.delay;
                 // An empty chunk stands for the end of the stream.
                 if sender.send((arrival, buffer.freeze())).await.is_err() || length == 0 {
                     return Ok(());
--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -48,6 +48,9 @@
     pub slots: usize,
     /// Connections of callers to an upstream.
     pub connections: usize,
+    /// Factor on service times, to fit a deployment onto one machine: the
+    /// capacity falls by it.
+    pub scale: f64,
 }
 
 /// Where a host stands and what it runs.
@@ -156,6 +159,7 @@
         hosts: 18,
         slots,
         connections,
+        scale: 1.0,
     }
 }
 
@@ -247,9 +251,9 @@
     /// `/<service>/short/` and [`LONG`] below `/<service>/long/`, the paths
     /// that [`Deployment::load`] gives; other paths are answered 404.
     pub fn upstream(&self, service: &str, seed: u64) -> upstream::Settings {
-        let row = |path: String, median| upstream::Service {
+        let row = |path: String, median: Duration| upstream::Service {
             path_prefix: path,
-            time: Time::LogNormal(median, SIGMA),
+            time: Time::LogNormal(median.mul_f64(self.scale), SIGMA),
             fill: 256,
         };
         upstream::Settings {
@@ -265,9 +269,13 @@
 
     /// Returns the short requests per second that one upstream can serve.
     pub fn capacity(&self) -> f64 {
+        self.slots as f64 / self.mean(SHORT).as_secs_f64()
+    }
+
+    /// Returns the mean service time of work with this median.
+    pub fn mean(&self, median: Duration) -> Duration {
         // Mean of the log-normal distribution.
-        let mean = SHORT.as_secs_f64() * (SIGMA * SIGMA / 2.0).exp();
-        self.slots as f64 / mean
+        median.mul_f64(self.scale * (SIGMA * SIGMA / 2.0).exp())
     }
 
     /// Returns load of the class `name` at `rate`.
--- /dev/null
+++ b/crates/standin/src/fleet/mod.rs
@@ -0,0 +1,386 @@
+//! A whole deployment in one process: platform, upstreams, daemons and the
+//! links between their data centres.
+//!
+//! Each data centre has a `/24` network of loopback, and its daemons bind to
+//! and connect from it. A relay in front of each data and control port delays
+//! every connection by the distance between the two networks. What connects
+//! from elsewhere is taken to be in another region. A relay per data centre
+//! stands for its link to the platform.
+//!
+//! Errors of this model: a relay adds about 0.1 ms per direction and rounds
+//! delays to the timer's millisecond; region links have no common bandwidth
+//! limit; callers are next to their entry.
+
+use std::collections::BTreeMap;
+use std::error;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::http_client::HttpClient;
+use savorylane_daemon::settings::parser;
+use savorylane_intent::hosts::{Host, List, State};
+use savorylane_intent::{Document, Version};
+use savorylane_wire::operator::{OperatorClient as _, Outcome, Scope};
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::delay::{self, Network};
+use crate::deployment::{Deployment, Place};
+use crate::{platform, upstream};
+
+/// Error of starting or asking a part of the fleet.
+pub type Failure = Box<dyn error::Error + Send + Sync>;
+
+/// Longest wait for a configuration to be in force everywhere.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Interval between two looks at what is in force, and so the error of
+/// convergence times.
+const LOOK: Duration = Duration::from_millis(1);
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Deployment with its document.
+    pub deployment: Deployment,
+    /// Hosts to start.
+    pub hosts: usize,
+    /// Seed of the upstreams.
+    pub seed: u64,
+    /// Whether links between data centres have latency.
+    pub distance: bool,
+    /// Additional flags of each daemon.
+    pub flags: Vec<String>,
+}
+
+/// A running host: daemon, upstream and the links to its ports.
+#[derive(Debug)]
+pub struct Member {
+    /// Where the host stands.
+    pub place: Place,
+    /// Its upstream.
+    pub upstream: upstream::Handle,
+    /// Its daemon.
+    pub daemon: savorylane_daemon::Handle,
+    /// Its entry in the host list.
+    pub listed: Host,
+    /// Link in front of its data port.
+    pub data: delay::Handle,
+    /// Link in front of its control port.
+    pub control: delay::Handle,
+}
+
+/// A running deployment. Dropping it ends the stand-ins and leaves the
+/// daemons running.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What was started.
+    pub plan: Plan,
+    /// The platform.
+    pub platform: platform::Handle,
+    /// Link of each data centre to the platform, in the deployment's order.
+    pub uplinks: Vec<delay::Handle>,
+    /// Running hosts.
+    pub members: Vec<Member>,
+    /// Runs of all upstreams.
+    pub record: Arc<upstream::Record>,
+    /// Hosts that are listed besides the members.
+    pub listed_only: Vec<Host>,
+    /// Document published last.
+    pub document: Document,
+    hosts_number: u64,
+    cancel: CancellationToken,
+    _guard: DropGuard,
+}
+
+/// Starts a deployment, publishes its configuration and waits until all
+/// daemons have it in force.
+///
+/// # Errors
+///
+/// Returns the first error of starting a part, or that a daemon did not apply
+/// the configuration in time.
+pub async fn spawn(plan: Plan) -> Result<Fleet, Failure> {
+    let cancel = CancellationToken::new();
+    let platform = platform::spawn(1, &cancel)?;
+    let home = plan.deployment.data_centres[0];
+    let mut uplinks = Vec::new();
+    for centre in &plan.deployment.data_centres {
+        let settings = delay::Settings {
+            target: platform.addr(),
+            delay: match plan.distance {
+                true => Deployment::delay(*centre, home),
+                false => Duration::ZERO,
+            },
+            bandwidth: None,
+        };
+        uplinks.push(delay::spawn(settings, &cancel)?);
+    }
+    let document = plan.deployment.document.clone();
+    let mut fleet = Fleet {
+        platform,
+        uplinks,
+        members: Vec::new(),
+        record: Arc::default(),
+        listed_only: Vec::new(),
+        document,
+        hosts_number: 0,
+        _guard: cancel.clone().drop_guard(),
+        cancel,
+        plan,
+    };
+    for (n, place) in fleet
+        .plan
+        .deployment
+        .places(fleet.plan.hosts)
+        .into_iter()
+        .enumerate()
+    {
+        fleet.start(place, n).await?;
+    }
+    let document = fleet.document.clone();
+    let number = fleet.publish_hosts();
+    let (version, _) = fleet.publish(document);
+    fleet.settle(version, number).await?;
+    Ok(fleet)
+}
+
+impl Fleet {
+    /// Starts a host. It is listed by the next [`Fleet::publish_hosts`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of starting a part.
+    pub async fn start(&mut self, place: Place, number: usize) -> Result<(), Failure> {
+        let deployment = &self.plan.deployment;
+        let mut centres = deployment.data_centres.iter();
+        let centre = centres
+            .position(|centre| *centre == place.data_centre)
+            .ok_or("the data centre is not one of the deployment")?;
+        let [a, b, c] = network(centre);
+        let local = Ipv4Addr::new(a, b, c, u8::try_from(1 + number / 6 % 250)?);
+        let settings = deployment.upstream(&place.service, self.plan.seed + number as u64);
+        let upstream = upstream::spawn(settings, &self.record, &self.cancel)?;
+        let arguments = [
+            format!("--host={}", place.name),
+            format!("--region={}", place.data_centre.region),
+            format!("--data-centre={}", place.data_centre.name),
+            format!("--service={}", place.service),
+            format!("--entry={local}:0"),
+            format!("--data={local}:0"),
+            format!("--control={local}:0"),
+            format!("--operator={local}:0"),
+            format!("--upstream={}", upstream.addr),
+            format!("--slots={}", deployment.slots),
+            format!("--platform={}", self.uplinks[centre].addr),
+            "--first-start".into(),
+        ];
+        let mut arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+        // Peers that a starting daemon asks first.
+        let peers = self.members.iter().rev().take(3);
+        let peers: Vec<String> = peers
+            .map(|member| format!("--peer={}", member.control.addr))
+            .collect();
+        arguments.extend(peers.iter().chain(&self.plan.flags).map(String::as_str));
+        let command = parser().run_inner(arguments.as_slice());
+        let command = command.map_err(|failure| format!("{failure:?}"))?;
+        let daemon = savorylane_daemon::spawn(command?.settings).await?;
+        let address = |flag| daemon.addresses.get(flag).copied();
+        let entry = address("entry").ok_or("the daemon has no entry port")?;
+        let data = address("data").ok_or("the daemon has no data port")?;
+        let operator = address("operator").ok_or("the daemon has no operator port")?;
+        let control = address("control").unwrap_or(data);
+        let data = self.link(data, &place)?;
+        let control = self.link(control, &place)?;
+        self.members.push(Member {
+            listed: place.host([entry, data.addr, control.addr, operator]),
+            place,
+            upstream,
+            daemon,
+            data,
+            control,
+        });
+        Ok(())
+    }
+
+    fn link(&self, target: SocketAddr, place: &Place) -> Result<delay::Handle, Failure> {
+        let centres = self.plan.deployment.data_centres.iter().enumerate();
+        let far = self
+            .plan
+            .distance
+            .then_some(crate::deployment::REGION_DELAY);
+        let delays: BTreeMap<Network, Duration> = centres
+            .filter(|_| self.plan.distance)
+            .map(|(n, centre)| (network(n), Deployment::delay(*centre, place.data_centre)))
+            .collect();
+        let settings = delay::Settings {
+            target,
+            delay: far.unwrap_or_default(),
+            bandwidth: None,
+        };
+        Ok(delay::spawn_by_source(settings, delays, &self.cancel)?)
+    }
+
+    /// Publishes the list of the running hosts and returns its number.
+    pub fn publish_hosts(&mut self) -> u64 {
+        self.hosts_number += 1;
+        let hosts = self.members.iter().map(|member| member.listed.clone());
+        self.platform.publish_hosts(&List {
+            number: self.hosts_number,
+            hosts: hosts.chain(self.listed_only.iter().cloned()).collect(),
+        });
+        self.hosts_number
+    }
+
+    /// Publishes `document` and returns its version and when it was published.
+    pub fn publish(&mut self, document: Document) -> (Version, Instant) {
+        self.document = document;
+        self.platform.publish_document(&self.document);
+        (self.document.version(), Instant::now())
+    }
+
+    /// Publishes the document with its next number and a changed target, and
+    /// returns its version and when it was published.
+    pub fn change_target(&mut self, class: usize, latency_ms: u32) -> (Version, Instant) {
+        let mut document = self.document.clone();
+        document.number += 1;
+        document.classes[class].target.latency_ms = latency_ms;
+        self.publish(document)
+    }
+
+    /// Waits until every daemon has at least this version and host list in
+    /// force, and returns when that was for each, in the order of the members.
+    ///
+    /// # Errors
+    ///
+    /// Returns the names of the daemons that lack it after 30 s.
+    pub async fn settle(&self, version: Version, hosts: u64) -> Result<Vec<Instant>, Failure> {
+        let start = Instant::now();
+        let mut reached = vec![None; self.members.len()];
+        loop {
+            let now = Instant::now();
+            for (member, reached) in self.members.iter().zip(&mut reached) {
+                let config = &member.daemon.context.config;
+                if reached.is_none()
+                    && config.version() >= Some(version)
+                    && config.snapshot().is_some_and(|s| s.list.number >= hosts)
+                {
+                    *reached = Some(now);
+                }
+            }
+            if reached.iter().all(Option::is_some) {
+                return Ok(reached.into_iter().flatten().collect());
+            }
+            if start.elapsed() > PATIENCE {
+                let lacking = self
+                    .members
+                    .iter()
+                    .zip(&reached)
+                    .filter(|(_, r)| r.is_none());
+                let names: Vec<&str> = lacking.map(|(m, _)| m.place.name.as_str()).collect();
+                return Err(format!("not in force at {}", names.join(", ")).into());
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Returns the number of the host list published last.
+    pub fn hosts_number(&self) -> u64 {
+        self.hosts_number
+    }
+
+    /// Takes a host out of the members, and so out of the next host list. The
+    /// caller ends its daemon.
+    pub fn take(&mut self, name: &str) -> Option<Member> {
+        let index = self
+            .members
+            .iter()
+            .position(|member| member.place.name == name)?;
+        Some(self.members.remove(index))
+    }
+
+    /// Marks a host as leaving in the host list and makes its daemon announce it.
+    pub fn drain(&mut self, name: &str) -> u64 {
+        for member in &mut self.members {
+            if member.place.name == name {
+                member.upstream.drain();
+                member.daemon.context.leave("operator");
+                member.listed.state = State::Leaving;
+            }
+        }
+        self.publish_hosts()
+    }
+
+    /// Sets the slow factor of the upstreams that `pick` selects.
+    pub fn slow(&self, factor: f64, pick: impl Fn(&Member) -> bool) {
+        for member in self.members.iter().filter(|member| pick(member)) {
+            member.upstream.mode(|mode| mode.slow = factor);
+        }
+    }
+
+    /// Returns the entry addresses of the members that `pick` selects.
+    pub fn entries(&self, pick: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
+        let members = self.members.iter().filter(|member| pick(member));
+        members.map(|member| member.listed.entry).collect()
+    }
+
+    /// Returns the short requests per second that the hosts of one service can
+    /// serve.
+    pub fn capacity(&self, service: &str) -> f64 {
+        let hosts = self
+            .members
+            .iter()
+            .filter(|member| member.place.service == service);
+        hosts.count() as f64 * self.plan.deployment.capacity()
+    }
+
+    /// Returns the results of all daemons by class, read from their operator
+    /// ports.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of reading.
+    pub async fn outcomes(&self) -> Result<Vec<Outcome>, Failure> {
+        let mut sum: Vec<Outcome> = Vec::new();
+        for member in &self.members {
+            let address = member.listed.operator;
+            let client = HttpClient::builder().build(format!("http://{address}"))?;
+            let summary = client.summary(Scope::Host).await?;
+            for outcome in summary.outcomes {
+                match sum.iter_mut().find(|other| other.class == outcome.class) {
+                    Some(other) => {
+                        other.requests += outcome.requests;
+                        other.succeeded += outcome.succeeded;
+                        other.in_time += outcome.in_time;
+                    }
+                    None => sum.push(outcome),
+                }
+            }
+        }
+        Ok(sum)
+    }
+
+    /// Ends all daemons as killed processes would, and the stand-ins.
+    pub fn abort(self) {
+        for member in self.members {
+            member.daemon.abort();
+        }
+    }
+
+    /// Shuts all daemons down and returns the names of the hosts that did not
+    /// end in time or had to cut work.
+    pub async fn shutdown(self, limit: Duration) -> Vec<String> {
+        let ends = self.members.into_iter().map(|member| async move {
+            let cut = timeout(limit, member.daemon.shutdown()).await;
+            cut.map_or(true, |cut| !cut.is_empty())
+                .then_some(member.place.name)
+        });
+        let ends = futures::future::join_all(ends).await;
+        ends.into_iter().flatten().collect()
+    }
+}
+
+/// Returns the network of the data centre with this index.
+pub fn network(centre: usize) -> Network {
+    [127, 20, centre as u8]
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod delay;
 pub mod deployment;
+pub mod fleet;
 pub mod load;
 mod net;
 pub mod platform;
