measure: count further attempts

The figures of slowed and crest did not show whether retries or hedges were the cause of a late answer. The scenarios now report both from the daemons' metrics.

--- a/crates/standin/examples/measure/churn.rs
+++ b/crates/standin/examples/measure/churn.rs
@@ -107,6 +107,7 @@
         report.add(Some(&class.class), "p99", class.latency_ms(0.99), "ms");
     }
     phase::add_ends(&mut report, "", &results);
+    phase::add_attempts(&mut report, &fleet);
     report.print()?;
     fleet.abort();
     Ok(())
--- a/crates/standin/examples/measure/crest.rs
+++ b/crates/standin/examples/measure/crest.rs
@@ -90,6 +90,7 @@
     report.add(None, "upstream_runs", counts.started as f64, "runs");
     report.add(None, "upstream_completed", completed as f64, "runs");
     phase::add_ends(&mut report, "", &results);
+    phase::add_attempts(&mut report, &fleet);
     report.print()?;
     fleet.abort();
     Ok(())
--- a/crates/standin/examples/measure/head_of_line.rs
+++ b/crates/standin/examples/measure/head_of_line.rs
@@ -71,6 +71,7 @@
         }
         phase::add_ends(&mut report, &format!("at_{times}_"), &results);
     }
+    phase::add_attempts(&mut report, &fleet);
     report.print()?;
     fleet.abort();
     Ok(())
--- a/crates/standin/examples/measure/overhead.rs
+++ b/crates/standin/examples/measure/overhead.rs
@@ -86,8 +86,8 @@
         processor[1] - processor[0],
         "us_per_call",
     );
-    for (results, _) in &runs[1] {
-        phase::add_ends(&mut report, "", results);
+    for (round, (results, _)) in runs[1].iter().enumerate() {
+        phase::add_ends(&mut report, &format!("round_{round}_"), results);
     }
     report.print()?;
     fleet.abort();
--- a/crates/standin/examples/measure/phase.rs
+++ b/crates/standin/examples/measure/phase.rs
@@ -95,3 +95,11 @@
         }
     }
 }
+
+/// Adds further attempts, as the daemons count them since their start.
+pub(crate) fn add_attempts(report: &mut Report, fleet: &Fleet) {
+    for kind in ["retry", "hedge"] {
+        let count = fleet.metric("savorylane_attempts", kind);
+        report.add(None, &format!("attempts_{kind}"), count, "requests");
+    }
+}
--- a/crates/standin/examples/measure/slowed.rs
+++ b/crates/standin/examples/measure/slowed.rs
@@ -70,6 +70,7 @@
     }
     phase::add_ends(&mut report, "reference_", &reference);
     phase::add_ends(&mut report, "", &slowed);
+    phase::add_attempts(&mut report, &fleet);
     report.print()?;
     fleet.abort();
     Ok(())
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -360,6 +360,22 @@
         Ok(sum)
     }
 
+    /// Returns the sum over the daemons of the metric `name` with the label
+    /// value `label`.
+    pub fn metric(&self, name: &str, label: &str) -> f64 {
+        let mut sum = 0.0;
+        for member in &self.members {
+            let context = &member.daemon.context;
+            let text = context.metrics.text(&context.load(), 0);
+            let text = String::from_utf8_lossy(&text);
+            let lines = text.lines().filter(|line| line.starts_with(name));
+            let values = lines.filter(|line| line.contains(label));
+            let values = values.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+            sum += values.sum::<f64>();
+        }
+        sum
+    }
+
     /// Ends all daemons as killed processes would, and the stand-ins.
     pub fn abort(self) {
         for member in self.members {
