Mark attempts in the quickstart, and name requests without a whole answer

Cause: 22 of 43 uploads and 1 of 514 confirmations were refused as may-have-run after the drain, all of them later than the change of the host list: a changed ring refuses unmarked keys for 35 s. Ruled out: cut uploads (refusals came after 0.5 to 53 ms, before any body could be sent). Change: the quickstart's callers mark their attempts, which do not depend on the ring. The refusal of unmarked keys is a matter of its own.

--- a/crates/standin/examples/quickstart.rs
+++ b/crates/standin/examples/quickstart.rs
@@ -8,7 +8,7 @@
 
 use savorylane_standin::deployment;
 use savorylane_standin::fleet::{self, Failure, Fleet};
-use savorylane_standin::load::{self, Plan, Rate, Resend, Results};
+use savorylane_standin::load::{self, End, Plan, Rate, Resend, Results};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -76,6 +76,20 @@
             class.latency_ms(0.99),
         );
     }
+    for outcome in results
+        .outcomes
+        .iter()
+        .filter(|outcome| outcome.end != End::Done)
+    {
+        println!(
+            "Not whole: {} at {:.2} s: {:?} after {:.1} ms, verdict {:?}",
+            results.classes[outcome.class].class,
+            outcome.start.as_secs_f64(),
+            outcome.end,
+            outcome.last.as_secs_f64() * 1_000.0,
+            outcome.verdict,
+        );
+    }
     println!("\nTargets, as the operator ports report them:");
     for outcome in fleet.outcomes().await? {
         if outcome.requests == 0 {
@@ -124,7 +138,8 @@
         resend: Resend {
             attempts: 1,
             wait: Duration::ZERO,
-            mark: false,
+            // Marked attempts are served through changes of the host list.
+            mark: true,
         },
     };
     load::spawn(plan, cancel)
