measure: slow the upstreams of a service independently

Two upstreams that are always slow together leave 70% of the capacity, which is the load: every policy then queues without bound, and the scenario told little about them.

--- a/crates/standin/examples/measure/options.rs
+++ b/crates/standin/examples/measure/options.rs
@@ -66,6 +66,7 @@
     pub(crate) hosts: Option<usize>,
     pub(crate) quick: bool,
     pub(crate) flat: bool,
+    pub(crate) together: bool,
     pub(crate) scale: Option<f64>,
 }
 
@@ -100,6 +101,9 @@
     let flat = long("flat")
         .help("Puts all hosts into one data centre, so that distance plays no part")
         .switch();
+    let together = long("together")
+        .help("In `slowed`, slows both upstreams of a service always together")
+        .switch();
     let scale = long("scale")
         .help("Factor on service times; the capacity falls by it")
         .argument::<f64>("FACTOR")
@@ -113,6 +117,7 @@
         hosts,
         quick,
         flat,
+        together,
         scale,
         scenario
     })
