--- /dev/null
+++ b/crates/standin/tests/fleet.rs
@@ -0,0 +1,75 @@
+//! The fleet and the model of distance.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use common::send;
+use savorylane_standin::fleet::{self, Plan};
+use savorylane_standin::{delay, deployment, platform};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
+use tokio_util::sync::CancellationToken;
+
+/// Guards against a link that delays neighbours as much as other regions.
+#[tokio::test]
+async fn link_delays_by_the_network_that_connects() {
+    let cancel = CancellationToken::new();
+    let platform = platform::spawn(1, &cancel).unwrap();
+    let settings = delay::Settings {
+        target: platform.addr(),
+        delay: Duration::from_millis(50),
+        bandwidth: None,
+    };
+    let delays = BTreeMap::from([([127, 30, 1], Duration::ZERO)]);
+    let link = delay::spawn_by_source(settings, delays, &cancel).unwrap();
+    let mut times = Vec::new();
+    for network in [1, 2] {
+        let socket = TcpSocket::new_v4().unwrap();
+        let local = Ipv4Addr::new(127, 30, network, 1);
+        socket.bind((local, 0).into()).unwrap();
+        let start = Instant::now();
+        let mut stream = socket.connect(link.addr).await.unwrap();
+        stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+        stream.read_u8().await.unwrap();
+        times.push(start.elapsed());
+    }
+    // A handshake and a request take two round trips.
+    assert!(times[1] >= Duration::from_millis(195), "{times:?}");
+    assert!(
+        times[1] >= times[0] + Duration::from_millis(100),
+        "{times:?}"
+    );
+    assert_eq!(link.traffic().len(), 2);
+}
+
+/// Guards against a fleet that counts as settled before all daemons apply a
+/// change, and against hosts that cannot reach each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn fleet_applies_changes_and_serves_everywhere() {
+    let mut fleet = fleet::spawn(Plan {
+        deployment: deployment::testata(),
+        hosts: 6,
+        seed: 1,
+        distance: false,
+        flags: Vec::new(),
+    })
+    .await
+    .unwrap();
+    let (version, _) = fleet.change_target(0, 90);
+    fleet.settle(version, 1).await.unwrap();
+    for member in &fleet.members {
+        assert_eq!(member.daemon.context.config.version(), Some(version));
+        let entry = member.listed.entry;
+        for service in ["catalogo", "ordini", "grafica"] {
+            let method_is_get = service != "ordini";
+            let path = format!("/{service}/short/x");
+            let answer = send(entry, false, &path, "1", "").await.unwrap();
+            // Confirmations are posted only, so no class takes this request.
+            assert_eq!(answer.status().is_success(), method_is_get, "{path}");
+        }
+    }
+    fleet.abort();
+}
