--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -12,6 +12,8 @@
 use hyper::body::Incoming;
 use tokio::time::Sleep;
 
+use crate::edge::server::STREAM_WINDOW;
+
 /// Why a body ended early. The connection or stream is then reset, so that a
 /// cut body is never taken for a complete one.
 pub type Cut = Box<dyn std::error::Error + Send + Sync>;
@@ -19,10 +21,10 @@
 /// Body of a request or an answer.
 pub type Body = UnsyncBoxBody<Bytes, Cut>;
 
-/// Bytes of a request body that are kept for another attempt. One HTTP/2
-/// stream window, so that a gatekeeper that refuses a request before reading
-/// its body never makes another attempt impossible.
-const KEPT_BYTES: usize = 65_536 + 16_384;
+/// Bytes of a request body that are kept for another attempt: one HTTP/2
+/// stream window and what the client reads ahead, so that a gatekeeper that
+/// refuses a request before it reads the body leaves another attempt possible.
+const KEPT_BYTES: usize = STREAM_WINDOW as usize + 65_536;
 
 /// Returns a body without content.
 pub fn empty() -> Body {
@@ -125,6 +127,15 @@
     }
 }
 
+/// What was wrong with a caller's body.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// It is larger than the limit.
+    Oversized,
+    /// It is malformed or ended early.
+    Broken,
+}
+
 /// A caller's body that several attempts can send, as long as no more than
 /// the kept bytes were read.
 #[derive(Clone)]
@@ -140,6 +151,7 @@
     limit: u64,
     ended: bool,
     dropped: bool,
+    fault: Option<Fault>,
 }
 
 impl Replay {
@@ -155,13 +167,15 @@
                 limit,
                 ended,
                 dropped: false,
+                fault: None,
             })),
         }
     }
 
     /// Says whether another attempt can send the whole body.
     pub fn repeatable(&self) -> bool {
-        !self.lock().dropped
+        let shared = self.lock();
+        !shared.dropped && shared.fault.is_none()
     }
 
     /// Says whether nothing remains to be read from the caller.
@@ -170,6 +184,36 @@
         shared.ended && !shared.dropped
     }
 
+    /// Reads the whole body if it is known to be small enough to be kept, so
+    /// that no attempt depends on the caller's connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the body was cut.
+    pub async fn fill(&self) -> Result<(), Cut> {
+        let small = {
+            let shared = self.lock();
+            let rest = shared.source.size_hint().exact();
+            rest.is_some_and(|rest| rest <= KEPT_BYTES as u64)
+        };
+        if !small {
+            return Ok(());
+        }
+        let mut attempt = Attempt {
+            replay: self.clone(),
+            next: 0,
+        };
+        while let Some(frame) = attempt.frame().await {
+            frame?;
+        }
+        Ok(())
+    }
+
+    /// Returns what was wrong with the part that was read.
+    pub fn fault(&self) -> Option<Fault> {
+        self.lock().fault
+    }
+
     /// Returns the body of one attempt.
     pub fn attempt(&self) -> Body {
         Attempt {
@@ -213,7 +257,10 @@
                     shared.ended = true;
                     return Poll::Ready(None);
                 }
-                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error.into()))),
+                Poll::Ready(Some(Err(error))) => {
+                    shared.fault = Some(Fault::Broken);
+                    return Poll::Ready(Some(Err(error.into())));
+                }
                 Poll::Ready(Some(Ok(frame))) => frame,
             };
             // Trailers of a request are not passed on.
@@ -223,6 +270,7 @@
             shared.ended = shared.source.is_end_stream();
             shared.read_bytes += bytes.len() as u64;
             if shared.read_bytes > shared.limit {
+                shared.fault = Some(Fault::Oversized);
                 return Poll::Ready(Some(Err("the body is larger than the limit".into())));
             }
             if shared.kept_bytes + bytes.len() <= KEPT_BYTES && !shared.dropped {
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -12,11 +12,13 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Observer, Replay, Watched};
-use crate::call::{Call, Refusal};
+use crate::body::{self, Body, Observer, Replay, Watched};
+use crate::call::{Call, Cause, Refusal};
 use crate::dispatch;
 use crate::edge::server;
+use crate::holder;
 use crate::kernel::{Context, Plugin, Port};
+use crate::peers;
 
 inventory::submit! {
     Plugin {
@@ -56,6 +58,7 @@
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Result<Response<Body>, Refusal> {
+    peers::refresh(context).await;
     let Some(snapshot) = context.config.snapshot() else {
         return Err(Refusal::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -73,7 +76,7 @@
     if body.size_hint().lower() > limit {
         return Err(Refusal::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
-            format!("the body is larger than {limit} bytes"),
+            oversized(limit),
         ));
     }
     let call = Arc::new(Call::read(&head, class, peer.ip(), Instant::now())?);
@@ -85,19 +88,44 @@
         success: false,
         verdict: Verdict::MayHaveRun,
     };
-    match dispatch::serve(context, &snapshot, &call, &body).await {
+    // Work that may run twice needs no record of its key.
+    let served = if call.class.idempotent {
+        dispatch::serve(context, &snapshot, &call, &body).await
+    } else {
+        holder::serve(context, &snapshot, &call, &body).await
+    };
+    match served {
         Ok(answer) => {
             record.success = !answer.status().is_server_error();
             record.verdict = Verdict::Ran;
             Ok(answer.map(|body| Watched::wrap(body, call.deadline, record)))
         }
-        Err(refusal) => {
+        Err(mut refusal) => {
+            blame(&mut refusal, body.fault(), limit);
             record.verdict = refusal.verdict;
             Err(refusal)
         }
     }
 }
 
+/// Names the caller's body as the reason of a refusal, where it is. The
+/// upstream may have run what it got of the body, so the verdict stays.
+fn blame(refusal: &mut Refusal, fault: Option<body::Fault>, limit: u64) {
+    (refusal.status, refusal.reason) = match fault {
+        None => return,
+        Some(body::Fault::Oversized) => (StatusCode::PAYLOAD_TOO_LARGE, oversized(limit)),
+        Some(body::Fault::Broken) => (
+            StatusCode::BAD_REQUEST,
+            "the body is malformed or ended early".into(),
+        ),
+    };
+    refusal.cause = Cause::Request;
+}
+
+fn oversized(limit: u64) -> String {
+    format!("the body is larger than {limit} bytes")
+}
+
 /// Counts a request in results and metrics when its answer has ended.
 struct Record {
     context: Arc<Context>,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,11 +11,14 @@
 pub mod edge;
 pub mod error;
 pub mod gatekeeper;
+pub mod holder;
 pub mod kernel;
 pub mod logs;
 pub mod metrics;
+pub mod peers;
 pub mod results;
 pub mod settings;
+pub mod summary;
 
 pub use error::Error;
 pub use kernel::{Handle, spawn};
