--- a/crates/standin/examples/measure/options.rs
+++ b/crates/standin/examples/measure/options.rs
@@ -67,6 +67,7 @@
     pub(crate) quick: bool,
     pub(crate) flat: bool,
     pub(crate) together: bool,
+    pub(crate) unmarked: bool,
     pub(crate) scale: Option<f64>,
 }
 
@@ -104,6 +105,9 @@
     let together = long("together")
         .help("In `slowed`, slows both upstreams of a service always together")
         .switch();
+    let unmarked = long("unmarked")
+        .help("In `churn`, sends keyed work without the number of its attempt")
+        .switch();
     let scale = long("scale")
         .help("Factor on service times; the capacity falls by it")
         .argument::<f64>("FACTOR")
@@ -118,6 +122,7 @@
         quick,
         flat,
         together,
+        unmarked,
         scale,
         scenario
     })
--- a/crates/standin/examples/measure/phase.rs
+++ b/crates/standin/examples/measure/phase.rs
@@ -15,11 +15,13 @@
 const CALLERS: u8 = 16;
 
 /// Starts load at all entries. `seed` names the phase: request ids contain it.
+/// `mark` says whether keyed work carries the number of its attempt.
 pub(crate) fn start(
     seed: u64,
     duration: Duration,
     classes: Vec<Class>,
     entries: Vec<SocketAddr>,
+    mark: bool,
 ) -> JoinHandle<Results> {
     let plan = Plan {
         seed,
@@ -33,7 +35,7 @@
         resend: Resend {
             attempts: 1,
             wait: Duration::ZERO,
-            mark: false,
+            mark,
         },
     };
     load::spawn(plan, &CancellationToken::new())
--- a/crates/standin/examples/quickstart.rs
+++ b/crates/standin/examples/quickstart.rs
@@ -8,7 +8,7 @@
 
 use savorylane_standin::deployment;
 use savorylane_standin::fleet::{self, Failure, Fleet};
-use savorylane_standin::load::{self, Plan, Rate, Resend, Results};
+use savorylane_standin::load::{self, End, Plan, Rate, Resend, Results};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -76,6 +76,16 @@
             class.latency_ms(0.99),
         );
     }
+    let failed = results
+        .outcomes
+        .iter()
+        .filter(|outcome| outcome.end != End::Done);
+    for outcome in failed.take(20) {
+        let class = &results.classes[outcome.class].class;
+        let (start, took) = (outcome.start.as_secs_f64(), outcome.latency.as_secs_f64());
+        let (end, verdict) = (outcome.end, outcome.verdict);
+        println!("{class} at {start:.3} s ended after {took:.3} s: {end:?}, {verdict:?}");
+    }
     println!("\nTargets, as the operator ports report them:");
     for outcome in fleet.outcomes().await? {
         if outcome.requests == 0 {
@@ -124,7 +134,9 @@
         resend: Resend {
             attempts: 1,
             wait: Duration::ZERO,
-            mark: false,
+            // A marked first attempt runs at once, also while hosts leave and
+            // holders change; keys without a mark are then refused for a time.
+            mark: true,
         },
     };
     load::spawn(plan, cancel)
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -3,15 +3,15 @@
 //!
 //! Each data centre has a `/24` network of loopback, and its daemons bind to
 //! and connect from it. A relay in front of each data and control port delays
-//! every connection by the distance between the two networks. What connects
-//! from elsewhere is taken to be in another region. A relay per data centre
+//! every connection by the distance between the two networks. Control messages
+//! come from 127.0.0.1; their connections are told apart by the first sender
+//! named in them, and are taken to be from another region before that. A relay per data centre
 //! stands for its link to the platform.
 //!
 //! Errors of this model: a relay adds about 0.1 ms per direction and rounds
 //! delays to the timer's millisecond; region links have no common bandwidth
 //! limit; callers are next to their entry.
 
-use std::collections::BTreeMap;
 use std::error;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -209,16 +209,23 @@
             .plan
             .distance
             .then_some(crate::deployment::REGION_DELAY);
-        let delays: BTreeMap<Network, Duration> = centres
-            .filter(|_| self.plan.distance)
-            .map(|(n, centre)| (network(n), Deployment::delay(*centre, place.data_centre)))
-            .collect();
+        let mut sources = delay::Sources::default();
+        for (n, centre) in centres {
+            let delay = match self.plan.distance {
+                true => Deployment::delay(*centre, place.data_centre),
+                false => Duration::ZERO,
+            };
+            sources.delays.insert(network(n), delay);
+            sources
+                .names
+                .push((format!("-{}-", centre.name), network(n)));
+        }
         let settings = delay::Settings {
             target,
             delay: far.unwrap_or_default(),
             bandwidth: None,
         };
-        Ok(delay::spawn_by_source(settings, delays, &self.cancel)?)
+        Ok(delay::spawn_by_source(settings, sources, &self.cancel)?)
     }
 
     /// Publishes the list of the running hosts and returns its number.
