--- a/crates/standin/examples/measure/converge.rs
+++ b/crates/standin/examples/measure/converge.rs
@@ -12,8 +12,7 @@
 const CHANGES: u32 = 20;
 /// Time between a change in force everywhere and the next.
 const GAP: Duration = Duration::from_millis(700);
-/// Policies of distribution. In the comparison `watch-all` every daemon watches
-/// the platform.
+/// Policies of distribution and their flags.
 const POLICIES: [(&str, &[&str]); 2] = [("savorylane", &[]), ("watch-all", &["--readers=all"])];
 
 pub(crate) async fn run(options: &Options) -> Result<(), Failure> {
--- a/crates/standin/examples/measure/options.rs
+++ b/crates/standin/examples/measure/options.rs
@@ -66,6 +66,8 @@
     pub(crate) hosts: Option<usize>,
     pub(crate) quick: bool,
     pub(crate) flat: bool,
+    pub(crate) together: bool,
+    pub(crate) unmarked: bool,
     pub(crate) scale: Option<f64>,
 }
 
@@ -100,6 +102,12 @@
     let flat = long("flat")
         .help("Puts all hosts into one data centre, so that distance plays no part")
         .switch();
+    let together = long("together")
+        .help("In `slowed`, slows both upstreams of a service always together")
+        .switch();
+    let unmarked = long("unmarked")
+        .help("In `churn`, sends keyed work without the number of its attempt")
+        .switch();
     let scale = long("scale")
         .help("Factor on service times; the capacity falls by it")
         .argument::<f64>("FACTOR")
@@ -113,6 +121,8 @@
         hosts,
         quick,
         flat,
+        together,
+        unmarked,
         scale,
         scenario
     })
--- a/crates/standin/examples/quickstart.rs
+++ b/crates/standin/examples/quickstart.rs
@@ -76,19 +76,15 @@
             class.latency_ms(0.99),
         );
     }
-    for outcome in results
+    let failed = results
         .outcomes
         .iter()
-        .filter(|outcome| outcome.end != End::Done)
-    {
-        println!(
-            "Not whole: {} at {:.2} s: {:?} after {:.1} ms, verdict {:?}",
-            results.classes[outcome.class].class,
-            outcome.start.as_secs_f64(),
-            outcome.end,
-            outcome.last.as_secs_f64() * 1_000.0,
-            outcome.verdict,
-        );
+        .filter(|outcome| outcome.end != End::Done);
+    for outcome in failed.take(20) {
+        let class = &results.classes[outcome.class].class;
+        let (start, took) = (outcome.start.as_secs_f64(), outcome.latency.as_secs_f64());
+        let (end, verdict) = (outcome.end, outcome.verdict);
+        println!("{class} at {start:.3} s ended after {took:.3} s: {end:?}, {verdict:?}");
     }
     println!("\nTargets, as the operator ports report them:");
     for outcome in fleet.outcomes().await? {
@@ -138,7 +134,8 @@
         resend: Resend {
             attempts: 1,
             wait: Duration::ZERO,
-            // Marked attempts are served through changes of the host list.
+            // A marked first attempt runs at once, also while hosts leave and
+            // holders change; keys without a mark are then refused for a time.
             mark: true,
         },
     };
