--- /dev/null
+++ b/crates/daemon/tests/fleet/caller.rs
@@ -0,0 +1,124 @@
+//! Callers that tell a request that was cut from one that found no listener.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::channel::mpsc;
+use futures::{SinkExt, StreamExt};
+use http::{Method, Request, StatusCode};
+use http_body::Frame;
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use savorylane_standin::upstream::{REQUEST_ID, answer};
+
+use crate::common::Answer;
+
+/// Body of a request.
+pub(crate) type Body = BoxBody<Bytes, std::convert::Infallible>;
+
+/// How a request ended at the caller.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum End {
+    /// The whole answer of the upstream came.
+    Whole,
+    /// The system refused it with this verdict.
+    Refused(String),
+    /// No connection could be opened.
+    NoListener,
+    /// The connection broke, or the answer was not whole.
+    Cut(String),
+}
+
+/// Connections of one caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller(Client<HttpConnector, Body>);
+
+impl Caller {
+    /// Returns a caller without connections.
+    pub(crate) fn new(http2: bool) -> Self {
+        let mut builder = Client::builder(TokioExecutor::new());
+        Self(builder.http2_only(http2).build_http())
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub(crate) async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Body,
+    ) -> Result<Answer, End> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(REQUEST_ID, path)
+            .body(body)
+            .unwrap();
+        let answer = match self.0.request(request).await {
+            Ok(answer) => answer,
+            Err(error) if error.is_connect() => return Err(End::NoListener),
+            Err(error) => return Err(End::Cut(format!("{error:?}"))),
+        };
+        let (head, body) = answer.into_parts();
+        let verdict = head.headers.get("savorylane-verdict");
+        let verdict = verdict.map(|value| value.to_str().unwrap().to_owned());
+        match body.collect().await {
+            Ok(body) => Ok(Answer {
+                status: head.status,
+                verdict: verdict.unwrap_or_default(),
+                body: body.to_bytes(),
+            }),
+            Err(error) => Err(End::Cut(format!("{error:?}"))),
+        }
+    }
+
+    /// Sends a request and checks its answer.
+    pub(crate) async fn check(&self, method: Method, address: SocketAddr, path: &str) -> End {
+        let answer = self.send(method, address, path, whole(b"")).await;
+        judge(answer, path, b"")
+    }
+
+    /// Uploads `chunks` with a pause of `gap` after each and checks the answer.
+    pub(crate) async fn upload(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        chunks: usize,
+        gap: Duration,
+    ) -> End {
+        let chunk = Bytes::from(vec![b'x'; 16_384]);
+        let (mut sender, receiver) = mpsc::channel(1);
+        let content = chunk.repeat(chunks);
+        tokio::spawn(async move {
+            for _ in 0..chunks {
+                let _ = sender.send(Ok(Frame::data(chunk.clone()))).await;
+                tokio::time::sleep(gap).await;
+            }
+        });
+        let body = BodyExt::boxed(StreamBody::new(receiver.map(|frame| frame)));
+        let answer = self.send(Method::POST, address, path, body).await;
+        judge(answer, path, &content)
+    }
+}
+
+/// Returns a body of `bytes`.
+pub(crate) fn whole(bytes: &'static [u8]) -> Body {
+    Full::new(Bytes::from_static(bytes)).boxed()
+}
+
+fn judge(answer: Result<Answer, End>, path: &str, body: &[u8]) -> End {
+    match answer {
+        Err(end) => end,
+        Ok(found) if found.status != StatusCode::OK => {
+            End::Refused(format!("{} {}", found.verdict, found.status))
+        }
+        Ok(found) => match answer::check(path, body, &found.body) {
+            Ok(()) => End::Whole,
+            Err(fault) => End::Cut(format!("{fault:?}")),
+        },
+    }
+}
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! Daemons, upstreams and platforms within the test's process.
 
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+pub(crate) mod caller;
 #[allow(dead_code, reason = "each test file uses some of the helpers")]
 pub(crate) mod process;
 
