dispatch: keep a host routable when it resets one stream

Cause: any failure of a request to another daemon, other than a timeout, counted as a host that is away. An upstream that breaks off its answers makes its daemon reset single streams on a connection that goes on. The entry then stopped sending work to that host, and the next request was refused with "no host that takes work".

The new tests/body_faults.rs sends 13 kinds of answer through HTTP/1.1 and HTTP/2, at the upstream's daemon and through another one.

--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -72,6 +72,10 @@
                     "the host refuses connections",
                 )
             },
+            // The daemon answers, but what is behind it broke.
+            Ok(Err(error)) if is_reset(&error) => {
+                Refusal::unknown(StatusCode::BAD_GATEWAY, "the host broke off the answer")
+            }
             Ok(Err(error)) => {
                 log::debug!("request to {address} failed: {error}");
                 Refusal {
@@ -91,6 +95,18 @@
     }
 }
 
+/// Says whether one stream was reset on a connection that goes on.
+fn is_reset(error: &(dyn std::error::Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<h2::Error>() {
+            return error.is_reset();
+        }
+        cause = error.source();
+    }
+    false
+}
+
 fn request(
     address: SocketAddr,
     call: &Call,
--- /dev/null
+++ b/crates/daemon/tests/body_faults.rs
@@ -0,0 +1,154 @@
+//! Upstreams that break off an answer.
+
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod common;
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod fleet;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::document;
+use fleet::caller::{Caller, End, whole};
+use fleet::{Fleet, Member};
+use http::Method;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+/// Bytes that the answer announces, or would have.
+const LENGTH: usize = 100_000;
+
+/// How an upstream sends an answer.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunked,
+}
+
+/// How an answer ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Ending {
+    /// All of it is sent.
+    Complete,
+    /// The connection is closed after this many bytes of the body.
+    Closed(usize),
+    /// The connection is reset after this many bytes of the body.
+    Reset(usize),
+}
+
+/// Starts an upstream that answers every request with `LENGTH` bytes of text.
+async fn broken(framing: Framing, ending: Ending, cancel: &CancellationToken) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let cancel = cancel.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = tokio::select! {
+                accepted = listener.accept() => accepted.unwrap(),
+                () = cancel.cancelled() => return,
+            };
+            tokio::spawn(async move {
+                let mut head = Vec::new();
+                while !head.ends_with(b"\r\n\r\n") {
+                    match stream.read_u8().await {
+                        Ok(byte) => head.push(byte),
+                        Err(_) => return,
+                    }
+                }
+                let sent = match ending {
+                    Ending::Complete => LENGTH,
+                    Ending::Closed(bytes) | Ending::Reset(bytes) => bytes,
+                };
+                let mut answer = b"HTTP/1.1 200 OK\r\n".to_vec();
+                let body = vec![b'x'; sent];
+                match framing {
+                    Framing::Length => {
+                        answer.extend(format!("content-length: {LENGTH}\r\n\r\n").bytes());
+                        answer.extend(&body);
+                    }
+                    Framing::Chunked => {
+                        answer.extend(b"transfer-encoding: chunked\r\n\r\n");
+                        for chunk in body.chunks(8_192) {
+                            answer.extend(format!("{:x}\r\n", chunk.len()).bytes());
+                            answer.extend(chunk);
+                            answer.extend(b"\r\n");
+                        }
+                        if ending == Ending::Complete {
+                            answer.extend(b"0\r\n\r\n");
+                        }
+                    }
+                }
+                let _ = stream.write_all(&answer).await;
+                if let Ending::Reset(_) = ending {
+                    // Lets the bytes leave before the reset discards them.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    let _ = stream.set_zero_linger();
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a broken answer that reaches the caller as a complete one,
+/// over either protocol, at the upstream's own daemon and through another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_answer_is_never_complete_at_the_caller() {
+    let endings = [
+        Ending::Complete,
+        Ending::Closed(0),
+        Ending::Closed(1),
+        Ending::Closed(8_192),
+        Ending::Closed(LENGTH - 1),
+        Ending::Reset(50_000),
+    ];
+    for framing in [Framing::Length, Framing::Chunked] {
+        for ending in endings {
+            attempt(framing, ending).await;
+        }
+    }
+    // A chunked answer that lacks only its end.
+    attempt(Framing::Chunked, Ending::Closed(LENGTH)).await;
+}
+
+async fn attempt(framing: Framing, ending: Ending) {
+    let mut fleet = Fleet::open();
+    let upstream = broken(framing, ending, &fleet.cancel).await;
+    // The second daemon serves another service, so it sends all work on.
+    for (host, service) in [("a1", "stock"), ("a2", "other")] {
+        let member = Member::start(&fleet, host, |settings| {
+            settings.upstream = upstream;
+            settings.service = service.into();
+        });
+        fleet.members.push(member.await);
+    }
+    fleet.publish_hosts(1);
+    fleet.platform.publish_document(&document(1));
+    fleet.reach(1, Duration::from_secs(10)).await;
+    for http2 in [false, true] {
+        for member in &fleet.members {
+            let caller = Caller::new(http2);
+            let case = format!(
+                "{framing:?} {ending:?} http2 {http2} {}",
+                member.listed.name
+            );
+            let sent = caller.send(Method::GET, member.entry(), "/stock/x", whole(b""));
+            let answer = tokio::time::timeout(Duration::from_secs(8), sent).await;
+            match answer.unwrap_or_else(|_| panic!("{case}: the caller was left waiting")) {
+                Ok(answer) if ending == Ending::Complete => {
+                    assert_eq!(answer.verdict, "ran", "{case}");
+                    assert_eq!(answer.body.len(), LENGTH, "{case}");
+                }
+                // Nothing of the answer was passed on, and the verdict is true.
+                Ok(answer) => {
+                    assert_eq!(answer.verdict, "may-have-run", "{case}");
+                    assert!(answer.status.is_server_error(), "{case}");
+                }
+                Err(End::Cut(_)) => assert_ne!(ending, Ending::Complete, "{case}"),
+                Err(end) => panic!("{case}: {end:?}"),
+            }
+        }
+    }
+    fleet.end();
+}
