dispatch: count the slow start from when a host can be chosen

Cause: the slow start of a host counted from the first request that this entry sent to it. Entries prefer their own host and data centre, so the other hosts were never used, and kept a share of a twentieth. When the upstream of the entry's host hung, 19 of 20 requests found no other host to go to.

Ruled out: a shorter slow start, which helps no host that was never used.

Change: a host is seen when it is a candidate for the first time.

tests/connection_faults.rs, a hanging upstream that reports health, requests that missed the target of 200 ms. Before: 48 of about 100 in the first second and 26 of 301 later, of which some waited for their deadline of 5 s. After: 1 in the first second and 0 of 301 later.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -218,6 +218,10 @@
         .map(|&index| &snapshot.list.hosts[index].name)
         .map(|name| context.dispatcher.table.estimate(name))
         .collect();
+    // The slow start of a host counts from when it could be chosen, so that
+    // one that was not needed before takes all of the work at once if need be.
+    let now = context.now();
+    estimates.iter().for_each(|estimate| estimate.seen(now));
     let candidates: Vec<Candidate<'_>> = indices
         .iter()
         .zip(&estimates)
@@ -235,7 +239,7 @@
             && class.hedge.available(),
         slack: call.slack(Instant::now()),
     };
-    let mut choice = route::choose(&route, context.now(), &mut rand::rng(), &candidates)?;
+    let mut choice = route::choose(&route, now, &mut rand::rng(), &candidates)?;
     choice.index = indices[choice.index];
     if let Some(hedge) = &mut choice.hedge {
         hedge.index = indices[hedge.index];
