Test keyed work on running daemons

Cause: the holder path was tested in the pure ledger only. A second run can also come from the edges: a lost connection, a killed holder, an answer that is too large to keep.

Ruled out: Handle::abort to end a holder. It ends the listeners, but connections that were accepted before finish gracefully, so a killed process is not what the other daemons see. Each daemon of these tests has a runtime of its own, whose shutdown drops all its tasks and connections.

--- /dev/null
+++ b/crates/daemon/tests/in_process/mod.rs
@@ -0,0 +1,301 @@
+//! Daemons in this process, each on a runtime of its own, so that one can be
+//! ended as a killed process would: with all its tasks and connections.
+#![allow(dead_code)] // Each test file uses a part.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use savorylane_daemon::kernel::{Context, Handle};
+use savorylane_daemon::settings::{Readers, Settings};
+use savorylane_intent::document::{Class, Document, Service, Target, Work};
+use savorylane_intent::hosts::{Host, List, State};
+use savorylane_ledger::{Tenure, ring};
+use savorylane_policy::route::Policy;
+use savorylane_standin::upstream::{REQUEST_ID, Record};
+use savorylane_standin::{platform, upstream};
+use savorylane_wire::control::Scope;
+use tokio::runtime::Runtime;
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for a condition; a loaded machine needs some of it.
+const PATIENCE: Duration = Duration::from_secs(25);
+
+/// A daemon and its upstream.
+pub(crate) struct Member {
+    /// Name of the host.
+    pub(crate) name: String,
+    /// State of the daemon.
+    pub(crate) context: Arc<Context>,
+    /// Where callers connect.
+    pub(crate) entry: SocketAddr,
+    /// The upstream; it outlives the daemon.
+    pub(crate) upstream: upstream::Handle,
+    listed: Host,
+    runtime: Option<Runtime>,
+}
+
+/// Daemons of one service `stock` with the classes `check` (idempotent, GET
+/// and PUT of `/stock/`) and `order` (POST of `/orders/`).
+pub(crate) struct Fleet {
+    /// Daemons.
+    pub(crate) members: Vec<Member>,
+    /// Runs at all upstreams.
+    pub(crate) record: Arc<Record>,
+    platform: platform::Handle,
+    number: u64,
+    cancel: CancellationToken,
+}
+
+/// An answer that was read whole.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Answer {
+    /// Status.
+    pub(crate) status: StatusCode,
+    /// Value of the verdict header.
+    pub(crate) verdict: String,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Call<'a> {
+    /// Method.
+    pub(crate) method: &'a str,
+    /// Path.
+    pub(crate) path: &'a str,
+    /// Idempotency key.
+    pub(crate) key: Option<&'a str>,
+    /// Number of the attempt.
+    pub(crate) attempt: Option<u32>,
+    /// Body.
+    pub(crate) body: &'a str,
+}
+
+impl Fleet {
+    /// Starts `count` daemons and waits until each has the configuration.
+    pub(crate) async fn start(count: usize, settings: upstream::Settings) -> Self {
+        let cancel = CancellationToken::new();
+        let mut fleet = Self {
+            members: Vec::new(),
+            record: Arc::default(),
+            platform: platform::spawn(1, &cancel).unwrap(),
+            number: 0,
+            cancel,
+        };
+        for index in 0..count {
+            let upstream = upstream::spawn(settings.clone(), &fleet.record, &fleet.cancel).unwrap();
+            let name = format!("a{index}");
+            let member = fleet.member(&name, upstream, true).await;
+            fleet.members.push(member);
+        }
+        fleet.platform.publish_document(&document());
+        fleet.publish().await;
+        fleet
+    }
+
+    /// Waits until each daemon of the ring may hold keys.
+    pub(crate) async fn holding(&self) {
+        for member in self.members.iter().filter(|member| member.alive()) {
+            let context = &member.context;
+            until("a confirmed ring", || {
+                let ready = |tenure: &Tenure| {
+                    let held = tenure.ring().members.contains(&member.name);
+                    !held || tenure.active(context.now()).is_some()
+                };
+                context.rings.with(&scope(), ready) == Some(true)
+            })
+            .await;
+        }
+    }
+
+    /// Returns the position of the holder of `key`.
+    pub(crate) fn holder(&self, key: &str) -> usize {
+        let context = &self.members[0].context;
+        let snapshot = context.config.snapshot().expect("a configuration");
+        let ring = context.rings.ring(&snapshot, scope());
+        let name = ring::holder(&ring, &format!("stock\n{key}")).expect("a holder");
+        let mut names = self.members.iter().map(|member| &member.name);
+        names.position(|other| other == name).expect("a member")
+    }
+
+    /// Returns a key that starts with `prefix` and is held by a member.
+    pub(crate) fn key_of(&self, prefix: &str, member: usize) -> String {
+        let mut keys = (0..).map(|number| format!("{prefix}-{number}"));
+        keys.find(|key| self.holder(key) == member).unwrap()
+    }
+
+    /// Ends a daemon as a killed process; its upstream stays.
+    pub(crate) fn kill(&mut self, member: usize) {
+        let runtime = self.members[member].runtime.take();
+        runtime.expect("a daemon that runs").shutdown_background();
+    }
+
+    /// Starts a daemon again under its name, which does not count as a first
+    /// start, and publishes its addresses.
+    pub(crate) async fn restart(&mut self, index: usize) {
+        let old = &self.members[index];
+        let (name, upstream) = (old.name.clone(), old.upstream.clone());
+        self.members[index] = self.member(&name, upstream, false).await;
+        self.publish().await;
+    }
+
+    async fn member(&self, name: &str, upstream: upstream::Handle, first_start: bool) -> Member {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let settings = Settings {
+            host: name.into(),
+            region: "north".into(),
+            data_centre: "a".into(),
+            service: "stock".into(),
+            entry: any,
+            data: any,
+            control: any,
+            operator: any,
+            upstream: upstream.addr,
+            slots: 6,
+            platform: vec![self.platform.addr()],
+            peers: Vec::new(),
+            key_horizon: Duration::from_secs(30),
+            first_start,
+            drain_limit: Duration::from_secs(5),
+            body_bytes: 1 << 20,
+            caller_connections: 256,
+            readers: Readers::default(),
+            policy: Policy::default(),
+            log_level: log::LevelFilter::Warn,
+        };
+        let mut builder = tokio::runtime::Builder::new_multi_thread();
+        let runtime = builder.worker_threads(2).enable_all().build().unwrap();
+        let spawned = runtime.spawn(savorylane_daemon::spawn(settings));
+        let handle: Handle = spawned.await.unwrap().unwrap();
+        let listed = Host {
+            name: name.into(),
+            region: "north".into(),
+            data_centre: "a".into(),
+            service: "stock".into(),
+            entry: handle.addresses["entry"],
+            data: handle.addresses["data"],
+            control: handle.addresses["control"],
+            operator: handle.addresses["operator"],
+            state: State::Live,
+        };
+        Member {
+            name: name.into(),
+            context: Arc::clone(&handle.context),
+            entry: listed.entry,
+            upstream,
+            listed,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Publishes the host list and waits until it is in force.
+    async fn publish(&mut self) {
+        self.number += 1;
+        let hosts = self.members.iter().map(|member| member.listed.clone());
+        self.platform.publish_hosts(&List {
+            number: self.number,
+            hosts: hosts.collect(),
+        });
+        for member in self.members.iter().filter(|member| member.alive()) {
+            until("a host list in force", || {
+                let snapshot = member.context.config.snapshot();
+                snapshot.is_some_and(|snapshot| snapshot.list.number == self.number)
+            })
+            .await;
+        }
+    }
+}
+
+impl Member {
+    fn alive(&self) -> bool {
+        self.runtime.is_some()
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn scope() -> Scope {
+    Scope {
+        service: "stock".into(),
+        home: None,
+    }
+}
+
+fn document() -> Document {
+    let class = |name: &str, path: &str, methods: &[&str], idempotent| Class {
+        name: name.into(),
+        service: "stock".into(),
+        path_prefix: path.into(),
+        methods: methods.iter().map(|method| (*method).into()).collect(),
+        work: Work::Short,
+        idempotent,
+        target: Target {
+            latency_ms: 2_000,
+            quantile: 0.99,
+            success: 0.999,
+        },
+        shed_order: 0,
+    };
+    Document {
+        number: 1,
+        deployment: "test".into(),
+        services: vec![Service {
+            name: "stock".into(),
+        }],
+        classes: vec![
+            class("check", "/stock/", &["GET", "PUT"], true),
+            class("order", "/orders/", &["POST"], false),
+        ],
+    }
+}
+
+/// Sends a request on a connection of its own and reads the whole answer.
+pub(crate) async fn send(address: SocketAddr, call: &Call<'_>) -> Result<Answer, String> {
+    let client = Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .build_http();
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(format!("http://{address}{}", call.path))
+        .header(REQUEST_ID, call.key.unwrap_or(call.path));
+    if let Some(key) = call.key {
+        request = request.header("idempotency-key", key);
+    }
+    if let Some(attempt) = call.attempt {
+        request = request.header("savorylane-attempt", attempt);
+    }
+    let body = Full::new(Bytes::from(call.body.to_owned()));
+    let request = request.body(body).map_err(|error| error.to_string())?;
+    let sent = client.request(request).await;
+    let (head, body) = sent.map_err(|error| error.to_string())?.into_parts();
+    let verdict = head.headers.get("savorylane-verdict");
+    let verdict = verdict.and_then(|value| value.to_str().ok());
+    let body = body.collect().await.map_err(|error| error.to_string())?;
+    Ok(Answer {
+        status: head.status,
+        verdict: verdict.unwrap_or_default().into(),
+        body: body.to_bytes(),
+    })
+}
+
+/// Waits until `done` holds.
+pub(crate) async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < PATIENCE, "waited in vain for {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
