Make the verdict of a retried request cover all attempts

Cause: an entry answered with the verdict of the last attempt. Idempotent work that broke at one host and was refused truthfully by the next got not-run although it may have run, which breaks P5. The same held for a hedge.

Ruled out: no retry after may-have-run. Idempotent work is retried then by design.

Change: dispatch answers may-have-run if any attempt or hedge may have run. A request body whose source failed is no longer repeatable, since another attempt would send its start as if it were the whole; no test covers this.

Conclusion: a not-run after retries is true.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -238,7 +238,11 @@
                     shared.ended = true;
                     return Poll::Ready(None);
                 }
-                Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(error.into()))),
+                Poll::Ready(Some(Err(error))) => {
+                    // Another attempt would send the start as if it were all.
+                    shared.dropped = true;
+                    return Poll::Ready(Some(Err(error.into())));
+                }
                 Poll::Ready(Some(Ok(frame))) => frame,
             };
             // Trailers of a request are not passed on.
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -68,6 +68,7 @@
     }
     let most = attempts(call.attempts_left, call.depth) as usize;
     let mut tried = Vec::new();
+    let mut unknown = false;
     let mut last = Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         format!("service {} has no host that takes work", call.class.service),
@@ -80,11 +81,16 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
+        unknown |= last.verdict == Verdict::MayHaveRun;
         if !again(call, body, &class, &last) {
             break;
         }
         context.metrics.attempted("retry");
     }
+    // The verdict is about all attempts, not only the last.
+    if unknown && last.verdict == Verdict::NotRun {
+        last.verdict = Verdict::MayHaveRun;
+    }
     Err(last)
 }
 
@@ -158,10 +164,17 @@
         Either::Left(ended) => ended,
         Either::Right(ended) => ended,
     };
-    match result {
-        Ok(answer) => (Ok(answer), Some(other)),
-        Err(_) => (other.await, None),
-    }
+    let refusal = match result {
+        Ok(answer) => return (Ok(answer), Some(other)),
+        Err(refusal) => refusal,
+    };
+    let result = other.await.map_err(|mut last| {
+        if last.verdict == Verdict::NotRun {
+            last.verdict = refusal.verdict;
+        }
+        last
+    });
+    (result, None)
 }
 
 fn plan(
--- /dev/null
+++ b/crates/daemon/tests/attempts.rs
@@ -0,0 +1,19 @@
+//! Verdicts of requests that an entry tried at several hosts.
+
+mod in_process;
+
+use in_process::{BREAK, Fleet, breaking, get, send};
+use savorylane_standin::upstream::Settings;
+
+/// Guards against `not-run` for work that broke at one host, because the next
+/// host refused it truthfully (P5).
+#[tokio::test(flavor = "multi_thread")]
+async fn the_verdict_covers_all_attempts() {
+    let fleet = Fleet::start_behind(2, Settings::default(), breaking).await;
+    fleet.members[1].context.gatekeeper.leave();
+    let path = format!("/stock/{BREAK}");
+    for _ in 0..5 {
+        let answer = send(fleet.members[0].entry, &get(&path)).await.unwrap();
+        assert_eq!(answer.verdict, "may-have-run", "{answer:?}");
+    }
+}
--- a/crates/daemon/tests/in_process/mod.rs
+++ b/crates/daemon/tests/in_process/mod.rs
@@ -20,11 +20,15 @@
 use savorylane_standin::upstream::{REQUEST_ID, Record};
 use savorylane_standin::{platform, upstream};
 use savorylane_wire::control::Scope;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Runtime;
 use tokio_util::sync::CancellationToken;
 
 /// Longest wait for a condition; a loaded machine needs some of it.
 const PATIENCE: Duration = Duration::from_secs(25);
+/// Closes a connection that passes through [`breaking`].
+pub(crate) const BREAK: &str = "break-marker";
 
 /// A daemon and its upstream.
 pub(crate) struct Member {
@@ -34,6 +38,8 @@
     pub(crate) context: Arc<Context>,
     /// Where callers connect.
     pub(crate) entry: SocketAddr,
+    /// Where other daemons send requests.
+    pub(crate) data: SocketAddr,
     /// The upstream; it outlives the daemon.
     pub(crate) upstream: upstream::Handle,
     listed: Host,
@@ -81,6 +87,16 @@
 impl Fleet {
     /// Starts `count` daemons and waits until each has the configuration.
     pub(crate) async fn start(count: usize, settings: upstream::Settings) -> Self {
+        Self::start_behind(count, settings, |address| address).await
+    }
+
+    /// Starts `count` daemons that reach each upstream at the address that
+    /// `behind` returns for it.
+    pub(crate) async fn start_behind(
+        count: usize,
+        settings: upstream::Settings,
+        behind: impl Fn(SocketAddr) -> SocketAddr,
+    ) -> Self {
         let cancel = CancellationToken::new();
         let mut fleet = Self {
             members: Vec::new(),
@@ -90,7 +106,9 @@
             cancel,
         };
         for index in 0..count {
-            let upstream = upstream::spawn(settings.clone(), &fleet.record, &fleet.cancel).unwrap();
+            let spawned = upstream::spawn(settings.clone(), &fleet.record, &fleet.cancel);
+            let mut upstream = spawned.unwrap();
+            upstream.addr = behind(upstream.addr);
             let name = format!("a{index}");
             let member = fleet.member(&name, upstream, true).await;
             fleet.members.push(member);
@@ -189,6 +207,7 @@
             name: name.into(),
             context: Arc::clone(&handle.context),
             entry: listed.entry,
+            data: listed.data,
             upstream,
             listed,
             runtime: Some(runtime),
@@ -299,3 +318,56 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
+
+/// Returns a GET request.
+pub(crate) fn get(path: &str) -> Call<'_> {
+    Call {
+        method: "GET",
+        path,
+        ..Call::default()
+    }
+}
+
+/// Passes bytes on to `upstream` and closes each connection that carries the
+/// break marker.
+pub(crate) fn breaking(upstream: SocketAddr) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let listener = TcpListener::from_std(listener).unwrap();
+    tokio::spawn(async move {
+        while let Ok((caller, _)) = listener.accept().await {
+            tokio::spawn(pass_on(caller, upstream));
+        }
+    });
+    address
+}
+
+async fn pass_on(mut caller: TcpStream, upstream: SocketAddr) {
+    let Ok(mut upstream) = TcpStream::connect(upstream).await else {
+        return;
+    };
+    let (mut sent, mut answered) = ([0; 4096], [0; 4096]);
+    loop {
+        let passed = tokio::select! {
+            read = caller.read(&mut sent) => match read {
+                Ok(1..) if contains(&sent, BREAK) => return,
+                Ok(count @ 1..) => upstream.write_all(&sent[..count]).await,
+                _ => return,
+            },
+            read = upstream.read(&mut answered) => match read {
+                Ok(count @ 1..) => caller.write_all(&answered[..count]).await,
+                _ => return,
+            },
+        };
+        if passed.is_err() {
+            return;
+        }
+    }
+}
+
+fn contains(bytes: &[u8], text: &str) -> bool {
+    bytes
+        .windows(text.len())
+        .any(|window| window == text.as_bytes())
+}
