Refuse requests that crash upstreams at all daemons of a service

Cause: the suspect list existed in the ledger, but no daemon used it.

Ruled out: - a death at each broken connection: a living upstream may close one; - a retry of broken work at another host: each other gatekeeper refuses it, or has not heard of it and would lose its upstream; - a fingerprint of the bytes that happen to be at hand: it would differ between attempts.

The RPC method returns the acknowledgement. Refusals have the cause `suspect`: an undecided one names the owner of the suspicion, and entries send the request there and nowhere else.

A death that restarts within 10 ms with a single request in flight is not noticed.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -1,5 +1,6 @@
 //! Bodies of requests and answers.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll};
@@ -36,8 +37,80 @@
         .boxed_unsync()
 }
 
+/// Reads the first `most` bytes of a body, or the whole of a shorter one.
+/// Returns what was read, whether that was all, and a body that still has it.
+///
+/// # Errors
+///
+/// Returns how the body was cut.
+pub async fn peek(mut body: Body, most: usize) -> Result<(Vec<u8>, bool, Body), Cut> {
+    let (mut start, mut first) = (Vec::new(), VecDeque::new());
+    let mut ended = body.is_end_stream();
+    while start.len() < most && !ended {
+        match body.frame().await {
+            None => ended = true,
+            Some(frame) => {
+                if let Ok(bytes) = frame?.into_data() {
+                    start.extend_from_slice(&bytes[..bytes.len().min(most - start.len())]);
+                    first.push_back(bytes);
+                }
+                ended = body.is_end_stream();
+            }
+        }
+    }
+    let body = Peeked {
+        first,
+        rest: body,
+        ended,
+    };
+    Ok((start, ended, body.boxed_unsync()))
+}
+
+/// Body whose start was read already.
+struct Peeked {
+    first: VecDeque<Bytes>,
+    rest: Body,
+    ended: bool,
+}
+
+impl http_body::Body for Peeked {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if let Some(bytes) = self.first.pop_front() {
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        Pin::new(&mut self.rest).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_empty() && (self.ended || self.rest.is_end_stream())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first: u64 = self.first.iter().map(|bytes| bytes.len() as u64).sum();
+        if self.ended {
+            return SizeHint::with_exact(first);
+        }
+        match self.rest.size_hint().exact() {
+            Some(rest) => SizeHint::with_exact(first + rest),
+            None => SizeHint::default(),
+        }
+    }
+}
+
 /// Something that is told how a body ended.
 pub trait Observer: Send + 'static {
+    /// Called before the end if the source of the body failed.
+    fn broke(&mut self) {}
+
     /// Called once; `whole` says whether the last frame was passed on.
     fn end(self, whole: bool);
 }
@@ -91,6 +164,9 @@
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(cut))) => {
+                if let Some(observer) = &mut self.observer {
+                    observer.broke();
+                }
                 self.end(false);
                 Poll::Ready(Some(Err(cut)))
             }
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -63,6 +63,8 @@
     Busy,
     /// The request itself is refused.
     Request,
+    /// The request may crash the upstream, or was in flight when one died.
+    Suspect,
 }
 
 /// Answer that the system itself makes.
@@ -78,6 +80,8 @@
     pub cause: Cause,
     /// Wait before another attempt is useful.
     pub retry_after: Option<Duration>,
+    /// The only host that may run a suspect request.
+    pub owner: Option<String>,
 }
 
 /// Body of a refusal.
@@ -89,6 +93,9 @@
     pub verdict: Verdict,
     /// What stood in the way.
     pub cause: Cause,
+    /// The only host that may run a suspect request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<String>,
 }
 
 impl Refusal {
@@ -104,6 +111,7 @@
                 Cause::Busy
             },
             retry_after: None,
+            owner: None,
         }
     }
 
@@ -125,6 +133,7 @@
             reason: self.reason.clone(),
             verdict: self.verdict,
             cause: self.cause,
+            owner: self.owner.clone(),
         };
         let mut text = serde_json::to_vec(&explanation).expect("text is expressible in JSON");
         text.push(b'\n');
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -74,7 +74,11 @@
         format!("service {} has no host that takes work", call.class.service),
     );
     while tried.len() < most {
-        let Some(plan) = plan(context, snapshot, call, &class, body, &tried) else {
+        let next = match last.cause {
+            Cause::Suspect => owner(snapshot, &last, &tried),
+            _ => plan(context, snapshot, call, &class, body, &tried),
+        };
+        let Some(plan) = next else {
             break;
         };
         last = match one(context, snapshot, call, &class, body, plan, &mut tried).await {
@@ -94,6 +98,15 @@
     Err(last)
 }
 
+/// Returns the way to the owner of a suspicion.
+fn owner(snapshot: &Snapshot, last: &Refusal, tried: &[usize]) -> Option<Plan> {
+    let owner = last.owner.as_deref()?;
+    let hosts = snapshot.list.hosts.iter();
+    let host = hosts.into_iter().position(|host| host.name == owner)?;
+    let fresh = !tried.contains(&host);
+    fresh.then_some(Plan { host, hedge: None })
+}
+
 /// Says whether a refused call may be sent to another host.
 fn again(call: &Call, body: &Replay, class: &Class, last: &Refusal) -> bool {
     if !may_retry(call.class.idempotent, last.verdict) || !body.repeatable() {
@@ -102,6 +115,14 @@
     if call.remaining(Instant::now()).is_zero() {
         return false;
     }
+    // Any other host than the owner refuses a suspect request, and would risk
+    // its upstream if it had not heard of the suspicion. A request that broke
+    // with an upstream names no owner: the caller decides whether to send it
+    // again. A refused suspect took no upstream's time, so that the way to the
+    // owner takes nothing from the budget.
+    if last.cause == Cause::Suspect {
+        return last.owner.is_some() && last.verdict == Verdict::NotRun;
+    }
     // A host that is away did no work for the attempt, so the attempt takes
     // nothing from the budget that protects loaded upstreams.
     let free = last.cause == Cause::Away && last.verdict == Verdict::NotRun;
@@ -172,6 +193,11 @@
         if last.verdict == Verdict::NotRun {
             last.verdict = refusal.verdict;
         }
+        // Neither attempt may be repeated if one of them broke an upstream.
+        if refusal.cause == Cause::Suspect {
+            last.cause = Cause::Suspect;
+            last.owner = last.owner.or(refusal.owner);
+        }
         last
     });
     (result, None)
@@ -309,7 +335,7 @@
             outcome: Outcome::Cancelled,
         };
         let reply = if host.name == context.settings.host {
-            let result = context.gatekeeper.run(&call, body).await;
+            let result = context.gatekeeper.run(&context, &call, body).await;
             let load = Some(context.load());
             Reply { result, load }
         } else {
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -143,9 +143,9 @@
     let explanation: Option<Explanation> = body
         .ok()
         .and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
-    let (reason, cause) = match explanation {
-        Some(explanation) => (explanation.reason, explanation.cause),
-        None => ("the host refused the request".into(), Cause::Busy),
+    let (reason, cause, owner) = match explanation {
+        Some(told) => (told.reason, told.cause, told.owner),
+        None => ("the host refused the request".into(), Cause::Busy, None),
     };
     Refusal {
         status,
@@ -153,6 +153,7 @@
         verdict,
         cause,
         retry_after: wait.map(Duration::from_millis),
+        owner,
     }
 }
 
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -129,8 +129,8 @@
         })
     }
 
-    async fn suspect(&self, _message: Suspicion) -> RpcResult<()> {
-        Ok(())
+    async fn suspect(&self, message: Suspicion) -> RpcResult<Suspicion> {
+        Ok(self.0.suspects.on_suspicion(&self.0, &message))
     }
 
     async fn summary(&self, scope: Scope) -> RpcResult<Summary> {
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -114,5 +114,5 @@
         ));
     }
     let body = body.map_err(Into::into).boxed_unsync();
-    context.gatekeeper.run(&call, body).await
+    context.gatekeeper.run(context, &call, body).await
 }
--- /dev/null
+++ b/crates/daemon/src/gatekeeper/deaths.rs
@@ -0,0 +1,140 @@
+//! Decides whether the upstream died with work in flight.
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use savorylane_intent::Hash;
+use tokio::sync::watch;
+
+use crate::kernel::Context;
+use crate::suspects;
+
+/// Time between two tries to connect. The connections of a process that ends
+/// can break before its port refuses connections.
+const SETTLE: Duration = Duration::from_millis(10);
+/// Time for which work that ended without an answer counts as in flight: an
+/// upstream may go on with a request whose caller went away.
+const RECENT: Duration = Duration::from_millis(100);
+/// Requests of that kind that are remembered at most.
+const RECENT_MAX: usize = 256;
+
+/// Work at the upstream.
+#[derive(Debug, Default)]
+pub(super) struct Deaths(Mutex<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    running: HashMap<u64, Hash>,
+    /// Work whose connection broke since the check began.
+    broken: HashMap<u64, Hash>,
+    /// Work that was counted for a death and has not ended yet. It must not be
+    /// counted again when its own connection breaks later.
+    counted: HashSet<u64>,
+    recent: VecDeque<(Duration, Hash)>,
+    /// Result of the check that runs.
+    check: Option<watch::Receiver<Option<bool>>>,
+}
+
+impl Deaths {
+    /// Takes a request that is handed to the upstream.
+    pub(super) fn begin(&self, id: u64, fingerprint: Hash) {
+        self.lock().running.insert(id, fingerprint);
+    }
+
+    /// Takes the end of a request.
+    pub(super) fn end(&self, now: Duration, id: u64, answered: bool) {
+        let mut inner = self.lock();
+        let counted = inner.counted.remove(&id);
+        let Some(fingerprint) = inner.running.remove(&id) else {
+            return;
+        };
+        if answered || counted {
+            return;
+        }
+        if inner.recent.len() == RECENT_MAX {
+            inner.recent.pop_front();
+        }
+        inner.recent.push_back((now, fingerprint));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Takes a broken connection, and says whether the upstream died. If it did,
+/// all reachable gatekeepers of the service have heard of the suspicion when
+/// this returns, or the time for that is over.
+pub(super) async fn broke(context: &Arc<Context>, id: u64, fingerprint: Hash) -> bool {
+    let mut result = {
+        let mut inner = context.gatekeeper.deaths.lock();
+        if inner.counted.contains(&id) && inner.check.is_none() {
+            return true;
+        }
+        inner.broken.insert(id, fingerprint);
+        match &inner.check {
+            Some(result) => result.clone(),
+            None => {
+                let (sender, result) = watch::channel(None);
+                inner.check = Some(result.clone());
+                let context = Arc::clone(context);
+                // A task of its own: the caller of the request may go away.
+                tokio::spawn(async move {
+                    let died = check(&context).await;
+                    let mut inner = context.gatekeeper.deaths.lock();
+                    inner.check = None;
+                    inner.broken.clear();
+                    sender.send_replace(Some(died));
+                });
+                result
+            }
+        }
+    };
+    let told = result.wait_for(Option::is_some).await;
+    told.is_ok_and(|died| *died == Some(true))
+}
+
+/// The upstream died if it refuses connections, or if two or more requests
+/// were in flight and the connections of all of them broke. One broken
+/// connection alone tells nothing.
+async fn check(context: &Arc<Context>) -> bool {
+    let gatekeeper = &context.gatekeeper;
+    let before = gatekeeper.deaths.lock().running.clone();
+    let mut died = !gatekeeper.upstream.reachable().await;
+    if !died {
+        tokio::time::sleep(SETTLE).await;
+        let all = {
+            let inner = gatekeeper.deaths.lock();
+            before.len() > 1 && before.keys().all(|id| inner.broken.contains_key(id))
+        };
+        died = all || !gatekeeper.upstream.reachable().await;
+    }
+    if !died {
+        return false;
+    }
+    gatekeeper.close();
+    let now = gatekeeper.now();
+    let in_flight: BTreeSet<Hash> = {
+        let mut guard = gatekeeper.deaths.lock();
+        let inner = &mut *guard;
+        let recent = inner.recent.drain(..);
+        let recent = recent.filter(|(at, _)| *at + RECENT > now);
+        let mut in_flight: BTreeSet<Hash> = recent.map(|(_, fingerprint)| fingerprint).collect();
+        in_flight.extend(inner.broken.values());
+        for (id, fingerprint) in before {
+            if inner.running.contains_key(&id) {
+                inner.counted.insert(id);
+                in_flight.insert(fingerprint);
+            }
+        }
+        in_flight
+    };
+    let in_flight: Vec<Hash> = in_flight.into_iter().collect();
+    log::warn!(
+        "the upstream died with {} different requests in flight",
+        in_flight.len()
+    );
+    suspects::died(context, &in_flight).await;
+    true
+}
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -1,20 +1,28 @@
 //! Gatekeeper: admits requests to the host's upstream and makes the verdict.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use http::{HeaderValue, Response, StatusCode};
+use savorylane_intent::Hash;
+use savorylane_ledger::suspect::BODY_BYTES;
 use savorylane_policy::gate::{Action, Decision, Finish, Gate, Reason, Work};
 use savorylane_wire::{Load, Verdict, header};
 use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Observer, Watched};
+use crate::body::{Body, Observer, Watched, peek};
 use crate::call::{Call, Cause, Refusal};
 use crate::dispatch::table::hash;
 use crate::edge::upstream::{self, Upstream};
+use crate::kernel::Context;
+use crate::suspects::{self, Trial};
+
+mod deaths;
+
+use deaths::Deaths;
 
 /// Wait between attempts to reach an upstream that is away.
 const CLOSED_RETRY: Duration = Duration::from_millis(50);
@@ -33,8 +41,8 @@
     upstream: Upstream,
     /// Wakes [`Gatekeeper::tend`] when a timer may have changed.
     changed: Notify,
-    /// Set when a connection to the upstream broke.
-    suspicious: AtomicBool,
+    /// Work at the upstream, to tell when the upstream died with it.
+    deaths: Deaths,
 }
 
 #[derive(Debug)]
@@ -45,18 +53,33 @@
 
 /// A slot of the upstream; given back when dropped.
 struct Slot {
-    gatekeeper: Arc<Gatekeeper>,
+    context: Arc<Context>,
     id: u64,
     finish: Finish,
+    fingerprint: Hash,
+    _trial: Option<Trial>,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.gatekeeper.finish(self.id, self.finish);
+        let gatekeeper = &self.context.gatekeeper;
+        let answered = self.finish == Finish::Answered;
+        gatekeeper.deaths.end(gatekeeper.now(), self.id, answered);
+        if answered {
+            suspects::completed(&self.context, &self.fingerprint);
+        }
+        gatekeeper.finish(self.id, self.finish);
     }
 }
 
 impl Observer for Slot {
+    fn broke(&mut self) {
+        // The caller gets a cut answer at once, so nothing waits for this.
+        let (context, id) = (Arc::clone(&self.context), self.id);
+        let fingerprint = self.fingerprint;
+        tokio::spawn(async move { deaths::broke(&context, id, fingerprint).await });
+    }
+
     fn end(mut self, whole: bool) {
         if whole {
             self.finish = Finish::Answered;
@@ -76,7 +99,7 @@
             }),
             upstream,
             changed: Notify::new(),
-            suspicious: AtomicBool::new(false),
+            deaths: Deaths::default(),
         })
     }
 
@@ -85,8 +108,29 @@
     /// # Errors
     ///
     /// Returns a refusal whose verdict says whether the request may have run.
-    pub async fn run(self: &Arc<Self>, call: &Call, body: Body) -> Result<Response<Body>, Refusal> {
-        let mut slot = self.admit(call).await?;
+    pub async fn run(
+        self: &Arc<Self>,
+        context: &Arc<Context>,
+        call: &Call,
+        body: Body,
+    ) -> Result<Response<Body>, Refusal> {
+        // The start of the body is waited for before a slot is taken: the
+        // fingerprint of a request must not depend on how its body arrives.
+        let remaining = call.remaining(Instant::now());
+        let cut = |status, reason| Err(Refusal::not_run(status, reason));
+        let (start, whole, body) =
+            match tokio::time::timeout(remaining, peek(body, BODY_BYTES)).await {
+                Ok(Ok(read)) => read,
+                Ok(Err(_)) => return cut(StatusCode::BAD_REQUEST, "the request's body was cut"),
+                Err(_) => {
+                    let reason = "the request's body did not come in time";
+                    return cut(StatusCode::REQUEST_TIMEOUT, reason);
+                }
+            };
+        let fingerprint = suspects::fingerprint(call, &start, whole);
+        let trial = suspects::admit(context, &fingerprint)?;
+        let mut slot = self.admit(context, call, fingerprint, trial).await?;
+        self.deaths.begin(slot.id, fingerprint);
         let remaining = call.remaining(Instant::now());
         let sent = self.upstream.send(call, body);
         let answer = match tokio::time::timeout(remaining, sent).await {
@@ -97,9 +141,16 @@
                 return Err(refuse(Reason::Closed, CLOSED_RETRY.as_millis() as u32));
             }
             Ok(Err(upstream::Failure::Broken)) => {
-                // One broken connection does not tell that the upstream died.
-                self.suspicious.store(true, Ordering::Relaxed);
-                self.changed.notify_one();
+                if deaths::broke(context, slot.id, fingerprint).await {
+                    slot.finish = Finish::Died;
+                    return Err(Refusal {
+                        cause: Cause::Suspect,
+                        ..Refusal::unknown(
+                            StatusCode::BAD_GATEWAY,
+                            "the upstream died while it ran the request",
+                        )
+                    });
+                }
                 return Err(Refusal::unknown(
                     StatusCode::BAD_GATEWAY,
                     "the connection to the upstream broke",
@@ -122,6 +173,15 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Refuses work until a connection to the upstream succeeds.
+    fn close(&self) {
+        let now = self.now();
+        let mut inner = self.lock();
+        inner.gate.close();
+        inner.pump(now);
+        self.changed.notify_one();
+    }
+
     /// Refuses new work from now on.
     pub fn leave(&self) {
         self.lock().gate.leave();
@@ -132,7 +192,13 @@
         self.lock().gate.load()
     }
 
-    async fn admit(self: &Arc<Self>, call: &Call) -> Result<Slot, Refusal> {
+    async fn admit(
+        &self,
+        context: &Arc<Context>,
+        call: &Call,
+        fingerprint: Hash,
+        trial: Option<Trial>,
+    ) -> Result<Slot, Refusal> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let now = self.now();
         let work = Work {
@@ -143,7 +209,7 @@
             target: call.target.saturating_duration_since(self.start),
             caller: hash(&call.caller),
             class: hash(&call.class.name),
-            alone: false,
+            alone: trial.is_some(),
         };
         let waiting = {
             let mut inner = self.lock();
@@ -165,9 +231,11 @@
         // The slot is given back, or the place in the queue given up, however
         // this future ends.
         let slot = Slot {
-            gatekeeper: Arc::clone(self),
+            context: Arc::clone(context),
             id,
             finish: Finish::Cancelled,
+            fingerprint,
+            _trial: trial,
         };
         let Some(waiting) = waiting else {
             return Ok(slot);
@@ -202,7 +270,7 @@
                 () = self.changed.notified() => {}
                 () = stop.cancelled() => return,
             }
-            if self.suspicious.swap(false, Ordering::Relaxed) || closed {
+            if closed {
                 let up = self.upstream.reachable().await;
                 let mut inner = self.lock();
                 let now = self.now();
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -28,6 +28,7 @@
 use crate::results::Results;
 use crate::settings::Settings;
 use crate::summary;
+use crate::suspects::Suspects;
 
 /// Time between the announcement that the host leaves and the end of the
 /// servers, so that peers route elsewhere first.
@@ -56,6 +57,8 @@
     pub rings: Rings,
     /// Keyed work that this daemon runs or ran.
     pub runs: Runs,
+    /// Requests that may have crashed an upstream.
+    pub suspects: Suspects,
     /// Clients of other daemons' control ports.
     pub control: Clients,
     /// Summaries that were collected lately.
@@ -199,6 +202,7 @@
         start: Instant::now(),
         run: incarnation,
         incarnation: ArcSwap::from_pointee(incarnation),
+        suspects: Suspects::open(me.clone(), &settings.service),
         rings: Rings::open(ledger, me),
         runs: Runs::open(ledger, incarnation),
         peers: Peers::open(&own, incarnation),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod results;
 pub mod settings;
 pub mod summary;
+pub mod suspects;
 
 pub use error::Error;
 pub use kernel::{Handle, spawn};
--- /dev/null
+++ b/crates/daemon/src/suspects/mod.rs
@@ -0,0 +1,186 @@
+//! Requests that may crash an upstream: refused here, and made known to the
+//! other daemons of the service.
+
+mod push;
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::StatusCode;
+use savorylane_intent::Hash;
+use savorylane_ledger::suspect::{self, Admission, EXPIRY, LIMIT, List, Reason};
+use savorylane_wire::control::{Sender, Suspected, Suspicion};
+
+use crate::audit::Event;
+use crate::call::{Call, Cause, Refusal};
+use crate::kernel::Context;
+
+/// Suspects that this daemon knows, and what it has to tell of them.
+#[derive(Debug)]
+pub struct Suspects {
+    list: Mutex<List>,
+    /// Whether the list has entries; most requests look no further.
+    any: AtomicBool,
+    /// Time until which a ban stands in the audit trail.
+    banned: Mutex<HashMap<Hash, Duration>>,
+    outbox: push::Outbox,
+}
+
+/// A suspect that runs alone. Dropped, it may be tried again, unless it
+/// completed or was confirmed in between.
+pub struct Trial {
+    context: Arc<Context>,
+    fingerprint: Hash,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let (now, suspects) = (self.context.now(), &self.context.suspects);
+        suspects.with(|list| list.on_not_run(now, &self.fingerprint));
+    }
+}
+
+impl Suspects {
+    /// Creates the empty list of the daemon `me`.
+    pub fn open(me: Sender, service: &str) -> Self {
+        Self {
+            list: Mutex::new(List::new(me, service.to_owned())),
+            any: AtomicBool::new(false),
+            banned: Mutex::default(),
+            outbox: push::Outbox::default(),
+        }
+    }
+
+    /// Takes a peer's suspicion and returns the acknowledgement.
+    pub fn on_suspicion(&self, context: &Context, suspicion: &Suspicion) -> Suspicion {
+        if suspicion.service != context.settings.service {
+            return Suspicion {
+                from: context.sender(),
+                service: context.settings.service.clone(),
+                suspects: Vec::new(),
+            };
+        }
+        let reply = self.with(|list| list.on_suspicion(context.now(), suspicion));
+        self.audit(context, suspicion);
+        self.audit(context, &reply);
+        reply
+    }
+
+    fn on_acknowledged(&self, context: &Context, told: &Suspicion, reply: &Suspicion) {
+        self.with(|list| list.on_acknowledged(context.now(), told, reply));
+        self.audit(context, reply);
+    }
+
+    /// Writes bans to the audit trail, each once.
+    fn audit(&self, context: &Context, news: &Suspicion) {
+        let now = context.now();
+        let mut banned = self.banned.lock().unwrap_or_else(PoisonError::into_inner);
+        for suspect in &news.suspects {
+            if suspect.state != Suspected::Confirmed {
+                continue;
+            }
+            if banned.len() >= LIMIT {
+                banned.retain(|_, until| *until > now);
+            }
+            let until = banned.insert(suspect.fingerprint, now + EXPIRY);
+            if until.is_some_and(|until| until > now) {
+                continue;
+            }
+            context.trail.record(Event::Banned {
+                fingerprint: suspect.fingerprint.to_string(),
+                reason: "upstreams died while they ran the request".into(),
+            });
+        }
+    }
+
+    fn with<T>(&self, change: impl FnOnce(&mut List) -> T) -> T {
+        let mut list = self.lock();
+        let result = change(&mut list);
+        self.any.store(!list.is_empty(), Ordering::Release);
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, List> {
+        self.list.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the fingerprint of a call. `start` is the start of its body, and
+/// `whole` says whether that is all of it.
+pub fn fingerprint(call: &Call, start: &[u8], whole: bool) -> Hash {
+    // The length of a short body without a length header is known here on
+    // every attempt, however it was sent.
+    let length = if whole {
+        Some(start.len() as u64)
+    } else {
+        let value = call.headers.get(http::header::CONTENT_LENGTH);
+        value.and_then(|value| value.to_str().ok()?.parse().ok())
+    };
+    let path = call.uri.path_and_query();
+    let path = path.map_or("/", http::uri::PathAndQuery::as_str);
+    let caller = call.caller.to_string();
+    suspect::fingerprint(call.method.as_str(), path, &caller, length, start)
+}
+
+/// Decides whether a request may run, and whether it must run alone.
+///
+/// # Errors
+///
+/// Returns a refusal with the verdict `not-run`.
+pub fn admit(context: &Arc<Context>, fingerprint: &Hash) -> Result<Option<Trial>, Refusal> {
+    let suspects = &context.suspects;
+    if !suspects.any.load(Ordering::Acquire) {
+        return Ok(None);
+    }
+    let (admission, owner) = suspects.with(|list| {
+        let admission = list.admit(context.now(), fingerprint);
+        (admission, list.owner(fingerprint).map(str::to_owned))
+    });
+    let (status, reason) = match admission {
+        Admission::Run => return Ok(None),
+        Admission::RunAlone => {
+            return Ok(Some(Trial {
+                context: Arc::clone(context),
+                fingerprint: *fingerprint,
+            }));
+        }
+        Admission::Refuse(Reason::Confirmed) => {
+            (StatusCode::FORBIDDEN, "the request crashed two upstreams")
+        }
+        Admission::Refuse(Reason::Undecided) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the request was in flight when an upstream died, and is being tried",
+        ),
+    };
+    Err(Refusal {
+        cause: Cause::Suspect,
+        owner,
+        ..Refusal::not_run(status, reason)
+    })
+}
+
+/// Takes the death of this host's upstream, and returns when all reachable
+/// gatekeepers of the service know of the requests, within a limit.
+pub async fn died(context: &Arc<Context>, in_flight: &[Hash]) {
+    let peers = push::peers(context);
+    let names: Vec<&str> = peers.iter().map(String::as_str).collect();
+    let suspects = &context.suspects;
+    let message = suspects.with(|list| list.on_upstream_died(context.now(), in_flight, &names));
+    suspects.audit(context, &message);
+    push::push(context, &message).await;
+}
+
+/// Takes a request that was answered whole.
+pub fn completed(context: &Arc<Context>, fingerprint: &Hash) {
+    let suspects = &context.suspects;
+    if !suspects.any.load(Ordering::Acquire) {
+        return;
+    }
+    let message = suspects.with(|list| list.on_completed(context.now(), fingerprint));
+    if let Some(message) = message {
+        let context = Arc::clone(context);
+        tokio::spawn(async move { push::push(&context, &message).await });
+    }
+}
--- a/crates/ledger/src/suspect/mod.rs
+++ b/crates/ledger/src/suspect/mod.rs
@@ -218,6 +218,23 @@
         }]))
     }
 
+    /// Waits no longer for the acknowledgements of a peer that is gone.
+    pub fn on_gone(&mut self, peer: &str) {
+        for entry in self.entries.values_mut() {
+            if let State::Own { missing } = &mut entry.state {
+                missing.remove(peer);
+            }
+        }
+    }
+
+    /// Returns the other gatekeeper that owns a suspicion.
+    pub fn owner(&self, fingerprint: &Hash) -> Option<&str> {
+        match &self.entries.get(fingerprint)?.state {
+            State::Foreign(owner) => Some(owner),
+            State::Own { .. } | State::Trial | State::Confirmed => None,
+        }
+    }
+
     fn learn(&mut self, now: Duration, from: &str, suspect: &Suspect) -> Option<Suspected> {
         let fingerprint = suspect.fingerprint;
         let state = self.state(now, &fingerprint);
--- a/crates/wire/src/rpc/mod.rs
+++ b/crates/wire/src/rpc/mod.rs
@@ -67,9 +67,10 @@
     #[method(name = "clock")]
     async fn clock(&self) -> RpcResult<Clock>;
 
-    /// Tells of requests that may have crashed an upstream.
+    /// Tells of requests that may have crashed an upstream. The answer
+    /// acknowledges them and tells what the receiver knows of them.
     #[method(name = "suspect")]
-    async fn suspect(&self, message: Suspicion) -> RpcResult<()>;
+    async fn suspect(&self, message: Suspicion) -> RpcResult<Suspicion>;
 
     /// Returns results by class over a scope.
     #[method(name = "summary")]
