--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -64,6 +64,8 @@
     Busy,
     /// The request itself is refused.
     Request,
+    /// The request may crash the upstream, or was in flight when one died.
+    Suspect,
 }
 
 /// Answer that the system itself makes.
@@ -79,6 +81,8 @@
     pub cause: Cause,
     /// Wait before another attempt is useful.
     pub retry_after: Option<Duration>,
+    /// The only host that may run a suspect request.
+    pub owner: Option<String>,
 }
 
 /// Body of a refusal.
@@ -90,6 +94,9 @@
     pub verdict: Verdict,
     /// What stood in the way.
     pub cause: Cause,
+    /// The only host that may run a suspect request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub owner: Option<String>,
 }
 
 impl Refusal {
@@ -105,6 +112,7 @@
                 Cause::Busy
             },
             retry_after: None,
+            owner: None,
         }
     }
 
@@ -126,6 +134,7 @@
             reason: self.reason.clone(),
             verdict: self.verdict,
             cause: self.cause,
+            owner: self.owner.clone(),
         };
         let mut text = serde_json::to_vec(&explanation).expect("text is expressible in JSON");
         text.push(b'\n');
