daemon: test dead, cut and silent hosts on running daemons

membership_faults: a killed daemon that the host list still shows; a data centre whose daemons are killed and return on the same addresses; a cut between two data centres that each read a platform of their own, with relays in front of the other side's ports. connection_faults: a silent connection between daemons, silent connections to the upstream, and an upstream that hangs while its health report says that all is well.

Ruled out: a bound of 12 failed attempts after a kill.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -30,13 +30,30 @@
 }
 
 impl Daemon {
-    /// Starts the built binary with ports that the system picks.
+    /// Starts the built binary with ports that the system picks, for the
+    /// service `stock` unless `more` names another.
     pub(crate) fn start(host: &str, data_centre: &str, more: &[String]) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_on(host, data_centre, [any; 4], more)
+    }
+
+    /// Starts the built binary on the `ports` entry, data, control and operator.
+    /// No address is returned if a port cannot be bound.
+    pub(crate) fn start_on(
+        host: &str,
+        data_centre: &str,
+        ports: [SocketAddr; 4],
+        more: &[String],
+    ) -> Self {
+        let flags = ["entry", "data", "control", "operator"];
+        let ports = flags.iter().zip(ports);
+        let named = more.iter().any(|flag| flag.starts_with("--service="));
+        let service = (!named).then_some("--service=stock");
         let mut child = Command::new(env!("CARGO_BIN_EXE_savorylaned"))
             .args(["--host", host, "--region", "north"])
-            .args(["--data-centre", data_centre, "--service", "stock"])
-            .args(["--entry", "127.0.0.1:0", "--data", "127.0.0.1:0"])
-            .args(["--control", "127.0.0.1:0", "--operator", "127.0.0.1:0"])
+            .args(["--data-centre", data_centre])
+            .args(service)
+            .args(ports.map(|(flag, address)| format!("--{flag}={address}")))
             .args(["--log-level", "warn", "--first-start"])
             .args(more)
             .stdout(Stdio::piped())
--- /dev/null
+++ b/crates/daemon/tests/connection_faults.rs
@@ -0,0 +1,151 @@
+//! Connections that go silent, and upstreams that hang.
+
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod common;
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod fleet;
+
+use std::time::Duration;
+
+use common::{document, get_until_ok, list};
+use fleet::caller::{Caller, End};
+use fleet::{Fleet, Member, open_loop};
+use http::Method;
+use savorylane_standin::delay;
+
+/// Promised time until a silent connection between daemons is replaced.
+const REPLACED: Duration = Duration::from_secs(2);
+/// Time after which short work meets its target again when a host hangs.
+const MOMENT: Duration = Duration::from_secs(1);
+/// Time between requests.
+const GAP: Duration = Duration::from_millis(10);
+
+/// Sends reads to `member` and returns the start, the time taken and the end
+/// of each.
+async fn reads(
+    member: &Member,
+    length: Duration,
+    name: &'static str,
+) -> Vec<(Duration, Duration, (String, End))> {
+    let caller = Caller::new(true);
+    let entry = member.entry();
+    open_loop(GAP, length, |n| {
+        let caller = caller.clone();
+        async move {
+            let path = format!("/stock/{name}-{n}");
+            let end = caller.check(Method::GET, entry, &path).await;
+            (path, end)
+        }
+    })
+    .await
+}
+
+/// Guards against requests that wait at a silent connection for ever, and
+/// against a connection that is kept. All work crosses the link.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_connection_between_daemons_is_replaced() {
+    let mut fleet = Fleet::open();
+    for (host, service) in [("a1", "other"), ("b1", "stock")] {
+        let member = Member::start(&fleet, host, |settings| settings.service = service.into());
+        fleet.members.push(member.await);
+    }
+    let [entry, serving] = [&fleet.members[0], &fleet.members[1]];
+    let relay = |target| {
+        let settings = delay::Settings {
+            target,
+            delay: Duration::from_millis(1),
+            bandwidth: None,
+        };
+        delay::spawn(settings, &fleet.cancel).unwrap()
+    };
+    let (data, control) = (relay(serving.listed.data), relay(serving.listed.control));
+    let mut far = serving.listed.clone();
+    (far.data, far.control) = (data.addr, control.addr);
+    let hosts = vec![entry.listed.clone(), far];
+    fleet.platform.publish_hosts(&list(1, hosts));
+    fleet.platform.publish_document(&document(1));
+    fleet.reach(1, Duration::from_secs(10)).await;
+    get_until_ok(entry.entry(), "/stock/first").await;
+    reads(entry, Duration::from_millis(300), "before").await;
+    let opened = data.counters().connections;
+    data.silence();
+    control.silence();
+    let ends = reads(entry, Duration::from_secs(3), "silent").await;
+    assert!(data.counters().connections > opened);
+    let mut last_lost = Duration::ZERO;
+    let mut counts = [0, 0];
+    for (began, taken, (id, end)) in &ends {
+        match end {
+            End::Whole => counts[0] += 1,
+            End::Refused(verdict) => {
+                counts[1] += 1;
+                last_lost = last_lost.max(*began);
+                assert!(*taken < REPLACED, "{id} was refused after {taken:?}");
+                let runs = fleet.record.runs(id);
+                let truth = verdict.starts_with("may-have-run") || runs == 0;
+                assert!(truth, "{id} ran {runs} times and is answered {verdict}");
+            }
+            end => panic!("{id}: {end:?}"),
+        }
+    }
+    println!(
+        "{} whole, {} refused, the last sent after {last_lost:?}",
+        counts[0], counts[1]
+    );
+    assert!(counts[1] > 0, "no request met the silent connection");
+    assert!(last_lost < REPLACED, "still silent after {last_lost:?}");
+    fleet.end();
+}
+
+/// Checks that reads at the entry of the first member meet the class's target
+/// from [`MOMENT`] on.
+async fn meets_target(fleet: &Fleet, name: &'static str) {
+    let target = &document(1).classes[0].target;
+    let latency = Duration::from_millis(target.latency_ms.into());
+    let ends = reads(&fleet.members[0], Duration::from_secs(4), name).await;
+    let early = ends.iter().filter(|(began, ..)| *began < MOMENT);
+    let late: Vec<_> = early
+        .filter(|(_, taken, (_, end))| *end != End::Whole || *taken > latency)
+        .collect();
+    println!("{name}: {} missed in the first {MOMENT:?}", late.len());
+    let settled: Vec<_> = ends.iter().filter(|(began, ..)| *began >= MOMENT).collect();
+    let missed: Vec<_> = settled
+        .iter()
+        .filter(|(_, taken, (_, end))| *end != End::Whole || *taken > latency)
+        .collect();
+    println!("{name}: {} of {} missed later", missed.len(), settled.len());
+    let share = 1.0 - missed.len() as f64 / settled.len() as f64;
+    assert!(share >= target.quantile, "{share} in time: {missed:?}");
+}
+
+/// Guards against connections to the upstream that go silent and take their
+/// host's slots, or are used again.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_upstream_connections_do_not_hold_up_short_work() {
+    let fleet = Fleet::start(&["a1", "a2", "b1"]).await;
+    for member in &fleet.members {
+        // 30 ms of work every 10 ms keep several connections in use.
+        member.upstream.mode(|mode| mode.slow = 6.0);
+    }
+    reads(&fleet.members[0], Duration::from_secs(1), "before").await;
+    let silent = fleet.members[0].upstream.silence(usize::MAX);
+    println!("{silent} connections are silent");
+    assert!(silent >= 2, "{silent} connections are silent");
+    meets_target(&fleet, "silent").await;
+    fleet.end();
+}
+
+/// Guards against routing by what an upstream reports of itself: it hangs
+/// while its health report says that all is well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hanging_upstream_is_avoided_although_it_reports_health() {
+    let fleet = Fleet::start(&["a1", "a2", "b1"]).await;
+    reads(&fleet.members[0], Duration::from_secs(1), "before").await;
+    let hanging = &fleet.members[0].upstream;
+    hanging.mode(|mode| {
+        mode.hang = true;
+        mode.lie = true;
+    });
+    meets_target(&fleet, "hanging").await;
+    fleet.end();
+}
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -141,13 +141,18 @@
         within(limit, all, || format!("{:?}", numbers())).await
     }
 
-    /// Waits until `member` sees all members alive.
+    /// Waits until all members have heard of each other.
     pub(crate) async fn meet(&self) {
+        self.meet_all(self.members.len()).await;
+    }
+
+    /// Waits until all members have heard of `count` hosts, themselves included.
+    pub(crate) async fn meet_all(&self, count: usize) {
         let met = || {
             self.members.iter().all(|member| {
                 let view = member.handle.context.peers.view();
                 let alive = view.status().filter(|status| status.record.is_some());
-                alive.count() >= self.members.len()
+                alive.count() >= count
             })
         };
         within(Duration::from_secs(10), met, || "members unknown".into()).await;
--- a/crates/daemon/tests/fleet/process.rs
+++ b/crates/daemon/tests/fleet/process.rs
@@ -52,6 +52,50 @@
         }
     }
 
+    /// Kills the daemon and starts another run of it on the same addresses.
+    pub(crate) async fn restart(&mut self, fleet: &Fleet) {
+        let _ = self.daemon.child.kill();
+        let _ = self.daemon.child.wait();
+        let Host {
+            entry,
+            data,
+            control,
+            operator,
+            ..
+        } = self.listed;
+        let arguments = [
+            format!("--platform={}", fleet.platform.addr()),
+            format!("--upstream={}", self.upstream.addr),
+        ];
+        // A port can be taken for a moment by an outgoing connection.
+        for _ in 0..50 {
+            let ports = [entry, data, control, operator];
+            let host = &self.listed.name;
+            self.daemon = Daemon::start_on(host, &self.listed.data_centre, ports, &arguments);
+            if self.daemon.addresses.len() == 4 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("the ports of {} stay taken", self.listed.name);
+    }
+
+    /// Returns the retries that this daemon made as an entry.
+    pub(crate) async fn retries(&self) -> f64 {
+        let page = crate::common::get(self.listed.operator, "/metrics")
+            .await
+            .unwrap();
+        let text = String::from_utf8(page.body.to_vec()).unwrap();
+        let mut lines = text.lines();
+        let line = lines.find(|line| {
+            line.starts_with("savorylane_attempts") && line.contains(r#"kind="retry""#)
+        });
+        line.map_or(0.0, |line| {
+            let (_, value) = line.rsplit_once(' ').unwrap();
+            value.parse().unwrap()
+        })
+    }
+
     /// Returns the address for callers.
     pub(crate) fn entry(&self) -> SocketAddr {
         self.listed.entry
--- /dev/null
+++ b/crates/daemon/tests/membership_faults.rs
@@ -0,0 +1,234 @@
+//! Hosts that die, return together, or are cut off.
+
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod common;
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod fleet;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{document, get_until_ok, list};
+use fleet::caller::{Caller, End};
+use fleet::process::{Process, publish, reach};
+use fleet::{Fleet, IN_FORCE, Member, open_loop, tally};
+use http::Method;
+use savorylane_intent::hosts::Host;
+use savorylane_standin::delay;
+use savorylane_standin::upstream::{self, Record};
+
+/// Factor that makes the work of an upstream dearer than the way to another
+/// data centre: 60 ms in place of 5 ms.
+const SLOW: f64 = 12.0;
+/// Time between requests at one entry.
+const GAP: Duration = Duration::from_millis(15);
+
+/// Sends reads to the entries of `hosts` in turn for `length`.
+async fn reads(hosts: &[&Host], length: Duration) -> Vec<(Duration, String, End)> {
+    let caller = Caller::new(true);
+    let hosts: Vec<Host> = hosts.iter().map(|&host| host.clone()).collect();
+    let sent = open_loop(GAP / hosts.len() as u32, length, |n| {
+        let (caller, host) = (caller.clone(), hosts[n % hosts.len()].clone());
+        async move {
+            let path = format!("/stock/{}-{n}", host.name);
+            let end = caller.check(Method::GET, host.entry, &path).await;
+            (host.name, end)
+        }
+    });
+    let ends = sent.await.into_iter();
+    ends.map(|(began, _, (host, end))| (began, host, end))
+        .collect()
+}
+
+/// Starts three daemons. The upstream of the host `name` counts in `own` and
+/// is faster than the others, so that these send them their work.
+fn with_records(fleet: &Fleet, own: &Arc<Record>, name: &str) -> [Process; 3] {
+    ["a1", "a2", "b1"].map(|host| {
+        let fast = host == name;
+        let record = if fast { own } else { &fleet.record };
+        let settings = upstream::Settings::default();
+        let upstream = upstream::spawn(settings, record, &fleet.cancel).unwrap();
+        if !fast {
+            upstream.mode(|mode| mode.slow = SLOW);
+        }
+        Process::start_at(fleet, host, upstream, &[])
+    })
+}
+
+/// Guards against errors at callers, and attempts without end, after a daemon
+/// was killed while the host list still shows it live.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_daemon_costs_few_attempts_and_no_errors() {
+    let fleet = Fleet::open();
+    let own = Arc::new(Record::default());
+    let mut processes = with_records(&fleet, &own, "a1");
+    publish(&fleet, &processes, &document(1)).await;
+    let [killed, a2, b1] = &mut processes;
+    let entries = [a2.listed.clone(), b1.listed.clone()];
+    let load = tokio::spawn(async move {
+        let entries: Vec<&Host> = entries.iter().collect();
+        reads(&entries, Duration::from_secs(4)).await
+    });
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let before = [a2.retries().await, b1.retries().await];
+    let received = own.counts().received;
+    assert!(
+        received > 50,
+        "the killed host had {received} requests only"
+    );
+    killed.daemon.child.kill().unwrap();
+    let ends = load.await.unwrap();
+    let ends = tally(ends.into_iter().map(|(_, host, end)| (host, end)));
+    let after = [a2.retries().await, b1.retries().await];
+    println!("{ends:?}; retries {before:?} then {after:?}");
+    assert!(ends.keys().all(|(_, end)| *end == End::Whole), "{ends:?}");
+    // Requests in flight at the death, and one for each probe of the back-off.
+    // A trial without the back-off counted 12.
+    for (before, after) in before.iter().zip(after) {
+        assert!(after - before <= 6.0, "{} failed attempts", after - before);
+    }
+    fleet.cancel.cancel();
+}
+
+/// Guards against a data centre whose daemons die and return together and are
+/// taken for their earlier runs, or routed around for long.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_data_centre_is_back_in_service() {
+    const BACK: Duration = Duration::from_secs(4);
+    const KILL_AT: Duration = Duration::from_millis(500);
+    let fleet = Fleet::open();
+    // The daemon of the other data centre runs another service, so it sends
+    // all work to the two that die.
+    let mut processes = ["a1", "a2", "b1"].map(|host| {
+        let settings = upstream::Settings::default();
+        let upstream = upstream::spawn(settings, &fleet.record, &fleet.cancel).unwrap();
+        let other = (host == "b1").then(|| "--service=other".to_owned());
+        let more: Vec<String> = other.into_iter().collect();
+        Process::start_at(&fleet, host, upstream, &more)
+    });
+    processes[2].listed.service = "other".into();
+    publish(&fleet, &processes, &document(1)).await;
+    let mut runs = Vec::new();
+    for process in &processes {
+        runs.push(process.status().await.unwrap().incarnation);
+    }
+    let entry = processes[2].listed.clone();
+    let load = tokio::spawn(async move { reads(&[&entry], KILL_AT + BACK * 2).await });
+    tokio::time::sleep(KILL_AT).await;
+    // Both are dead at the same time before either returns.
+    for process in &mut processes[..2] {
+        process.daemon.child.kill().unwrap();
+    }
+    let began = Instant::now();
+    for process in &mut processes[..2] {
+        process.restart(&fleet).await;
+    }
+    let all: Vec<&Process> = processes.iter().collect();
+    reach(&all, 1, BACK.saturating_sub(began.elapsed())).await;
+    println!("in force {:?} after the kill", began.elapsed());
+    for (process, before) in processes.iter().zip(&runs).take(2) {
+        assert!(process.status().await.unwrap().incarnation > *before);
+        get_until_ok(process.entry(), "/stock/back").await;
+    }
+    let ends = load.await.unwrap();
+    let failed = ends.iter().filter(|(_, _, end)| *end != End::Whole);
+    let times: Vec<Duration> = failed.map(|(at, ..)| *at).collect();
+    println!(
+        "{} requests of the other data centre failed, {times:?}",
+        times.len()
+    );
+    let last = times.last().copied().unwrap_or_default();
+    assert!(last < KILL_AT + BACK, "still out of service at {last:?}");
+    fleet.cancel.cancel();
+}
+
+/// Returns `host` with relays in front of its data and control ports.
+fn relayed(host: &Host, fleet: &Fleet) -> (Host, [delay::Handle; 2]) {
+    let relay = |target| {
+        let settings = delay::Settings {
+            target,
+            delay: Duration::from_micros(1500),
+            bandwidth: None,
+        };
+        delay::spawn(settings, &fleet.cancel).unwrap()
+    };
+    let relays = [relay(host.data), relay(host.control)];
+    let [data, control] = [relays[0].addr, relays[1].addr];
+    let host = Host {
+        data,
+        control,
+        ..host.clone()
+    };
+    (host, relays)
+}
+
+/// Guards against a partition that stops either side, and against sides that
+/// keep different versions after it. Each side reads a platform of its own,
+/// whose host list names the relays of the other side.
+#[tokio::test(flavor = "multi_thread")]
+async fn both_sides_of_a_cut_serve_and_meet_again() {
+    let (mut left, mut right) = (Fleet::open(), Fleet::open());
+    for (fleet, hosts) in [(&mut left, ["a1", "a2"]), (&mut right, ["b1", "b2"])] {
+        for host in hosts {
+            let member = Member::start(fleet, host, |_| ()).await;
+            if host.starts_with('a') {
+                // The left side misses its target of 200 ms by itself, so it
+                // sends work to the right one.
+                member.upstream.mode(|mode| mode.slow = 60.0);
+            }
+            fleet.members.push(member);
+        }
+    }
+    let mut relays = Vec::new();
+    for (near, far) in [(&left, &right), (&right, &left)] {
+        let mut hosts: Vec<Host> = near.members.iter().map(|m| m.listed.clone()).collect();
+        for member in &far.members {
+            let (host, pair) = relayed(&member.listed, near);
+            hosts.push(host);
+            relays.extend(pair);
+        }
+        near.platform.publish_hosts(&list(1, hosts));
+        near.platform.publish_document(&document(1));
+    }
+    for fleet in [&left, &right] {
+        fleet.reach(1, Duration::from_secs(10)).await;
+        fleet.meet_all(4).await;
+    }
+    let all = [
+        &left.members[0],
+        &left.members[1],
+        &right.members[0],
+        &right.members[1],
+    ];
+    let entries: Vec<Host> = all.iter().map(|member| member.listed.clone()).collect();
+    let load = tokio::spawn(async move {
+        let entries: Vec<&Host> = entries.iter().collect();
+        reads(&entries, Duration::from_secs(7)).await
+    });
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let runs = right.record.counts().runs;
+    let crossed = runs.keys().filter(|id| id.starts_with("/stock/a")).count();
+    println!("{crossed} requests of the left side ran on the right one");
+    assert!(crossed > 10, "the cut hits no work");
+    relays.iter().for_each(delay::Handle::cut);
+    for member in &left.members {
+        member.upstream.mode(|mode| mode.slow = 1.0);
+    }
+    left.platform.publish_document(&document(2));
+    right.platform.publish_document(&document(3));
+    left.reach(2, IN_FORCE).await;
+    right.reach(3, IN_FORCE).await;
+    // Longer than the detection of a dead host.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    left.reach(2, Duration::from_millis(100)).await;
+    relays.iter().for_each(delay::Handle::heal);
+    let taken = left.reach(3, IN_FORCE).await;
+    println!("one version {taken:?} after the cut healed");
+    right.reach(3, Duration::from_millis(100)).await;
+    let ends = load.await.unwrap();
+    let ends = tally(ends.into_iter().map(|(_, host, end)| (host, end)));
+    println!("{ends:?}");
+    assert!(ends.keys().all(|(_, end)| *end == End::Whole), "{ends:?}");
+    left.end();
+    right.end();
+}
