daemon: announce the close of the broken upstream's connections

Cause: the upstream of tests/body_faults.rs closed each connection after its answer without saying so. The next request could be sent on a connection that was being closed, and was then truly answered `may-have-run`, also in the case of a complete answer.

Ruled out: a fault of the daemon. The request may have reached the upstream, and the service has one host, so there is none to try next.

Change: the answers carry `connection: close`. What is checked of the bodies and verdicts is the same.

--- a/crates/daemon/tests/body_faults.rs
+++ b/crates/daemon/tests/body_faults.rs
@@ -60,7 +60,9 @@
                     Ending::Complete => LENGTH,
                     Ending::Closed(bytes) | Ending::Reset(bytes) => bytes,
                 };
-                let mut answer = b"HTTP/1.1 200 OK\r\n".to_vec();
+                // Without the header, the next request could be sent on the
+                // connection while it is being closed.
+                let mut answer = b"HTTP/1.1 200 OK\r\nconnection: close\r\n".to_vec();
                 let body = vec![b'x'; sent];
                 match framing {
                     Framing::Length => {
