measure: lengthen timeouts with service times, print reasons

Slowed requests of 15 times the service time ended at the caller's timeout of 1 s, which cut the tail. Reasons of refusals and failures go to standard error: the cut requests of churn are those whose key holder left.

--- a/crates/standin/examples/measure/phase.rs
+++ b/crates/standin/examples/measure/phase.rs
@@ -1,12 +1,13 @@
 //! One phase of load and its figures.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
 use savorylane_intent::document::Work;
 use savorylane_standin::fleet::Fleet;
-use savorylane_standin::load::{self, Class, Plan, Rate, Resend, Results};
+use savorylane_standin::load::{self, Class, End, Plan, Rate, Resend, Results};
 use savorylane_standin::report::Report;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -49,10 +50,11 @@
     short
         .map(|class| {
             let rate = share * fleet.capacity(&class.service);
-            fleet
-                .plan
-                .deployment
-                .load(&class.name, Rate::constant(rate))
+            let deployment = &fleet.plan.deployment;
+            let mut class = deployment.load(&class.name, Rate::constant(rate));
+            // A slowed host must be able to answer within the timeout.
+            class.timeout = class.timeout.mul_f64((deployment.scale / 3.0).max(1.0));
+            class
         })
         .collect()
 }
@@ -75,9 +77,25 @@
     latency.value_at_quantile(quantile) as f64 / 1e3
 }
 
+/// Prints why requests did not end well, most frequent first.
+fn print_reasons(results: &Results) {
+    let mut reasons = BTreeMap::<_, u64>::new();
+    for outcome in results.outcomes.iter().filter(|o| o.end != End::Done) {
+        let class = &results.classes[outcome.class].class;
+        let end = format!("{:?}", outcome.end);
+        *reasons.entry((class, end, &outcome.reason)).or_default() += 1;
+    }
+    let mut reasons: Vec<_> = reasons.into_iter().collect();
+    reasons.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    for ((class, end, reason), count) in reasons.into_iter().take(12) {
+        eprintln!("  {count} {class} {end} {reason}");
+    }
+}
+
 /// Adds the ends of all classes, so that latencies of done requests are not
 /// read without what was left out of them.
 pub(crate) fn add_ends(report: &mut Report, prefix: &str, results: &Results) {
+    print_reasons(results);
     for class in &results.classes {
         let ends = [
             ("offered", class.offered),
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -99,6 +99,8 @@
 struct Attempt {
     end: End,
     headers: HeaderMap,
+    /// Explanation of an answer that the system made itself.
+    reason: String,
 }
 
 async fn call(
@@ -143,9 +145,14 @@
             .expect("the plan holds valid paths and names");
         let began = Instant::now();
         let attempt = timeout(class.timeout, attempt(&caller, request, &id, &body)).await;
-        let Attempt { end, headers } = attempt.unwrap_or(Attempt {
+        let Attempt {
+            end,
+            headers,
+            reason,
+        } = attempt.unwrap_or(Attempt {
             end: End::Timeout,
             headers: HeaderMap::new(),
+            reason: String::new(),
         });
         let last = began.elapsed();
         let broken = matches!(end, End::Cut | End::Timeout);
@@ -161,6 +168,7 @@
             latency: started.elapsed().saturating_sub(arrival.at),
             last,
             end,
+            reason,
             verdict: verdict.and_then(|value| value.to_str().ok()?.parse().ok()),
             attempts,
         };
@@ -171,6 +179,7 @@
     let cut = Attempt {
         end: End::Cut,
         headers: HeaderMap::new(),
+        reason: String::new(),
     };
     let Ok(answer) = caller.request(request).await else {
         return cut;
@@ -181,8 +190,13 @@
     };
     let verdict = parts.headers.get(header::VERDICT);
     let refused = verdict.is_some_and(|verdict| verdict == "not-run");
+    let content = content.to_bytes();
+    let reason = match reason_of(&content) {
+        Some(reason) if parts.status != StatusCode::OK => reason,
+        _ => String::new(),
+    };
     let end = match parts.status {
-        StatusCode::OK if answer::check(id, body, &content.to_bytes()).is_err() => End::Wrong,
+        StatusCode::OK if answer::check(id, body, &content).is_err() => End::Wrong,
         StatusCode::OK => End::Done,
         _ if refused => End::Refused,
         _ => End::Failed,
@@ -190,5 +204,11 @@
     Attempt {
         end,
         headers: parts.headers,
+        reason,
     }
 }
+
+fn reason_of(content: &[u8]) -> Option<String> {
+    let explanation: serde_json::Value = serde_json::from_slice(content).ok()?;
+    Some(explanation.get("reason")?.as_str()?.to_owned())
+}
--- a/crates/standin/src/load/results/mod.rs
+++ b/crates/standin/src/load/results/mod.rs
@@ -39,6 +39,8 @@
     pub last: Duration,
     /// How it ended.
     pub end: End,
+    /// Reason that the last answer gives, if the system made it itself.
+    pub reason: String,
     /// Verdict of the last answer, if there was one with a verdict.
     pub verdict: Option<Verdict>,
     /// Attempts.
