Repeat requests that a daemon shutting down did not take; stay near when busy

Cause: a request that a shutting-down daemon names as not taken (HTTP/2 GOAWAY or REFUSED_STREAM) was may-have-run; a request refused under overload was sent to another region and back, 40 ms, before its caller heard of it. Ruled out as the cause of the keyed requests cut in churn: GOAWAY.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -87,7 +87,12 @@
     while tried.len() < most {
         let next = match last.cause {
             Cause::Suspect => owner(snapshot, &last, &tried),
-            _ => plan(context, snapshot, call, &class, body, &tried),
+            cause => {
+                // Under overload a refusal must come soon, and the way to
+                // another region and back takes 40 ms.
+                let near = cause == Cause::Busy && !tried.is_empty();
+                plan(context, snapshot, call, &class, body, &tried, near)
+            }
         };
         let Some(plan) = next else {
             break;
@@ -164,7 +169,7 @@
     }
     let host = hedge
         .host
-        .or_else(|| Some(choose(context, snapshot, call, class, tried)?.index));
+        .or_else(|| Some(choose(context, snapshot, call, class, tried, false)?.index));
     let Some(host) = host else {
         return first.await;
     };
@@ -221,8 +226,9 @@
     class: &Class,
     body: &Replay,
     tried: &[usize],
+    near: bool,
 ) -> Option<Plan> {
-    let choice = choose(context, snapshot, call, class, tried)?;
+    let choice = choose(context, snapshot, call, class, tried, near)?;
     let mut hedge = None;
     if may_hedge(call.class.idempotent, call.class.work) && body.complete() {
         hedge = match choice.hedge {
@@ -244,7 +250,8 @@
     })
 }
 
-/// Chooses among the hosts that were not tried; indices are positions among
+/// Chooses among the hosts that were not tried, with `near` only among those of
+/// the own region; indices are positions among
 /// the hosts of the snapshot's list.
 fn choose(
     context: &Context,
@@ -252,10 +259,13 @@
     call: &Call,
     class: &Class,
     tried: &[usize],
+    near: bool,
 ) -> Option<route::Choice> {
     let usable = |index: &usize| {
         let host = &snapshot.list.hosts[*index];
-        !tried.contains(index) && context.peers.routable(&host.name)
+        !tried.contains(index)
+            && context.peers.routable(&host.name)
+            && (!near || host.region == context.settings.region)
     };
     let indices: Vec<usize> = snapshot
         .indices(&call.class.service)
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -1,5 +1,6 @@
 //! Sends requests to the data ports of other daemons.
 
+use std::error::Error;
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -73,6 +74,10 @@
                     "the host refuses connections",
                 )
             },
+            Ok(Err(error)) if is_unprocessed(&error) => Refusal {
+                cause: Cause::Away,
+                ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "the host is shutting down")
+            },
             // The daemon answers, but what is behind it broke.
             Ok(Err(error)) if is_reset(&error) => {
                 Refusal::unknown(StatusCode::BAD_GATEWAY, "the host broke off the answer")
@@ -97,15 +102,30 @@
 }
 
 /// Says whether one stream was reset on a connection that goes on.
-fn is_reset(error: &(dyn std::error::Error + 'static)) -> bool {
+fn is_reset(error: &(dyn Error + 'static)) -> bool {
+    h2_error(error).is_some_and(h2::Error::is_reset)
+}
+
+/// Says whether the daemon told that it did not take the request: it refused
+/// the stream, or it shuts down and named an earlier stream as the last one.
+/// HTTP/2 lets a client repeat such requests whatever they are.
+fn is_unprocessed(error: &(dyn Error + 'static)) -> bool {
+    h2_error(error).is_some_and(|error| {
+        let shutdown = error.is_go_away() && error.reason() == Some(h2::Reason::NO_ERROR);
+        let refused = error.is_reset() && error.reason() == Some(h2::Reason::REFUSED_STREAM);
+        error.is_remote() && (shutdown || refused)
+    })
+}
+
+fn h2_error<'a>(error: &'a (dyn Error + 'static)) -> Option<&'a h2::Error> {
     let mut cause = Some(error);
     while let Some(error) = cause {
         if let Some(error) = error.downcast_ref::<h2::Error>() {
-            return error.is_reset();
+            return Some(error);
         }
         cause = error.source();
     }
-    false
+    None
 }
 
 fn request(
