Tell other data centres of a version once; tell six hosts of the own one

Cause: each reader that adopted a version told a reader of each other data centre, about 16 times over each link between regions; and with 3 notices one host in 20 missed all and waited for a heartbeat, so the last host came late. Ruled out: fewer watches (a dead reader would delay its data centre by 3 s). Change: only the reader that read the version at the platform tells other data centres; notices go to 6 hosts of the own one.

--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -19,8 +19,13 @@
     pub version: Option<Version>,
     /// Number of the host list.
     pub hosts: u64,
+    /// Whether the document was read at the platform by this daemon itself.
+    pub read: bool,
 }
 
+/// Source of what is read at the platform, as the audit trail names it.
+pub const PLATFORM: &str = "platform";
+
 /// Holder of the snapshot in force.
 ///
 /// Invariant: neither the version nor the number of the host list ever goes
@@ -60,6 +65,11 @@
         self.current.borrow().version
     }
 
+    /// Returns what is in force.
+    pub fn current(&self) -> Current {
+        *self.current.borrow()
+    }
+
     /// Returns a receiver that is told of each change.
     pub fn watch(&self) -> watch::Receiver<Current> {
         self.current.subscribe()
@@ -86,7 +96,7 @@
         let outcome = offer(&mut latest);
         if let Outcome::Adopted { to, .. } = &outcome {
             logs::set_version(to.number);
-            self.publish(&latest);
+            self.publish(&latest, source == PLATFORM);
         }
         if !matches!(outcome, Outcome::Ignored { .. }) {
             trail.record(Event::Offer {
@@ -110,15 +120,17 @@
             count: list.hosts.len(),
         });
         self.list.store(Some(Arc::new(list)));
-        self.publish(&latest);
+        let read = self.current.borrow().read;
+        self.publish(&latest, read);
         true
     }
 
-    fn publish(&self, latest: &adopt::Store) {
+    fn publish(&self, latest: &adopt::Store, read: bool) {
         let list = self.list.load_full();
         let current = Current {
             version: latest.version(),
             hosts: list.as_ref().map_or(0, |list| list.number),
+            read,
         };
         let old = *self.current.borrow();
         assert!(
--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -18,6 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::audit::Event;
+use crate::config::PLATFORM;
 use crate::kernel::{Context, Plugin};
 use crate::peers::fetch_hosts_from;
 use crate::settings::Readers;
@@ -37,8 +38,6 @@
 /// that is published right after an outage must be in force within 4 s; 20
 /// readers at the design size make at most 20 calls a second by it.
 const WATCH_RETRY_MAX: Duration = Duration::from_secs(2);
-/// Source that the audit trail names.
-const SOURCE: &str = "platform";
 /// Largest value that is read, bytes; the platform holds up to a megabyte.
 const VALUE_BYTES: usize = 1 << 20;
 
@@ -211,7 +210,7 @@
 ) -> Taken {
     let refused = |reason: String| {
         context.trail.record(Event::Refused {
-            source: SOURCE.into(),
+            source: PLATFORM.into(),
             reason,
         });
         Taken::Refused
@@ -222,7 +221,7 @@
     if key == HOSTS {
         return match hosts::parse(bytes) {
             Ok(list) => {
-                context.config.offer_hosts(&context.trail, list, SOURCE);
+                context.config.offer_hosts(&context.trail, list, PLATFORM);
                 Taken::Done
             }
             Err(fault) => refused(format!("host list: {fault}")),
@@ -258,7 +257,7 @@
         }
     }
     let borrowed: Vec<&[u8]> = parts.iter().map(|part| part.as_ref()).collect();
-    let outcome = context.config.offer(&context.trail, SOURCE, |store| {
+    let outcome = context.config.offer(&context.trail, PLATFORM, |store| {
         store.offer_parts(manifest, &borrowed)
     });
     match outcome {
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -197,8 +197,9 @@
         {
             actions.extend(view.on_host_list(now, list));
         }
-        if let Some(version) = context.config.version() {
-            actions.extend(view.on_version(now, version));
+        let current = context.config.current();
+        if let Some(version) = current.version {
+            actions.extend(view.on_version(now, version, current.read));
         }
     }
     perform(context, actions);
--- a/crates/membership/src/view/mod.rs
+++ b/crates/membership/src/view/mod.rs
@@ -49,8 +49,14 @@
 /// Hosts that are asked to try a host that did not answer.
 pub const VIAS: usize = 2;
 
-/// Hosts of the own data centre that get a notice or an urgent change.
-pub const NOTICES: usize = 3;
+/// Hosts of the own data centre that get an urgent change.
+pub const PUSHES: usize = 3;
+
+/// Hosts of the own data centre that get a notice of a new version. Each that
+/// adopts it tells as many, so that about one in 400 misses all notices and
+/// waits for a heartbeat; with 3 it was one in 20, and they made the last host
+/// late.
+pub const NOTICES: usize = 6;
 
 /// Peers that a starting daemon asks.
 pub const START_PEERS: usize = 3;
@@ -206,7 +212,7 @@
         if self.urgent && now >= self.push_at {
             self.urgent = false;
             self.push_at = now + PUSH_GAP;
-            for to in self.peers_in(self.table.entry(OWN).centre, NOTICES) {
+            for to in self.peers_in(self.table.entry(OWN).centre, PUSHES) {
                 self.send(now, to, Purpose::Push, 0, &mut actions);
             }
         }
@@ -249,9 +255,11 @@
     }
 
     /// Records that this daemon adopted `version` and returns the notices to
-    /// send: to random hosts of the data centre and, from a reader, to one
-    /// reader of each other data centre.
-    pub fn on_version(&mut self, now: Duration, version: Version) -> Vec<Action> {
+    /// send: to random hosts of the data centre and, from a reader that has
+    /// `read` the version at the platform itself, to one reader of each other
+    /// data centre. If all readers told the others, a change would cross each
+    /// link between regions about 16 times.
+    pub fn on_version(&mut self, now: Duration, version: Version, read: bool) -> Vec<Action> {
         let mut actions = Vec::new();
         self.wake(now, &mut actions);
         let own = self.own_mut();
@@ -261,7 +269,7 @@
         own.version = Some(version);
         let centre = self.table.entry(OWN).centre;
         let mut receivers = self.peers_in(centre, NOTICES);
-        if self.reader {
+        if self.reader && read {
             for other in &self.table.centres {
                 let near = other
                     .order
@@ -296,7 +304,7 @@
         self.elect(centre, &mut actions);
         let readers = self.table.centres.iter().flat_map(|centre| &centre.readers);
         let mut receivers: Vec<u32> = readers.copied().filter(|&index| index != OWN).collect();
-        for peer in self.peers_in(centre, NOTICES) {
+        for peer in self.peers_in(centre, PUSHES) {
             if !receivers.contains(&peer) {
                 receivers.push(peer);
             }
--- a/crates/membership/tests/measure.rs
+++ b/crates/membership/tests/measure.rs
@@ -101,7 +101,7 @@
             hash,
         };
         for index in 0..fleet.views.len() {
-            let actions = fleet.views[index].on_version(fleet.now, version);
+            let actions = fleet.views[index].on_version(fleet.now, version, true);
             fleet.act(index, actions);
         }
         report(&mut fleet, "first 10 s of a herd start", 10);
--- a/crates/membership/tests/records.rs
+++ b/crates/membership/tests/records.rs
@@ -13,7 +13,7 @@
 use savorylane_intent::hosts::State as Platform;
 use savorylane_intent::{Hash, Version};
 use savorylane_membership::backoff::{CAP, Delay};
-use savorylane_membership::view::{NOTICES, RECORDS};
+use savorylane_membership::view::{NOTICES, PUSHES, RECORDS};
 use savorylane_membership::{Action, Purpose, Record, Token, View};
 use savorylane_wire::Incarnation;
 use savorylane_wire::control::{Heartbeat, Notice, Record as Encoded, Sender, State};
@@ -157,7 +157,7 @@
         matches!(action, Action::Heartbeat { purpose: Purpose::Push, message, .. }
             if message.own.sequence == 1)
     });
-    assert_eq!(pushed.count(), NOTICES);
+    assert_eq!(pushed.count(), PUSHES);
 }
 
 /// Guards against a replaced host with a slow clock whose records all lose to
@@ -290,16 +290,16 @@
 /// sent to too many hosts.
 #[test]
 fn versions_are_announced_and_repaired() {
-    let mut view = view(5, 4);
+    let mut view = view(5, 8);
     view.on_tick(ms(0));
-    let actions = view.on_version(ms(10), version(2));
+    let actions = view.on_version(ms(10), version(2), true);
     let notices = actions
         .iter()
         .filter(|a| matches!(a, Action::Notice { .. }))
         .count();
     let others = if view.is_reader() { 4 } else { 0 };
     assert_eq!(notices, NOTICES + others);
-    assert!(view.on_version(ms(20), version(1)).is_empty());
+    assert!(view.on_version(ms(20), version(1), true).is_empty());
     let behind = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Behind { .. }));
     let mut message = heartbeat(Vec::new());
     for (index, expected) in [(1, false), (2, false), (3, true)] {
@@ -318,6 +318,27 @@
     assert!(behind(&view.on_notice(ms(40), &notice)));
 }
 
+/// Guards against a version that crosses the links between data centres once
+/// for each reader: only the one that read it at the platform tells the others.
+#[test]
+fn versions_from_peers_stay_in_the_data_centre() {
+    let list = list(5, 8);
+    let mut readers = 0;
+    for own in &list.hosts {
+        for (read, others) in [(true, 4), (false, 0)] {
+            let mut view = View::new(ms(0), own, incarnation(RUN), list.clone().into(), 1);
+            view.on_tick(ms(0));
+            if !view.is_reader() {
+                continue;
+            }
+            readers += 1;
+            let actions = view.on_version(ms(10), version(2), read);
+            assert_eq!(actions.len(), NOTICES + others, "{}", own.name);
+        }
+    }
+    assert_eq!(readers, 2 * 2 * 5);
+}
+
 /// Guards against readers that all read a new version at once: ranks over all
 /// readers are distinct and without gaps.
 #[test]
