--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -123,7 +123,7 @@
     }
 
     async fn confirm(&self, digests: Vec<String>) -> RpcResult<Vec<bool>> {
-        Ok(self.0.rings.confirm(&digests))
+        Ok(self.0.rings.confirm(self.0.now(), &digests))
     }
 
     async fn clock(&self) -> RpcResult<Clock> {
--- a/crates/daemon/src/holder/rings.rs
+++ b/crates/daemon/src/holder/rings.rs
@@ -53,9 +53,14 @@
 }
 
 /// Returns the digest of a confirmation: 128 bits, enough among the few that
-/// one member has in force.
+/// one member has in force. The uptime is left out, since it always changes; a
+/// confirmation that is taken again with an earlier uptime claims less.
 fn digest(confirmation: &Confirmation) -> String {
-    let json = serde_json::to_vec(confirmation).unwrap_or_default();
+    let lasting = Confirmation {
+        uptime_ms: 0,
+        ..confirmation.clone()
+    };
+    let json = serde_json::to_vec(&lasting).unwrap_or_default();
     blake3::hash(&json).to_hex()[..32].to_owned()
 }
 
@@ -118,11 +123,11 @@
     }
 
     /// Says for each digest whether it is that of a confirmation in force.
-    pub fn confirm(&self, digests: &[String]) -> Vec<bool> {
+    pub fn confirm(&self, now: Duration, digests: &[String]) -> Vec<bool> {
         let tenures = self.lock();
         let member = |tenure: &&Tenure| tenure.ring().members.contains(&self.me.host);
         let held = tenures.values().filter(member);
-        let held: Vec<String> = held.map(|tenure| digest(&tenure.answer())).collect();
+        let held: Vec<String> = held.map(|tenure| digest(&tenure.answer(now))).collect();
         digests.iter().map(|digest| held.contains(digest)).collect()
     }
 
