ledger: keep the coverage of keys whose holder does not change

Cause: a change of a ring's members started the coverage of all unmarked keys afresh, so the drain of one host made the holders refuse every unmarked key of the ring for 35 s.

Change: each member tells the newest 8 rings that it followed or heard of, the number of the newest ring that it dropped, and for how long it has remembered its rings. A holder whose ring changed keeps its earlier coverage for keys that it held under all rings since. It does so once it has itself heard, for each of these rings, a majority that followed the new ring at one moment, counting only members that have run since before its last evidence under the earlier ring. A restart, a noticed pause, evidence that ended without a change of the ring, an overflow of the history or a delay above the horizon loses it. Coverage became a function of the key (`Tenure::coverage`).

Ruled out as well: hosts in state `leaving` that stay ring members. A ring of two could not be heard to follow the next one once such a host has stopped.

--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -119,7 +119,7 @@
     }
 
     async fn ring(&self, message: Question) -> RpcResult<Vec<Confirmation>> {
-        Ok(self.0.rings.answer(&message))
+        Ok(self.0.rings.answer(self.0.now(), &message))
     }
 
     async fn clock(&self) -> RpcResult<Clock> {
--- a/crates/daemon/src/holder/rings.rs
+++ b/crates/daemon/src/holder/rings.rs
@@ -86,11 +86,11 @@
     }
 
     /// Answers a member's questions; scopes that are unknown here are left out.
-    pub fn answer(&self, question: &Question) -> Vec<Confirmation> {
+    pub fn answer(&self, now: Duration, question: &Question) -> Vec<Confirmation> {
         let tenures = self.lock();
         let scopes = question.scopes.iter();
         scopes
-            .filter_map(|scope| tenures.get(scope).map(Tenure::answer))
+            .filter_map(|scope| Some(tenures.get(scope)?.answer(now)))
             .collect()
     }
 
--- a/crates/ledger/src/book/mod.rs
+++ b/crates/ledger/src/book/mod.rs
@@ -309,7 +309,7 @@
         if request.ring != tenure.ring().hash || !tenure.holds(request.key) {
             return refuse(Reason::Ring);
         }
-        let Some(coverage) = tenure.active(now) else {
+        let Some(coverage) = tenure.coverage(now, request.key) else {
             return refuse(Reason::Unconfirmed);
         };
         let allowance = self.settings.allowance.as_millis() as u64;
--- a/crates/ledger/src/ring/mod.rs
+++ b/crates/ledger/src/ring/mod.rs
@@ -4,9 +4,12 @@
 use savorylane_intent::hosts::{List, State};
 use savorylane_wire::control::{Ring, Scope};
 
+mod cover;
+mod resume;
 mod tenure;
 
-pub use tenure::{Coverage, Tenure};
+pub use cover::{Coverage, HISTORY};
+pub use tenure::Tenure;
 
 /// Members of a ring at most.
 pub const MEMBERS: usize = 7;
--- a/crates/ledger/src/ring/tenure.rs
+++ b/crates/ledger/src/ring/tenure.rs
@@ -6,18 +6,11 @@
 use savorylane_wire::Incarnation;
 use savorylane_wire::control::{Confirmation, Ring, Sender};
 
+use super::cover::{Cover, Coverage, History};
 use super::majority;
+use super::resume::{Active, Carried};
 use crate::Settings;
 
-/// Moment from which a holder saw every attempt of its unmarked keys.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Coverage {
-    /// Moment; may lie in the future. `None` stands for all time.
-    pub since: Option<Duration>,
-    /// The same moment in milliseconds since the Unix epoch.
-    pub since_ms: u64,
-}
-
 /// Part of one daemon in the ring of one scope.
 ///
 /// A daemon is **recovered** when it knows what its earlier incarnations
@@ -28,15 +21,17 @@
 ///
 /// Invariant: while a daemon is active, no daemon is active under another
 /// ring of the scope, but for the evidence that ends before
-/// [`Coverage::since`]. The reasons: the two majorities share a member; a
-/// member never goes back to an older list; and a member that lost its memory
-/// confirms nothing before it heard from enough others to share one with any
-/// majority that its earlier incarnation was part of.
+/// [`Coverage::since`] of the keys whose holder differs between the rings. The
+/// reasons: the two majorities share a member; a member never goes back to an
+/// older list; and a member that lost its memory confirms nothing before it
+/// heard from enough others to share one with any majority that its earlier
+/// incarnation was part of.
 #[derive(Clone, Debug)]
 pub struct Tenure {
-    settings: Settings,
-    me: Sender,
-    ring: Ring,
+    pub(super) settings: Settings,
+    pub(super) me: Sender,
+    started: Duration,
+    pub(super) ring: Ring,
     /// When this daemon took on the ring or recovered, whichever was later.
     followed: Duration,
     recovered: bool,
@@ -45,13 +40,15 @@
     first_until: Duration,
     former: Vec<Ring>,
     answers: BTreeMap<String, Answer>,
-    confirmed_until: Duration,
-    active: Option<(u64, Coverage)>,
+    pub(super) confirmed_until: Duration,
+    pub(super) active: Option<Active>,
+    pub(super) history: History,
+    pub(super) carried: Option<Carried>,
 }
 
 /// Latest answer of a member that follows this daemon's ring.
 #[derive(Clone, Copy, Debug)]
-struct Answer {
+pub(super) struct Answer {
     incarnation: Incarnation,
     /// Number of the member's host list.
     number: u64,
@@ -59,6 +56,10 @@
     first_at: Duration,
     /// Time of the question to the latest answer with this ring.
     asked_at: Duration,
+    /// Latest time at which the incarnation can have started.
+    pub(super) started: Duration,
+    /// Number of the newest ring that the member no longer remembers.
+    pub(super) floor: u64,
 }
 
 impl Tenure {
@@ -67,6 +68,7 @@
         let mut tenure = Self {
             settings,
             me,
+            started: now,
             followed: now,
             recovered: settings.first_start,
             first_until: if settings.first_start {
@@ -78,6 +80,8 @@
             answers: BTreeMap::new(),
             confirmed_until: Duration::ZERO,
             active: None,
+            history: History::default(),
+            carried: None,
             ring,
         };
         tenure.evaluate(now, wall_ms);
@@ -99,33 +103,48 @@
         super::holder(&self.ring, key) == Some(self.me.host.as_str())
     }
 
-    /// Returns the hosts to ask each second: members of the ring and of the
-    /// former rings.
+    /// Returns the hosts to ask each second: members of the ring, of the
+    /// former rings, and of those that the earlier coverage depends on.
     pub fn peers(&self) -> BTreeSet<&str> {
+        let carried = self.carried.iter();
         let rings = std::iter::once(&self.ring).chain(&self.former);
         rings
+            .chain(carried.flat_map(|carried| self.since(carried)))
             .flat_map(|ring| ring.members.iter().map(String::as_str))
             .filter(|member| *member != self.me.host)
             .collect()
     }
 
     /// Returns the answer to a member's question.
-    pub fn answer(&self) -> Confirmation {
+    pub fn answer(&self, now: Duration) -> Confirmation {
         Confirmation {
             from: self.me.clone(),
             ring: self.ring.clone(),
             recovered: self.recovered,
-            active: self.active.map(|(number, _)| number),
+            active: self.active.as_ref().map(|active| active.number),
             former: self.former.clone(),
+            history: self.history.rings.clone(),
+            floor: self.history.floor,
+            uptime_ms: now.saturating_sub(self.started).as_millis() as u64,
         }
     }
 
-    /// Returns the coverage if the daemon may act as holder now.
+    /// Returns the coverage of keys that had another holder before, if the
+    /// daemon may act as holder now.
     pub fn active(&self, now: Duration) -> Option<Coverage> {
-        if now >= self.confirmed_until {
-            return None;
-        }
-        self.active.map(|(_, coverage)| coverage)
+        let active = self.active.as_ref();
+        active
+            .filter(|_| now < self.confirmed_until)
+            .map(|active| active.fresh)
+    }
+
+    /// Returns the coverage of a key that this daemon holds, if the daemon may
+    /// act as holder now.
+    pub fn coverage(&self, now: Duration, key: &str) -> Option<Coverage> {
+        let active = self.active.as_ref();
+        active
+            .filter(|_| now < self.confirmed_until)
+            .map(|active| active.cover.of(&self.me.host, key))
     }
 
     /// Takes on the ring of a newer host list; an older or equal one is
@@ -139,10 +158,10 @@
             self.ring.number = ring.number;
             return;
         }
+        self.carry(now);
         let former = std::mem::replace(&mut self.ring, ring);
-        self.add_former(former);
+        self.add_former(now, former);
         self.followed = now;
-        self.lapse();
         self.answers.clear();
         self.evaluate(now, wall_ms);
     }
@@ -151,6 +170,9 @@
     /// that evidence looks fresh although another ring has become active.
     pub fn on_pause(&mut self, now: Duration, wall_ms: u64) {
         self.lapse();
+        // The ages of members and of the earlier coverage are reckoned by a
+        // clock that may have stood still.
+        self.carried = None;
         self.first_until = Duration::ZERO;
         self.answers.clear();
         self.followed = now;
@@ -184,19 +206,34 @@
             number,
             first_at: now,
             asked_at,
+            started: now.saturating_sub(Duration::from_millis(confirmation.uptime_ms)),
+            floor: confirmation.floor,
         };
         let answer = match self.answers.get(host) {
             // An answer that was overtaken by a later one.
             Some(known) if (known.incarnation, known.number) > (incarnation, number) => return,
             Some(known) if (known.incarnation, known.number) == (incarnation, number) => Answer {
+                first_at: known.first_at,
                 asked_at: known.asked_at.max(asked_at),
-                ..*known
+                started: known.started.min(fresh.started),
+                floor: known.floor.max(fresh.floor),
+                ..fresh
             },
             _ => fresh,
         };
         self.answers.insert(host.to_string(), answer);
         for ring in &confirmation.former {
-            self.add_former(ring.clone());
+            self.add_former(now, ring.clone());
+        }
+        for ring in &confirmation.history {
+            let new = self.history.add(ring) && ring.hash != self.ring.hash;
+            let active = self.active.as_ref();
+            if new && active.is_some_and(|active| ring.number >= active.number) {
+                // Its holder was active after this daemon was.
+                self.carry(now);
+            } else if new {
+                self.note(ring);
+            }
         }
         if let Some(number) = confirmation.active {
             // The sender's activation retired all rings of older lists.
@@ -216,17 +253,19 @@
     }
 
     /// Remembers a ring whose holder may still be active.
-    fn add_former(&mut self, ring: Ring) {
+    fn add_former(&mut self, now: Duration, ring: Ring) {
+        self.history.add(&ring);
         if ring.hash == self.ring.hash || ring.members.is_empty() {
             return;
         }
-        if let Some((number, _)) = self.active {
-            if ring.number < number {
+        if let Some(active) = &self.active {
+            if ring.number < active.number {
+                self.note(&ring);
                 return;
             }
             // The members followed another ring in between and came back to
             // this one; its holder may be active.
-            self.lapse();
+            self.carry(now);
         }
         self.first_until = Duration::ZERO;
         match self.former.iter_mut().find(|known| known.hash == ring.hash) {
@@ -237,8 +276,15 @@
 
     fn evaluate(&mut self, now: Duration, wall_ms: u64) {
         if now >= self.confirmed_until {
+            if self.active.is_some() {
+                self.carried = None;
+            }
             self.lapse();
         }
+        // Later, the coverage of a new activation reaches as far back.
+        let horizon = self.settings.horizon;
+        self.carried
+            .take_if(|carried| carried.asked + horizon < now);
         if !self.recovered {
             self.recover(now);
         }
@@ -250,7 +296,7 @@
             .ring
             .members
             .iter()
-            .filter_map(|member| self.span(now, member, 0))
+            .filter_map(|member| self.span(now, member, 0, |_| true))
             .map(|(_, asked_at)| asked_at)
             .collect();
         asked.sort_by(|a, b| b.cmp(a));
@@ -258,7 +304,11 @@
             return;
         };
         self.confirmed_until = self.confirmed_until.max(*oldest + self.settings.evidence);
-        if now >= self.confirmed_until || self.active.is_some() {
+        if now >= self.confirmed_until {
+            return;
+        }
+        if self.active.is_some() {
+            self.resume(now);
             return;
         }
         if !self.former.iter().all(|ring| self.retired(now, ring)) {
@@ -281,7 +331,13 @@
         };
         self.first_until = Duration::ZERO;
         self.former.clear();
-        self.active = Some((self.agreed(*oldest), coverage));
+        let number = self.agreed(*oldest);
+        self.active = Some(Active {
+            number,
+            fresh: coverage,
+            cover: Cover::new(number, coverage),
+        });
+        self.resume(now);
     }
 
     /// Returns the list number that all members with evidence have reached.
@@ -323,13 +379,20 @@
 
     /// Returns since when `member` is known to follow this ring by a list
     /// above `number`, and when it was last asked.
-    fn span(&self, now: Duration, member: &str, number: u64) -> Option<(Duration, Duration)> {
+    fn span(
+        &self,
+        now: Duration,
+        member: &str,
+        number: u64,
+        counts: impl Fn(&Answer) -> bool,
+    ) -> Option<(Duration, Duration)> {
         if member == self.me.host {
-            let counts = self.recovered && self.ring.number > number;
-            return counts.then_some((self.followed, now));
+            let follows = self.recovered && self.ring.number > number;
+            return follows.then_some((self.followed, now));
         }
         let answer = self.answers.get(member)?;
-        (answer.number > number).then_some((answer.first_at, answer.asked_at))
+        let follows = answer.number > number && counts(answer);
+        follows.then_some((answer.first_at, answer.asked_at))
     }
 
     /// Returns whether at one moment a majority of `ring` followed the current
@@ -337,10 +400,22 @@
     /// answered first may lose its memory and recover from one that has not
     /// yet answered.
     fn retired(&self, now: Duration, ring: &Ring) -> bool {
+        self.followed_by(now, ring, ring.number, |_| true)
+    }
+
+    /// The same for lists above `number`, counting only members whose answer
+    /// passes `counts`.
+    pub(super) fn followed_by(
+        &self,
+        now: Duration,
+        ring: &Ring,
+        number: u64,
+        counts: impl Fn(&Answer) -> bool,
+    ) -> bool {
         let spans: Vec<(Duration, Duration)> = ring
             .members
             .iter()
-            .filter_map(|member| self.span(now, member, ring.number))
+            .filter_map(|member| self.span(now, member, number, &counts))
             .collect();
         spans.iter().any(|&(moment, _)| {
             let held = spans
--- a/crates/ledger/tests/at_most_once.rs
+++ b/crates/ledger/tests/at_most_once.rs
@@ -5,10 +5,20 @@
 
 mod sim;
 
-use sim::{Aim, Fleet, Op, Totals, ops, takeover};
+use savorylane_ledger::Settings;
+use sim::{Aim, Fleet, Op, Totals, chain, ops, settings, skip, takeover};
 
 /// Plays random schedules; a failure prints the shortest one found.
 fn play(schedules: BoxedStrategy<Vec<(u16, Op)>>, seed: u64, cases: u32) -> Totals {
+    play_with(settings(), schedules, seed, cases)
+}
+
+fn play_with(
+    settings: Settings,
+    schedules: BoxedStrategy<Vec<(u16, Op)>>,
+    seed: u64,
+    cases: u32,
+) -> Totals {
     let mut runner = TestRunner::new(Config {
         cases,
         failure_persistence: None,
@@ -18,20 +28,21 @@
     });
     let totals = std::cell::RefCell::new(Totals::default());
     let result = runner.run(&(any::<u64>(), schedules), |(seed, ops)| {
-        let mut fleet = Fleet::new(seed);
+        let mut fleet = Fleet::new(seed, settings);
         fleet.play(&ops).map_err(TestCaseError::fail)?;
         let (mut sum, new) = (totals.borrow_mut(), fleet.totals);
         for kind in 0..3 {
             sum.runs[kind] += new.runs[kind];
         }
         sum.late_runs += new.late_runs;
+        sum.carried += new.carried;
         sum.not_run += new.not_run;
         sum.replays += new.replays;
         sum.refused += new.refused;
         Ok(())
     });
     if let Err(TestError::Fail(reason, (case, ops))) = &result {
-        let mut fleet = Fleet::new(*case);
+        let mut fleet = Fleet::new(*case, settings);
         let _ = fleet.play(ops);
         panic!(
             "seed {seed}, case {case}: {reason}\n{}",
@@ -71,6 +82,35 @@
     assert!(totals.late_runs > 300 && totals.replays > 100, "{totals:?}");
 }
 
+/// Guards against a second run of a key by a holder that kept its coverage over
+/// several list changes, while another daemon held the key under a list that
+/// this holder skipped.
+#[test]
+fn chain_faults() {
+    let totals = play(chain(), 1, 1500);
+    println!("{totals:?}");
+    assert!(totals.carried > 300 && totals.replays > 100, "{totals:?}");
+}
+
+/// Settings with a horizon above the 7 s after which a new holder runs keys
+/// with a time, so that earlier coverage could outlast another holder's work.
+fn patient() -> Settings {
+    Settings {
+        horizon: std::time::Duration::from_secs(30),
+        keys: 100,
+        ..settings()
+    }
+}
+
+/// Guards against a second run of a key by a holder that skipped the lists
+/// under which other daemons ran it, and that has its earlier coverage.
+#[test]
+fn skip_faults() {
+    let totals = play_with(patient(), skip(), 1, 2000);
+    println!("{totals:?}");
+    assert!(totals.carried > 1000 && totals.replays > 500, "{totals:?}");
+}
+
 /// The same with more schedules.
 #[test]
 #[ignore = "takes minutes; for changes of the ledger"]
@@ -81,3 +121,23 @@
         println!("book {seed}: {:?}", play(ops(Aim::Book, 200), seed, 2000));
     }
 }
+
+/// More schedules of several list changes.
+#[test]
+#[ignore = "takes minutes; for changes of the ledger"]
+fn long_chain() {
+    let play_seed = |seed| {
+        let skip = play_with(patient(), skip(), seed, 20_000);
+        println!("skip {seed}: {skip:?}");
+        println!(
+            "chain {seed}: {:?}",
+            play_with(patient(), chain(), seed, 5000)
+        );
+        println!("chain {seed}: {:?}", play(chain(), seed, 5000));
+    };
+    std::thread::scope(|scope| {
+        for seed in 2..8 {
+            scope.spawn(move || play_seed(seed));
+        }
+    });
+}
--- a/crates/ledger/tests/ring.rs
+++ b/crates/ledger/tests/ring.rs
@@ -91,6 +91,9 @@
         recovered: true,
         active: None,
         former: former.iter().map(|ring| (*ring).clone()).collect(),
+        history: Vec::new(),
+        floor: 0,
+        uptime_ms: 0,
     }
 }
 
@@ -162,13 +165,16 @@
     let ring = three(1, &["a", "b", "c"]);
     let mut a = start("a", &ring, false);
     a.on_confirmation(SECOND, 0, &says("b", 1, &ring, &[]), SECOND);
-    assert!(!a.answer().recovered, "one of two others");
+    assert!(!a.answer(SECOND).recovered, "one of two others");
     let mut lost = says("c", 1, &ring, &[]);
     lost.recovered = false;
     a.on_confirmation(SECOND, 0, &lost, SECOND);
-    assert!(!a.answer().recovered, "the other one lost its memory, too");
+    assert!(
+        !a.answer(SECOND).recovered,
+        "the other one lost its memory, too"
+    );
     a.on_confirmation(SECOND, 0, &says("c", 1, &ring, &[]), SECOND);
-    assert!(a.answer().recovered);
+    assert!(a.answer(SECOND).recovered);
 }
 
 /// Guards against a holder that skips a list and does not learn of the ring in
@@ -208,7 +214,7 @@
     let last = three(3, &["a", "b", "c"]);
     let mut a = start("a", &last, true);
     a.on_confirmation(SECOND, 0, &says("b", 1, &first, &[]), SECOND);
-    assert_eq!(a.answer().active, Some(1), "b has not reached list 3");
+    assert_eq!(a.answer(SECOND).active, Some(1), "b has not reached list 3");
     a.on_confirmation(2 * SECOND, 0, &says("b", 1, &last, &[&middle]), 2 * SECOND);
     assert!(
         a.active(2 * SECOND).is_none(),
@@ -228,7 +234,7 @@
     let mut a = start("a", &new, false);
     a.on_confirmation(SECOND, 0, &says("b", 1, &new, &[&old]), SECOND);
     a.on_confirmation(SECOND, 0, &says("d", 1, &new, &[]), SECOND);
-    assert!(!a.answer().recovered);
+    assert!(!a.answer(SECOND).recovered);
     a.on_confirmation(SECOND, 0, &says("c", 1, &new, &[&old]), SECOND);
-    assert!(a.answer().recovered);
+    assert!(a.answer(SECOND).recovered);
 }
--- a/crates/ledger/tests/sim/mod.rs
+++ b/crates/ledger/tests/sim/mod.rs
@@ -11,7 +11,7 @@
 mod request;
 mod schedule;
 
-pub(crate) use schedule::{Aim, Kind, Op, ops, takeover};
+pub(crate) use schedule::{Aim, Kind, Op, chain, ops, skip, takeover};
 
 pub(crate) const HOSTS: usize = 5;
 const EPOCH_MS: u64 = 1_700_000_000_000;
@@ -99,6 +99,8 @@
 pub(crate) struct Totals {
     pub(crate) runs: [u32; 3],
     pub(crate) late_runs: u32,
+    /// Runs by coverage from before the latest change of the ring.
+    pub(crate) carried: u32,
     pub(crate) not_run: u32,
     pub(crate) replays: u32,
     pub(crate) refused: u32,
@@ -117,6 +119,7 @@
     entries: Vec<(usize, Stamps)>,
     keys: Vec<Key>,
     sides: u8,
+    settings: Settings,
     pub(crate) totals: Totals,
     pub(crate) trace: Vec<String>,
 }
@@ -147,11 +150,11 @@
 }
 
 impl Fleet {
-    pub(crate) fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64, settings: Settings) -> Self {
         let lists = vec![ring(1, 0b111)];
         let first = Settings {
             first_start: true,
-            ..settings()
+            ..settings
         };
         let mut fleet = Self {
             now: 0,
@@ -162,6 +165,7 @@
             entries: vec![(0, HashMap::new()), (0, HashMap::new())],
             keys: Vec::new(),
             sides: 0,
+            settings,
             totals: Totals::default(),
             trace: Vec::new(),
             lists,
@@ -263,7 +267,7 @@
                 // All attempts of an unmarked key without a time reach an
                 // entry within the horizon of the first.
                 let span = Duration::from_millis(last - first);
-                if known.kind == Kind::Plain && span > settings().horizon {
+                if known.kind == Kind::Plain && span > self.settings.horizon {
                     return;
                 }
                 (known.first, known.last) = (first, last);
@@ -292,6 +296,10 @@
                     self.after(delay, Event::Adopt { host, list });
                 }
             }
+            Op::Hide(members) => {
+                let number = self.lists.len() + 1;
+                self.lists.push(ring(number, members));
+            }
             Op::Adopt { host, back } => self.adopt(host.into(), self.newest(back)),
             Op::Pause { host, ms, frozen } => {
                 let host = usize::from(host);
@@ -305,7 +313,7 @@
                 if self.hosts[host].paused.is_none() {
                     let run = self.hosts[host].run + 1;
                     let list = self.newest(back);
-                    self.hosts[host] = self.start(host, list, run, settings());
+                    self.hosts[host] = self.start(host, list, run, self.settings);
                 }
             }
             Op::Partition(sides) => self.sides = sides,
@@ -419,7 +427,7 @@
                 asked_at,
             } => {
                 if self.reach(from, to) {
-                    let answer = self.hosts[to].tenure.answer();
+                    let answer = self.hosts[to].tenure.answer(self.local(to));
                     let delay = self.delay();
                     self.after(
                         delay,
--- a/crates/ledger/tests/sim/request.rs
+++ b/crates/ledger/tests/sim/request.rs
@@ -73,6 +73,8 @@
                 let host = &self.hosts[sent.to];
                 let gained = kind != Kind::Marked && (host.list > 0 || host.run > 1);
                 self.totals.late_runs += u32::from(gained);
+                let carried = host.tenure.coverage(now, &name) != host.tenure.active(now);
+                self.totals.carried += u32::from(carried && kind != Kind::Marked);
                 return self.grant(sent.key, sent.received, Some(holder));
             }
             Claim::Refuse(Verdict::NotRun, _) => return self.deny(sent.key),
--- a/crates/ledger/tests/sim/schedule.rs
+++ b/crates/ledger/tests/sim/schedule.rs
@@ -25,6 +25,8 @@
     },
     /// The platform publishes the list with these members (bits).
     Publish(u8),
+    /// The platform publishes such a list, but nobody hears of it yet.
+    Hide(u8),
     /// A host or entry takes on a published list, counted from the newest.
     Adopt { host: u8, back: u8 },
     /// The host stands still; `frozen`: its clock does, too.
@@ -119,3 +121,132 @@
     };
     parts.prop_map(build).boxed()
 }
+
+/// Schedules of several list changes in a row. Hosts and entries skip some of
+/// them, members restart, stand still or are cut off in between, and keys are
+/// sent before a change and again after it.
+pub(crate) fn chain() -> BoxedStrategy<Vec<(u16, Op)>> {
+    // Neighbours share two members or one; some sets come twice.
+    let rings = vec![
+        0b111, 0b111, 0b11100, 0b1101, 0b11001, 0b10110, 0b1011, 0b1011, 0b1110, 0b10101, 0b11111,
+    ];
+    let publish = prop::sample::select(rings).prop_map(Op::Publish);
+    let adopt = (
+        0..7u8,
+        prop_oneof![4 => Just(0u8), 2 => Just(1), 1 => 2..4u8],
+    )
+        .prop_map(|(host, back)| Op::Adopt { host, back });
+    let pause = (0..5u8, 500..9000u16, any::<bool>()).prop_map(|(host, ms, frozen)| Op::Pause {
+        host,
+        ms,
+        frozen,
+    });
+    let restart = (0..5u8, 0..4u8).prop_map(|(host, back)| Op::Restart { host, back });
+    let sides = prop_oneof![1 => Just(0), 1 => 0..128u8].prop_map(Op::Partition);
+    let fault = prop_oneof![3 => restart, 2 => pause, 3 => sides];
+    let kind = prop::sample::select(vec![Kind::Plain, Kind::Timed]);
+    let back = prop_oneof![1 => Just(0), 2 => 1..6u8];
+    let send = (kind, back, 0..2u8).prop_map(|(kind, back, entry)| Op::Send {
+        kind,
+        back,
+        entry,
+        late: 0,
+    });
+    let quick = prop_oneof![4 => 0..200u16, 1 => 200..1200u16];
+    let wait = prop_oneof![2 => 0..500u16, 2 => 500..3000u16, 1 => 3000..8000u16];
+    let round = (
+        (wait, publish),
+        prop::collection::vec((quick.clone(), adopt), 2..8),
+        prop::option::weighted(0.4, (quick.clone(), fault)),
+        prop::collection::vec((quick, send), 2..12),
+    );
+    let build = |(publish, adopts, fault, sends): (_, Vec<_>, Option<_>, Vec<_>)| {
+        let mut ops = vec![publish];
+        ops.extend(adopts);
+        ops.extend(fault);
+        ops.extend(sends);
+        ops
+    };
+    let rounds = prop::collection::vec(round.prop_map(build), 2..9);
+    rounds.prop_map(|rounds| aged(rounds.concat())).boxed()
+}
+
+/// Schedules in which one host skips one or two lists and takes on the last one
+/// early, the other hosts follow the lists in between for several seconds, and
+/// the keys that ran meanwhile are sent again under the last list. The host may
+/// be cut off until the others have retired the rings in between.
+pub(crate) fn skip() -> BoxedStrategy<Vec<(u16, Op)>> {
+    type Ops = Vec<(u16, Op)>;
+    let adopt = |host, back| Op::Adopt { host, back };
+    let send = |back, entry| Op::Send {
+        kind: Kind::Timed,
+        back,
+        entry,
+        late: 0,
+    };
+    let rings = vec![
+        0b111, 0b111, 0b110, 0b11100, 0b1101, 0b11001, 0b10110, 0b1011, 0b1110, 0b10101, 0b11111,
+        0b11, 0b11000,
+    ];
+    let hide = prop::sample::select(rings).prop_map(Op::Hide);
+    let last = prop::sample::select(vec![0b111, 0b1011, 0b10011, 0b1101, 0b11001]);
+    let last = (0..1500u16, last.prop_map(Op::Hide));
+    let restart = (0..5u8, 0..3u8).prop_map(|(host, back)| Op::Restart { host, back });
+    let pause = (0..5u8, 1500..9000u16).prop_map(|(host, ms)| Op::Pause {
+        host,
+        ms,
+        frozen: true,
+    });
+    let fault = (0..2000u16, prop_oneof![2 => restart, 1 => pause]);
+    let fault = prop::option::weighted(0.4, fault);
+    let middle = prop::collection::vec((0..1500u16, hide, 0..32u8), 1..3);
+    // Others that skip the lists in between follow the last one early.
+    let early = prop_oneof![2 => Just(0u8), 1 => 0..32u8];
+    let change = (0..3u8, middle, last, early, fault.clone());
+    let change = change.prop_map(move |(host, middle, last, early, fault)| {
+        let mut ops: Ops = Vec::new();
+        for (wait, hide, mask) in middle {
+            ops.push((wait, hide));
+            for other in (0..5).filter(|other| *other != host && mask >> other & 1 == 1) {
+                ops.push((20, adopt(other, 0)));
+            }
+            ops.push((20, adopt(6, 0)));
+        }
+        ops.extend([last, (0, adopt(host, 0))]);
+        ops.extend(fault);
+        for other in (0..5).filter(|other| early >> other & 1 == 1) {
+            ops.push((20, adopt(other, 0)));
+        }
+        (host, ops)
+    });
+    let first = (300..1600u16).prop_map(move |wait| (wait, send(0, 1)));
+    let adopts = (0..500u16, 0..5u8).prop_map(move |(wait, other)| (wait, adopt(other, 0)));
+    let work = (
+        prop::collection::vec(first, 6..16),
+        fault,
+        prop::collection::vec(adopts, 5..14),
+    );
+    let work = work.prop_map(move |(mut ops, fault, adopts)| {
+        ops.extend(fault);
+        ops.push((0, adopt(5, 0)));
+        ops.extend(adopts);
+        ops
+    });
+    let cut = prop::option::weighted(0.6, 1500..6000u16);
+    let again = (0..400u16, 1..10u8).prop_map(move |(wait, back)| (wait, send(back, 0)));
+    let again = prop::collection::vec(again, 8..24);
+    let build = |((host, mut ops), work, cut, again): ((u8, Ops), Ops, Option<u16>, Ops)| {
+        ops.extend(cut.map(|_| (0, Op::Partition(1 << host))));
+        ops.extend(work);
+        ops.extend(cut.map(|wait| (wait, Op::Partition(0))));
+        ops.extend(again);
+        aged(ops)
+    };
+    (change, work, cut, again).prop_map(build).boxed()
+}
+
+/// Lets the hosts grow old enough for their memory to count.
+fn aged(mut ops: Vec<(u16, Op)>) -> Vec<(u16, Op)> {
+    ops.insert(0, (6000, Op::Partition(0)));
+    ops
+}
--- a/crates/wire/src/control/ring.rs
+++ b/crates/wire/src/control/ring.rs
@@ -51,4 +51,14 @@
     pub active: Option<u64>,
     /// Earlier rings that may still have a holder at work.
     pub former: Vec<Ring>,
+    /// Newest rings that the sender followed or heard of, also those that
+    /// have no holder any more.
+    #[serde(default)]
+    pub history: Vec<Ring>,
+    /// Number of the newest ring that no longer fits into the history.
+    #[serde(default)]
+    pub floor: u64,
+    /// Time for which the sender has remembered its rings, in milliseconds.
+    #[serde(default)]
+    pub uptime_ms: u64,
 }
