--- a/crates/standin/src/delay/mod.rs
+++ b/crates/standin/src/delay/mod.rs
@@ -54,7 +54,7 @@
     /// Latencies of connections from these networks.
     pub delays: BTreeMap<Network, Duration>,
     /// Parts of host names by network. A connection whose source tells nothing
-    /// belongs to the network of the first name after one of [`SENDER`].
+    /// belongs to the network of the first name after one of `SENDER`.
     pub names: Vec<(String, Network)>,
 }
 
