Let a plug-in replace the edge of its name; use plainer names at the holder

Ruled out: an order of linking, which nobody controls. Change: a plug-in that is not builtin takes the place of the builtin one. Names that needed an explanation are the field's now (Handoff, Reading, Handler, Permit).

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -24,6 +24,7 @@
     Plugin {
         name: "caller",
         order: 40,
+        builtin: true,
         port: Some(Port { flag: "entry", address: |settings| settings.entry }),
         run,
     }
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -30,6 +30,7 @@
     Plugin {
         name: "control",
         order: 15,
+        builtin: true,
         port: Some(Port { flag: "control", address: |settings| settings.control }),
         run,
     }
@@ -42,7 +43,7 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
-        let methods = Desk(Arc::clone(&context)).into_rpc();
+        let methods = Handler(Arc::clone(&context)).into_rpc();
         let serve = rpc::serve(listener, stop.clone(), methods, |_| None);
         let rings = rings::run(Arc::clone(&context), stop.clone());
         tokio::join!(serve, rings, peers::run(context, stop));
@@ -81,10 +82,10 @@
 }
 
 /// Answers other daemons.
-struct Desk(Arc<Context>);
+struct Handler(Arc<Context>);
 
 #[async_trait]
-impl ControlServer for Desk {
+impl ControlServer for Handler {
     async fn heartbeat(&self, message: Heartbeat) -> RpcResult<Heartbeat> {
         let now = self.0.now();
         let (answer, actions) = self.0.peers.view().on_message(now, &message);
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -15,7 +15,7 @@
 use crate::body::{Body, Replay};
 use crate::call::{self, Call, Cause, Refusal};
 use crate::edge::server;
-use crate::holder::{self, Handed};
+use crate::holder::{self, Handoff};
 use crate::kernel::{Context, Plugin, Port};
 
 /// Connections that one peer may open.
@@ -25,6 +25,7 @@
     Plugin {
         name: "data",
         order: 30,
+        builtin: true,
         port: Some(Port { flag: "data", address: |settings| settings.data }),
         run,
     }
@@ -94,18 +95,18 @@
             format!("class {name} is not in force on this host"),
         ));
     };
-    let handed = match call::text(&head.headers, header::HOLD)? {
+    let handoff = match call::text(&head.headers, header::HOLD)? {
         None => None,
-        Some(text) => Some(Handed::decode(&text).ok_or_else(|| {
+        Some(text) => Some(Handoff::decode(&text).ok_or_else(|| {
             Refusal::not_run(StatusCode::BAD_REQUEST, "malformed header savorylane-hold")
         })?),
     };
     let caller: IpAddr =
         call::number(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
     let call = Arc::new(Call::read(&head, class, caller, Instant::now())?);
-    if let Some(handed) = handed {
+    if let Some(handoff) = handoff {
         let body = Replay::open(body, context.settings.body_bytes);
-        return holder::hold(context, &snapshot, &call, &body, &handed).await;
+        return holder::hold(context, &snapshot, &call, &body, &handoff).await;
     }
     if class.service != context.settings.service {
         return Err(Refusal::not_run(
--- a/crates/daemon/src/edge/health/mod.rs
+++ b/crates/daemon/src/edge/health/mod.rs
@@ -19,7 +19,7 @@
 const REPORTS: u32 = 2;
 
 inventory::submit! {
-    Plugin { name: "health", order: 20, port: None, run }
+    Plugin { name: "health", order: 20, builtin: true, port: None, run }
 }
 
 fn run(
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -19,6 +19,7 @@
     Plugin {
         name: "operator",
         order: 5,
+        builtin: true,
         port: Some(Port { flag: "operator", address: |settings| settings.operator }),
         run,
     }
@@ -31,7 +32,7 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
-        let methods = Desk(Arc::clone(&context)).into_rpc();
+        let methods = Handler(Arc::clone(&context)).into_rpc();
         let page = move |request: &http::Request<hyper::body::Incoming>| {
             let asked = request.method() == http::Method::GET && request.uri().path() == "/metrics";
             asked.then(|| {
@@ -45,10 +46,10 @@
 }
 
 /// Answers operators.
-struct Desk(Arc<Context>);
+struct Handler(Arc<Context>);
 
 #[async_trait]
-impl OperatorServer for Desk {
+impl OperatorServer for Handler {
     async fn status(&self) -> RpcResult<Status> {
         Ok(status(&self.0))
     }
--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -42,7 +42,7 @@
 const VALUE_BYTES: usize = 1 << 20;
 
 inventory::submit! {
-    Plugin { name: "platform", order: 10, port: None, run }
+    Plugin { name: "platform", order: 10, builtin: true, port: None, run }
 }
 
 /// A value and its revision.
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -68,7 +68,7 @@
             },
             () = stop.cancelled() => break,
         };
-        let Some(place) = Place::take(&open, peer.ip(), connections) else {
+        let Some(permit) = Permit::take(&open, peer.ip(), connections) else {
             log::warn!("refused a connection of {}: it has too many", peer.ip());
             continue;
         };
@@ -86,10 +86,10 @@
             .into_owned();
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            let _place = place;
+            let _permit = permit;
             let mut watched = pin!(watched);
             // The library's limit starts once it knows the protocol, so a
-            // silent connection would hold its place for ever.
+            // silent connection would hold its permit for ever.
             let ended = match timeout(HEAD_TIMEOUT, &mut watched).await {
                 Ok(ended) => ended,
                 Err(_) if begun.load(Ordering::Relaxed) => watched.await,
@@ -127,13 +127,13 @@
     builder
 }
 
-/// Place of one connection in the count of its address.
-struct Place {
+/// Permit for one connection in the count of its address.
+struct Permit {
     open: Arc<Mutex<HashMap<IpAddr, usize>>>,
     address: IpAddr,
 }
 
-impl Place {
+impl Permit {
     fn take(
         open: &Arc<Mutex<HashMap<IpAddr, usize>>>,
         address: IpAddr,
@@ -152,7 +152,7 @@
     }
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         let mut counts = self.open.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(count) = counts.get_mut(&self.address) {
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -107,7 +107,7 @@
 }
 
 inventory::submit! {
-    Plugin { name: "upstream", order: 20, port: None, run }
+    Plugin { name: "upstream", order: 20, builtin: true, port: None, run }
 }
 
 fn run(
--- a/crates/daemon/src/holder/mod.rs
+++ b/crates/daemon/src/holder/mod.rs
@@ -27,16 +27,16 @@
 pub use rings::Rings;
 pub use runs::{Runs, wall_ms};
 
-/// Time after which a holder's clock is asked for again. A clock that was
-/// heard before a request makes the request look older than it is, and
+/// Time after which a holder's clock is read again. A clock that was read
+/// before a request makes the request look older than it is, and
 /// requests older than 10 s are refused.
 const CLOCK_AGE: Duration = Duration::from_secs(3);
 /// Time for a holder to tell its clock.
 const CLOCK_LIMIT: Duration = Duration::from_millis(500);
 
-/// A holder's clock as an entry heard it.
+/// Reading of a holder's clock by an entry.
 #[derive(Clone, Copy, Debug)]
-pub struct Heard {
+pub struct Reading {
     /// Run of the holder.
     pub run: Incarnation,
     /// Time of the holder's own clock.
@@ -48,7 +48,7 @@
 
 /// What the entry hands on with keyed work.
 #[derive(Clone, Copy, Debug)]
-pub struct Handed {
+pub struct Handoff {
     /// Run of the holder that is meant.
     pub bound: Incarnation,
     /// Ring by the entry's host list.
@@ -57,20 +57,20 @@
     pub stamp: Duration,
 }
 
-impl Handed {
+impl Handoff {
     fn encode(&self) -> String {
         format!("{} {} {}", self.bound, self.ring, self.stamp.as_micros())
     }
 
-    /// Reads what [`Handed`] was encoded to.
+    /// Reads what [`Handoff`] was encoded to.
     pub fn decode(text: &str) -> Option<Self> {
         let mut fields = text.split(' ');
-        let handed = Self {
+        let handoff = Self {
             bound: fields.next()?.parse().ok()?,
             ring: fields.next()?.parse().ok()?,
             stamp: Duration::from_micros(fields.next()?.parse().ok()?),
         };
-        fields.next().is_none().then_some(handed)
+        fields.next().is_none().then_some(handoff)
     }
 }
 
@@ -96,12 +96,12 @@
         return Err(unknown(call, "no host holds keys of this region"));
     };
     if holder == context.settings.host {
-        let handed = Handed {
+        let handoff = Handoff {
             bound: context.run,
             ring: ring.hash,
             stamp: received,
         };
-        return hold(context, snapshot, call, body, &handed).await;
+        return hold(context, snapshot, call, body, &handoff).await;
     }
     let Some(host) = snapshot.host(&holder) else {
         return Err(unknown(
@@ -109,32 +109,32 @@
             "the holder of the key is not in the host list",
         ));
     };
-    let Some(heard) = heard(context, &holder, host.control, received).await else {
+    let Some(reading) = read_clock(context, &holder, host.control, received).await else {
         // Nothing was sent, so an attempt that is the only one may still run.
-        return elsewhere(context, snapshot, call, body, Delivery::Never).await;
+        return run_without_holder(context, snapshot, call, body, Delivery::Never).await;
     };
-    let waited = heard.asked.saturating_sub(received);
-    let handed = Handed {
-        bound: heard.run,
+    let waited = reading.asked.saturating_sub(received);
+    let handoff = Handoff {
+        bound: reading.run,
         ring: ring.hash,
-        stamp: heard.clock.saturating_sub(waited),
+        stamp: reading.clock.saturating_sub(waited),
     };
-    hand_on(context, snapshot, call, body, host.data, &ring, &handed).await
+    forward(context, snapshot, call, body, host.data, &ring, &handoff).await
 }
 
-async fn hand_on(
+async fn forward(
     context: &Arc<Context>,
     snapshot: &Arc<Snapshot>,
     call: &Arc<Call>,
     body: &Replay,
     address: SocketAddr,
     ring: &Ring,
-    handed: &Handed,
+    handoff: &Handoff,
 ) -> Result<Response<Body>, Refusal> {
     let mut extra = HeaderMap::new();
     let from = format!("{}/{}", context.settings.host, context.incarnation());
     extra.insert(header::FROM, value(&from));
-    extra.insert(header::HOLD, value(&handed.encode()));
+    extra.insert(header::HOLD, value(&handoff.encode()));
     if let Some(home) = &ring.scope.home {
         extra.insert(header::HOME, value(home));
     }
@@ -146,14 +146,14 @@
                 Verdict::NotRun => Delivery::Never,
                 Verdict::MayHaveRun | Verdict::Ran => Delivery::Unknown,
             };
-            elsewhere(context, snapshot, call, body, delivery).await
+            run_without_holder(context, snapshot, call, body, delivery).await
         }
         result => result,
     }
 }
 
 /// Serves keyed work whose holder did not answer.
-async fn elsewhere(
+async fn run_without_holder(
     context: &Arc<Context>,
     snapshot: &Arc<Snapshot>,
     call: &Arc<Call>,
@@ -183,7 +183,7 @@
     snapshot: &Arc<Snapshot>,
     call: &Arc<Call>,
     body: &Replay,
-    handed: &Handed,
+    handoff: &Handoff,
 ) -> Result<Response<Body>, Refusal> {
     fill(call, body).await?;
     let key = call.key.as_deref().unwrap_or_default();
@@ -194,9 +194,9 @@
         key: &id,
         attempt: call.attempt,
         key_ms: key_time(key),
-        age: book::age(now, handed.stamp),
-        bound: handed.bound,
-        ring: handed.ring,
+        age: book::age(now, handoff.stamp),
+        bound: handoff.bound,
+        ring: handoff.ring,
     };
     let claim = context.rings.with(&scope(call), |tenure| {
         context.runs.claim(tenure, now, &request)
@@ -237,24 +237,24 @@
     format!("{}\n{key}", call.class.service)
 }
 
-/// Returns the holder's clock as heard before the request, or asks for it.
-async fn heard(
+/// Returns the last reading of the holder's clock if it is recent, or reads it.
+async fn read_clock(
     context: &Context,
     holder: &str,
     address: SocketAddr,
     received: Duration,
-) -> Option<Heard> {
-    if let Some(heard) = context.rings.heard(holder)
-        && received.saturating_sub(heard.asked) < CLOCK_AGE
+) -> Option<Reading> {
+    if let Some(reading) = context.rings.clock(holder)
+        && received.saturating_sub(reading.asked) < CLOCK_AGE
     {
-        return Some(heard);
+        return Some(reading);
     }
     let asked = context.now();
     let answer = tokio::time::timeout(CLOCK_LIMIT, clock(context, address)).await;
     let (run, clock) = answer.ok()??;
-    let heard = Heard { run, clock, asked };
-    context.rings.hear(holder, heard);
-    Some(heard)
+    let reading = Reading { run, clock, asked };
+    context.rings.store_clock(holder, reading);
+    Some(reading)
 }
 
 /// Returns the refusal of a call that this entry knows too little of. Earlier
--- a/crates/daemon/src/holder/rings.rs
+++ b/crates/daemon/src/holder/rings.rs
@@ -11,7 +11,7 @@
 use savorylane_wire::rpc::ControlClient;
 use tokio_util::sync::CancellationToken;
 
-use super::Heard;
+use super::Reading;
 use super::runs::wall_ms;
 use crate::edge::control::client;
 use crate::kernel::Context;
@@ -40,14 +40,14 @@
     me: Sender,
     tenures: Mutex<BTreeMap<Scope, Tenure>>,
     known: ArcSwap<Known>,
-    clocks: Mutex<HashMap<String, Heard>>,
+    clocks: Mutex<HashMap<String, Reading>>,
     /// Latest confirmations by host and scope, with their digests.
-    told: Mutex<HashMap<(String, Scope), Told>>,
+    cached: Mutex<HashMap<(String, Scope), Cached>>,
 }
 
-/// Confirmation that a member told.
+/// Latest confirmation of a member.
 #[derive(Clone, Debug)]
-struct Told {
+struct Cached {
     digest: String,
     confirmation: Confirmation,
 }
@@ -73,7 +73,7 @@
             tenures: Mutex::default(),
             known: ArcSwap::default(),
             clocks: Mutex::default(),
-            told: Mutex::default(),
+            cached: Mutex::default(),
         }
     }
 
@@ -100,17 +100,17 @@
     }
 
     /// Returns the last known clock of a host.
-    pub fn heard(&self, host: &str) -> Option<Heard> {
+    pub fn clock(&self, host: &str) -> Option<Reading> {
         let clocks = self.clocks.lock();
         let clocks = clocks.unwrap_or_else(PoisonError::into_inner);
         clocks.get(host).copied()
     }
 
     /// Keeps the clock of a host.
-    pub fn hear(&self, host: &str, heard: Heard) {
+    pub fn store_clock(&self, host: &str, reading: Reading) {
         let clocks = self.clocks.lock();
         let mut clocks = clocks.unwrap_or_else(PoisonError::into_inner);
-        clocks.insert(host.to_owned(), heard);
+        clocks.insert(host.to_owned(), reading);
     }
 
     /// Answers a member's questions; scopes that are unknown here are left out.
@@ -198,22 +198,22 @@
         }
     }
 
-    /// Returns what `host` told of `scopes`.
-    fn told(&self, host: &str, scopes: &[Scope]) -> Vec<Told> {
-        let told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+    /// Returns the latest confirmations of `host` for `scopes`.
+    fn cached(&self, host: &str, scopes: &[Scope]) -> Vec<Cached> {
+        let cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
         let key = |scope: &Scope| (host.to_owned(), scope.clone());
-        let found = scopes.iter().filter_map(|scope| told.get(&key(scope)));
+        let found = scopes.iter().filter_map(|scope| cached.get(&key(scope)));
         found.cloned().collect()
     }
 
     fn remember(&self, host: &str, confirmation: &Confirmation) {
-        let mut told = self.told.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
         let key = (host.to_owned(), confirmation.ring.scope.clone());
-        let entry = Told {
+        let entry = Cached {
             digest: digest(confirmation),
             confirmation: confirmation.clone(),
         };
-        told.insert(key, entry);
+        cached.insert(key, entry);
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Scope, Tenure>> {
@@ -290,18 +290,18 @@
         return;
     };
     let client = client(context, address);
-    let told = context.rings.told(host, &scopes);
-    if !told.is_empty() {
+    let cached = context.rings.cached(host, &scopes);
+    if !cached.is_empty() {
         // The age of the evidence counts from before the question was sent.
         let asked = context.now();
-        let digests = told.iter().map(|told| told.digest.clone()).collect();
+        let digests = cached.iter().map(|cached| cached.digest.clone()).collect();
         let answer = tokio::time::timeout(ANSWER_LIMIT, client.confirm(digests)).await;
         let Ok(Ok(held)) = answer else {
             return;
         };
-        for (told, held) in told.iter().zip(held) {
+        for (cached, held) in cached.iter().zip(held) {
             if held {
-                let confirmation = &told.confirmation;
+                let confirmation = &cached.confirmation;
                 context.rings.take(context.now(), confirmation, asked);
                 scopes.retain(|scope| *scope != confirmation.ring.scope);
             }
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -138,6 +138,9 @@
     /// Edges end in falling order; servers that finish requests have a higher
     /// value than what they depend on.
     pub order: u8,
+    /// Whether this crate brings the edge. Another plug-in of the same name
+    /// takes its place.
+    pub builtin: bool,
     /// Port to bind, for an edge that listens.
     pub port: Option<Port>,
     /// Runs the edge until the token is cancelled and its work is finished.
@@ -169,11 +172,9 @@
 ///
 /// Returns [`Error::Bind`] if a port cannot be bound; nothing runs then.
 pub async fn spawn(settings: Settings) -> Result<Handle, Error> {
-    let mut plugins: Vec<&'static Plugin> = inventory::iter::<Plugin>().collect();
-    plugins.sort_by_key(|plugin| (plugin.order, plugin.name));
     let mut bound = Vec::new();
     let mut addresses = BTreeMap::new();
-    for plugin in plugins {
+    for plugin in plugins() {
         let mut listener = None;
         if let Some(port) = plugin.port {
             let address = (port.address)(&settings);
@@ -239,6 +240,15 @@
     })
 }
 
+/// Returns the edges to run, one of each name, in the order of their start.
+fn plugins() -> Vec<&'static Plugin> {
+    let mut plugins: Vec<&'static Plugin> = inventory::iter::<Plugin>().collect();
+    plugins.sort_by_key(|plugin| (plugin.name, plugin.builtin));
+    plugins.dedup_by_key(|plugin| plugin.name);
+    plugins.sort_by_key(|plugin| (plugin.order, plugin.name));
+    plugins
+}
+
 impl Handle {
     /// Announces that the host leaves, finishes what is in flight and ends.
     /// Returns the names of the edges that had to be cut at the drain limit.
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -133,7 +133,7 @@
                     return;
                 }
                 current.borrow_and_update();
-                tell(&context);
+                report_current(&context);
             }
             () = stop.cancelled() => return,
         }
@@ -186,8 +186,8 @@
     perform(context, actions);
 }
 
-/// Tells the view what is in force.
-fn tell(context: &Arc<Context>) {
+/// Reports to the view what is in force.
+fn report_current(context: &Arc<Context>) {
     let now = context.now();
     let mut actions = Vec::new();
     {
--- /dev/null
+++ b/crates/daemon/tests/plugin.rs
@@ -0,0 +1,48 @@
+//! Replacement of an edge by another plug-in of the same name.
+
+#[allow(dead_code)] // Each test file uses a part.
+mod common;
+#[allow(dead_code)] // Each test file uses a part.
+mod fleet;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use common::get;
+use fleet::{Fleet, IN_FORCE, Member};
+use http::StatusCode;
+use savorylane_daemon::kernel::Plugin;
+
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+
+inventory::submit! {
+    Plugin {
+        name: "health",
+        order: 20,
+        builtin: false,
+        port: None,
+        run: |_, _, _| Box::pin(async { STARTED.fetch_add(1, Ordering::Relaxed); }),
+    }
+}
+
+/// Guards against an edge that cannot be replaced, or that runs beside its
+/// replacement.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plugin_replaces_the_edge_of_its_name() {
+    let mut fleet = Fleet::open();
+    let member = Member::start(&fleet, "a1", |settings| {
+        settings.health = Some("/health".into());
+    });
+    let member = member.await;
+    fleet.members.push(member);
+    fleet.publish_hosts(1);
+    fleet.platform.publish_document(&fleet::versioned(1));
+    fleet.reach(1, IN_FORCE).await;
+    // The edge of this crate would end new work within 2 s.
+    fleet.members[0].upstream.drain();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let answer = get(fleet.members[0].entry(), "/stock/1").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_eq!(STARTED.load(Ordering::Relaxed), 1);
+    fleet.end();
+}
