--- a/crates/standin/examples/measure/converge.rs
+++ b/crates/standin/examples/measure/converge.rs
@@ -53,7 +53,7 @@
         let reached = fleet.settle(version, 0).await?;
         let times = reached
             .iter()
-            .map(|at| at.duration_since(published).as_secs_f64() * 1e3);
+            .map(|at| at.duration_since(published).as_secs_f64());
         let times: Vec<f64> = times.collect();
         last.push(times.iter().copied().fold(0.0, f64::max));
         all.extend(times);
@@ -63,27 +63,37 @@
     last.sort_by(f64::total_cmp);
     all.sort_by(f64::total_cmp);
     let at = |times: &[f64], share: f64| times[((times.len() - 1) as f64 * share).round() as usize];
-    report.add(None, "host_p50", at(&all, 0.5), "ms");
-    for (name, share) in [("last_p50", 0.5), ("last_p99", 0.99), ("last_max", 1.0)] {
-        report.add(None, name, at(&last, share), "ms");
+    report.add(None, "host_p50", at(&all, 0.5), "s");
+    let shares = [
+        ("converge_p50", 0.5),
+        ("converge_p99", 0.99),
+        ("converge_max", 1.0),
+    ];
+    for (name, share) in shares {
+        report.add(None, name, at(&last, share), "s");
     }
     let count = hosts as f64;
-    for (name, sample) in [("quiet", &quiet), ("changing", &changing)] {
+    for (prefix, sample) in [("", &quiet), ("changing_", &changing)] {
         let seconds = sample.seconds;
-        let figure = |figure: &str| format!("{name}_{figure}");
+        let figure = |figure: &str| format!("{prefix}{figure}");
         report.add(
             None,
-            &figure("platform_calls"),
+            &figure("platform_calls_per_second"),
             sample.calls / seconds,
-            "per_s",
+            "calls",
         );
         let control = sample.control / count / seconds;
-        report.add(None, &figure("control"), control, "bytes_per_host_s");
         report.add(
             None,
-            &figure("processor"),
-            sample.processor / count / seconds * 100.0,
-            "percent_of_core_per_host",
+            &figure("control_bytes_per_host_second"),
+            control,
+            "bytes",
+        );
+        report.add(
+            None,
+            &figure("cpu_share"),
+            sample.processor / count / seconds,
+            "of_1",
         );
     }
     report.add(
@@ -95,11 +105,12 @@
     for ((a, b), bytes) in &changing.links {
         let idle = quiet.links.get(&(*a, *b)).copied().unwrap_or(0.0);
         let bytes = bytes - idle / quiet.seconds * changing.seconds;
-        let name = format!("link_{a}_{b}");
-        report.add(None, &name, bytes / f64::from(changes), "bytes_per_change");
+        let link = format!("{a}-{b}");
+        let bytes = bytes / f64::from(changes);
+        report.add(Some(&link), "region_link_bytes_per_change", bytes, "bytes");
     }
     let memory = (process::memory_mb() - memory) / count;
-    report.add(None, "memory", memory, "MB_per_host");
+    report.add(None, "resident_bytes", memory * 1e6, "bytes");
     report.print()?;
     fleet.abort();
     // Lets the tasks of this fleet end before the next one starts.
