Reckon a request's age from the arrival of the holder's clock

Cause: found in the read-through. The entry took off the time from the receipt of a request to the question for the holder's clock, but the holder reads its clock later, by up to the 0.5 s that the question may take. A request then looked that much younger than it is, and a new holder's memory could seem to cover a key that another one had run. Ruled out: a fixed allowance (the time is known).

--- a/crates/daemon/src/holder/mod.rs
+++ b/crates/daemon/src/holder/mod.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use savorylane_intent::{Hash, Snapshot};
 use savorylane_ledger::book::{self, Claim, Reason, Request, key_time};
-use savorylane_ledger::entry::{Delivery, Step, undelivered};
+use savorylane_ledger::entry::{Delivery, Step, stamp, undelivered};
 use savorylane_ledger::ring;
 use savorylane_wire::control::{Ring, Scope};
 use savorylane_wire::{Incarnation, Verdict, header};
@@ -41,9 +41,9 @@
     pub run: Incarnation,
     /// Time of the holder's own clock.
     pub clock: Duration,
-    /// Time of the entry at which the holder was asked, which is before the
-    /// holder read its clock.
-    pub asked: Duration,
+    /// Time of the entry at which the answer came, which is after the holder
+    /// read its clock.
+    pub answered: Duration,
 }
 
 /// What the entry hands on with keyed work.
@@ -113,11 +113,10 @@
         // Nothing was sent, so an attempt that is the only one may still run.
         return run_without_holder(context, snapshot, call, body, Delivery::Never).await;
     };
-    let waited = reading.asked.saturating_sub(received);
     let handoff = Handoff {
         bound: reading.run,
         ring: ring.hash,
-        stamp: reading.clock.saturating_sub(waited),
+        stamp: stamp(reading.clock, reading.answered, received),
     };
     forward(context, snapshot, call, body, host.data, &ring, &handoff).await
 }
@@ -245,14 +244,17 @@
     received: Duration,
 ) -> Option<Reading> {
     if let Some(reading) = context.rings.clock(holder)
-        && received.saturating_sub(reading.asked) < CLOCK_AGE
+        && received.saturating_sub(reading.answered) < CLOCK_AGE
     {
         return Some(reading);
     }
-    let asked = context.now();
     let answer = tokio::time::timeout(CLOCK_LIMIT, clock(context, address)).await;
     let (run, clock) = answer.ok()??;
-    let reading = Reading { run, clock, asked };
+    let reading = Reading {
+        run,
+        clock,
+        answered: context.now(),
+    };
     context.rings.store_clock(holder, reading);
     Some(reading)
 }
--- a/crates/ledger/src/entry/mod.rs
+++ b/crates/ledger/src/entry/mod.rs
@@ -1,5 +1,7 @@
 //! What an entry does with keyed work that it could not hand to the holder.
 
+use std::time::Duration;
+
 use savorylane_wire::Verdict;
 
 /// What the entry knows about the holder's receipt of a request.
@@ -32,3 +34,15 @@
         _ => Step::Refuse(Verdict::MayHaveRun),
     }
 }
+
+/// Returns a time of the holder's clock that is not later than the entry's
+/// receipt of a request at `received`.
+///
+/// `clock` is what the holder answered, and `answered` when its answer reached
+/// the entry, by the entry's clock. The holder read its clock before the answer
+/// arrived, so the whole time from the receipt to the arrival is taken off.
+/// Counting from the question instead would make a request look younger than it
+/// is by the time that the question took.
+pub fn stamp(clock: Duration, answered: Duration, received: Duration) -> Duration {
+    clock.saturating_sub(answered.saturating_sub(received))
+}
