--- a/crates/daemon/src/holder/mod.rs
+++ b/crates/daemon/src/holder/mod.rs
@@ -160,6 +160,11 @@
     delivery: Delivery,
 ) -> Result<Response<Body>, Refusal> {
     match undelivered(call.attempt, delivery) {
+        // The rest of a body must not be taken for the whole.
+        Step::RunElsewhere if !body.repeatable() => Err(unknown(
+            call,
+            "the holder of the key is away, and the start of the body was sent already",
+        )),
         Step::RunElsewhere => dispatch::serve(context, snapshot, call, body).await,
         Step::Refuse(verdict) => Err(Refusal {
             verdict,
