daemon: test that callers' headers between daemons stay at the entry

Cause: with the removal of these headers taken out, all request cases passed, so the cases for forged headers guarded against nothing.

Ruled out: the two earlier cases alone. The stand-in upstream does not show the headers that it receives, and the entry overwrites some of them.

Change: the upstream behind the second daemon answers with the head that it received.

--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -5,7 +5,7 @@
 //! library answers before the daemon sees a request.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -39,6 +39,9 @@
     verdict: String,
     #[serde(default)]
     reason: String,
+    /// What the upstream of `far` must not receive.
+    #[serde(default)]
+    absent: Vec<String>,
 }
 
 #[derive(Default, Deserialize, PartialEq)]
@@ -123,13 +126,38 @@
     }
 }
 
+/// Starts an upstream that answers with the head that it received.
+fn echo() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            std::thread::spawn(move || {
+                let (mut head, mut byte) = (Vec::new(), [0]);
+                while !head.ends_with(b"\r\n\r\n") && matches!(stream.read(&mut byte), Ok(1)) {
+                    head.push(byte[0]);
+                }
+                let length = head.len();
+                let answer = format!(
+                    "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+                );
+                stream.write_all(&[answer.as_bytes(), &head].concat())
+            });
+        }
+    });
+    Ok(address)
+}
+
 async fn start() -> (Vec<Handle>, SocketAddr) {
     let cancel = CancellationToken::new();
     let platform = platform::spawn(1, &cancel).expect("a stand-in platform");
     let (mut daemons, mut hosts) = (Vec::new(), Vec::new());
     for (host, service) in [("a1", "near"), ("b1", "far")] {
         let upstream = upstream::spawn(upstream::Settings::default(), &Arc::default(), &cancel);
-        let upstream = upstream.expect("a stand-in upstream").addr;
+        let upstream = match service {
+            "far" => echo().expect("an echo upstream"),
+            _ => upstream.expect("a stand-in upstream").addr,
+        };
         let settings = settings(host, service, platform.addr(), upstream);
         let daemon = spawn(settings).await.expect("a daemon");
         hosts.push(Host {
@@ -239,6 +267,14 @@
         let explanation: Explanation = serde_json::from_str(&text)?;
         assert_eq!(explanation.reason, case.reason);
         assert_eq!(explanation.verdict, case.verdict);
+        return Ok(());
+    }
+    if !case.absent.is_empty() {
+        let received = String::from_utf8(body)?;
+        assert!(received.starts_with("GET /far/"), "{received}");
+        for text in case.absent {
+            assert!(!received.contains(&text), "{received}");
+        }
     }
     Ok(())
 }
