--- a/crates/client/src/settings/mod.rs
+++ b/crates/client/src/settings/mod.rs
@@ -311,6 +311,10 @@
                 success: given("--success", self.success)?,
             },
             shed_order: self.shed_order.unwrap_or(0),
+            authority: None,
+            split: Vec::new(),
+            timeout_ms: None,
+            attempts: None,
         })
     }
 }
@@ -330,6 +334,10 @@
             success: 0.5,
         },
         shed_order: 0,
+        authority: None,
+        split: Vec::new(),
+        timeout_ms: None,
+        attempts: None,
     }
 }
 
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -7,8 +7,9 @@
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Response, StatusCode, Uri};
 use savorylane_intent::bound;
-use savorylane_intent::document::{Class, Work};
-use savorylane_wire::{Verdict, header};
+use savorylane_intent::document::{Class, Target, Work};
+use savorylane_platform::header as platform;
+use savorylane_wire::{Hop, Verdict, header};
 use serde::{Deserialize, Serialize};
 
 use crate::body::{self, Body};
@@ -35,6 +36,13 @@
     pub headers: HeaderMap,
     /// Class of the request.
     pub class: Class,
+    /// Service that runs the request.
+    pub service: String,
+    /// Id that the caller gave the request, for the log.
+    pub id: Option<String>,
+    /// Where the request began and where it goes, on a platform whose
+    /// upstreams ask for that.
+    pub path: Option<Path>,
     /// Address of the caller.
     pub caller: IpAddr,
     /// Moment after which the answer is of no use.
@@ -53,6 +61,18 @@
     pub home: Option<String>,
 }
 
+/// Beginning and end of a request's way.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Path {
+    /// Service of the host where the request began.
+    pub origin: String,
+    /// Instance of the upstream that must run the request; empty until a host
+    /// is chosen.
+    pub instance: String,
+    /// Requests that the upstream runs at once; 0 until a host is chosen.
+    pub slots: u32,
+}
+
 /// What stood in the way of a request. Entries decide by it whether another
 /// host may do better.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -83,6 +103,9 @@
     pub retry_after: Option<Duration>,
     /// The only host that may run a suspect request.
     pub owner: Option<String>,
+    /// Whether the upstream itself was reached, which takes from the budget of
+    /// repeats.
+    pub arrived: bool,
 }
 
 /// Body of a refusal.
@@ -97,6 +120,9 @@
     /// The only host that may run a suspect request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub owner: Option<String>,
+    /// Whether the upstream itself was reached.
+    #[serde(default)]
+    pub arrived: bool,
 }
 
 impl Refusal {
@@ -113,6 +139,7 @@
             },
             retry_after: None,
             owner: None,
+            arrived: false,
         }
     }
 
@@ -120,6 +147,7 @@
     pub fn unknown(status: StatusCode, reason: impl Into<String>) -> Self {
         Self {
             verdict: Verdict::MayHaveRun,
+            arrived: true,
             ..Self::not_run(status, reason)
         }
     }
@@ -135,6 +163,7 @@
             verdict: self.verdict,
             cause: self.cause,
             owner: self.owner.clone(),
+            arrived: self.arrived,
         };
         let mut text = serde_json::to_vec(&explanation).expect("text is expressible in JSON");
         text.push(b'\n');
@@ -213,6 +242,9 @@
             uri: head.uri.clone(),
             headers,
             class: class.clone(),
+            service: class.service.clone(),
+            id: None,
+            path: None,
             caller,
             deadline: now + timeout,
             target: now + Duration::from_millis(class.target.latency_ms.into()),
@@ -224,6 +256,126 @@
         })
     }
 
+    /// Reads a call of a caller on the adapted platform. `time` is what the
+    /// caller waits, and `turn` the number of the request within its class.
+    pub fn adapted(
+        head: &http::request::Parts,
+        class: &Class,
+        caller: IpAddr,
+        now: Instant,
+        origin: &str,
+        turn: u64,
+    ) -> Self {
+        let mut headers = passed_on(&head.headers);
+        if let Some(host) = head.headers.get(http::header::HOST) {
+            headers.insert(http::header::HOST, host.clone());
+        }
+        for name in header::INTERNAL {
+            headers.remove(name);
+        }
+        let time = platform::time(&head.headers);
+        platform::strip(&mut headers);
+        let longest = class.timeout_ms.map(|ms| Duration::from_millis(ms.into()));
+        let longest = longest.unwrap_or(SHORT_TIMEOUT);
+        Self {
+            id: platform::id(&headers).map(str::to_owned),
+            service: class.service_of(turn).to_owned(),
+            path: Some(Path {
+                origin: origin.to_owned(),
+                instance: String::new(),
+                slots: 0,
+            }),
+            deadline: now + time.map_or(longest, |time| time.min(longest)),
+            ..Self::plain(head, class.clone(), headers, caller, now)
+        }
+    }
+
+    /// Reads a call that an entry of the adapted platform sent on.
+    pub fn sent_on(
+        head: &http::request::Parts,
+        hop: Hop,
+        caller: IpAddr,
+        now: Instant,
+    ) -> Result<Self, Refusal> {
+        let class = Class {
+            name: hop.class,
+            service: hop.service.clone(),
+            path_prefix: String::new(),
+            methods: Vec::new(),
+            work: Work::Short,
+            idempotent: hop.idempotent,
+            target: Target {
+                latency_ms: hop.slack_ms,
+                quantile: 0.0,
+                success: 0.0,
+            },
+            shed_order: hop.shed_order,
+            authority: None,
+            split: Vec::new(),
+            timeout_ms: None,
+            attempts: None,
+        };
+        let ms = number::<u64>(&head.headers, header::TIMEOUT_MS)?.unwrap_or(0);
+        let mut headers = head.headers.clone();
+        headers.remove(header::TIMEOUT_MS);
+        for name in header::INTERNAL {
+            headers.remove(name);
+        }
+        Ok(Self {
+            id: platform::id(&headers).map(str::to_owned),
+            service: hop.service,
+            path: Some(Path {
+                origin: hop.origin,
+                instance: hop.instance,
+                slots: hop.slots,
+            }),
+            deadline: now + Duration::from_millis(ms),
+            ..Self::plain(head, class, headers, caller, now)
+        })
+    }
+
+    /// Returns a call without what only some callers say.
+    fn plain(
+        head: &http::request::Parts,
+        class: Class,
+        headers: HeaderMap,
+        caller: IpAddr,
+        now: Instant,
+    ) -> Self {
+        Self {
+            method: head.method.clone(),
+            uri: head.uri.clone(),
+            headers,
+            target: now + Duration::from_millis(class.target.latency_ms.into()),
+            service: class.service.clone(),
+            class,
+            id: None,
+            path: None,
+            caller,
+            deadline: now,
+            depth: 0,
+            attempts_left: None,
+            key: None,
+            attempt: None,
+            home: None,
+        }
+    }
+
+    /// Returns what the gatekeeper of the adapted platform is told at `now`.
+    pub fn hop(&self, now: Instant) -> Option<Hop> {
+        let path = self.path.as_ref()?;
+        Some(Hop {
+            class: self.class.name.clone(),
+            service: self.service.clone(),
+            origin: path.origin.clone(),
+            instance: path.instance.clone(),
+            slots: path.slots,
+            idempotent: self.class.idempotent,
+            shed_order: self.class.shed_order,
+            slack_ms: self.slack(now).as_millis() as u32,
+        })
+    }
+
     /// Returns the time that remains at `now`; zero when it is over.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -138,9 +138,12 @@
             "what is in force never goes back"
         );
         if let Some(accepted) = &latest.current {
-            let document = accepted.document.as_ref().clone();
             let list = list.as_deref().cloned().unwrap_or_default();
-            let snapshot = Snapshot::build(document, list);
+            let known = self.snapshot.load();
+            let snapshot = match known.as_deref() {
+                Some(known) if known.version == accepted.version => known.with_list(list),
+                _ => Snapshot::build(accepted.document.as_ref().clone(), list),
+            };
             self.snapshot.store(Some(Arc::new(snapshot)));
         }
         self.current.send_replace(current);
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -12,13 +12,14 @@
 
 use http::{HeaderMap, Response, StatusCode};
 use savorylane_intent::Snapshot;
-use savorylane_intent::hosts::Host;
-use savorylane_policy::retry::{attempts, may_hedge, may_retry};
+use savorylane_intent::hosts::{Host, State};
+use savorylane_policy::retry::{self, attempts, may_hedge, may_retry};
 use savorylane_policy::route::{self, Candidate, Distance, Estimate, Outcome, Ticket};
-use savorylane_wire::{Verdict, header};
+use savorylane_wire::{Load, Verdict, header};
 
 use crate::body::{Body, Replay};
-use crate::call::{Call, Cause, Refusal};
+use crate::call::{Call, Cause, Path, Refusal};
+use crate::edge::keyed_store;
 use crate::kernel::Context;
 use crate::peers;
 use remote::{Clients, Reply, value};
@@ -35,14 +36,18 @@
 
 impl Dispatcher {
     /// Returns a dispatcher whose connections come from `local`.
-    pub fn open(local: IpAddr) -> Self {
+    pub fn open(local: IpAddr, budgets: retry::Settings) -> Self {
         Self {
-            table: Table::default(),
+            table: Table::open(budgets),
             clients: Clients::open(local),
         }
     }
 }
 
+/// Hosts that a request is sent to on the adapted platform, at most. Those
+/// whose gatekeepers refuse take nothing from the budget of repeats.
+const TRIES: usize = 4;
+
 /// Result of one attempt.
 type Attempt = Pin<Box<dyn Future<Output = Result<Response<Body>, Refusal>> + Send>>;
 
@@ -72,17 +77,30 @@
     call: &Arc<Call>,
     body: &Replay,
 ) -> Result<Response<Body>, Refusal> {
-    let class = context.dispatcher.table.class(&call.class.name);
+    // Upstreams of the adapted platform count repeats by service.
+    let adapted = call.path.is_some();
+    let budget = if adapted {
+        &call.service
+    } else {
+        &call.class.name
+    };
+    let class = context.dispatcher.table.class(budget);
     if call.attempt.unwrap_or(1) == 1 {
         class.retry.fresh();
         class.hedge.fresh();
     }
-    let most = attempts(call.attempts_left, call.depth) as usize;
+    let most = if adapted {
+        TRIES
+    } else {
+        attempts(call.attempts_left, call.depth) as usize
+    };
+    let handed_most = call.class.attempts.unwrap_or(u32::MAX);
+    let mut handed = 0;
     let mut tried = Vec::new();
     let mut unknown = false;
     let mut last = Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
-        format!("service {} has no host that takes work", call.class.service),
+        format!("service {} has no host that takes work", call.service),
     );
     while tried.len() < most {
         let next = match last.cause {
@@ -102,7 +120,8 @@
             Err(refusal) => refusal,
         };
         unknown |= last.verdict == Verdict::MayHaveRun;
-        if !again(call, body, &class, &last) {
+        handed += u32::from(last.arrived);
+        if handed >= handed_most || !again(call, body, &class, &last) {
             break;
         }
         context.metrics.attempted("retry");
@@ -141,7 +160,8 @@
     }
     // A host that is away did no work for the attempt, so the attempt takes
     // nothing from the budget that protects loaded upstreams.
-    let free = last.cause == Cause::Away && last.verdict == Verdict::NotRun;
+    let spared = last.cause == Cause::Away || call.path.is_some();
+    let free = spared && !last.arrived && last.verdict == Verdict::NotRun;
     free || class.retry.take()
 }
 
@@ -263,20 +283,21 @@
 ) -> Option<route::Choice> {
     let usable = |index: &usize| {
         let host = &snapshot.list.hosts[*index];
+        let listed = host.instance.is_none() || host.state == State::Live;
         !tried.contains(index)
+            && listed
             && context.peers.routable(&host.name)
             && (!near || host.region == context.settings.region)
     };
     let indices: Vec<usize> = snapshot
-        .indices(&call.class.service)
+        .indices(&call.service)
         .iter()
         .copied()
         .filter(usable)
         .collect();
     let estimates: Vec<Arc<Estimate>> = indices
         .iter()
-        .map(|&index| &snapshot.list.hosts[index].name)
-        .map(|name| context.dispatcher.table.estimate(name))
+        .map(|&index| estimate(context, &snapshot.list.hosts[index]))
         .collect();
     // The slow start of a host counts from when it could be chosen, so that
     // one that was not needed before takes all of the work at once if need be.
@@ -307,6 +328,13 @@
     Some(choice)
 }
 
+/// Returns what is known of a host. Another instance of the upstream is another
+/// upstream.
+fn estimate(context: &Context, host: &Host) -> Arc<Estimate> {
+    let name = host.instance.as_ref().unwrap_or(&host.name);
+    context.dispatcher.table.estimate(name)
+}
+
 fn distance(context: &Context, host: &Host) -> Distance {
     let settings = &context.settings;
     if host.name == settings.host {
@@ -350,7 +378,8 @@
     let (call, class) = (Arc::clone(call), Arc::clone(class));
     Box::pin(async move {
         let host = &snapshot.list.hosts[host];
-        let estimate = context.dispatcher.table.estimate(&host.name);
+        let estimate = estimate(&context, host);
+        let call = aimed(call, host);
         let start = Instant::now();
         let ticket = estimate.begin(context.now(), call.class.work);
         let mut pending = Pending {
@@ -374,10 +403,12 @@
         match (&reply.load, &reply.result) {
             (Some(load), _) => {
                 pending.estimate.report(context.now(), load);
-                peers::answered(&context, &host.name);
+                answered(&context, host, load);
             }
             (None, Err(refusal)) if refusal.cause == Cause::Away => {
-                peers::connect_failed(&context, &host.name);
+                if context.settings.adapter.is_none() {
+                    peers::connect_failed(&context, &host.name);
+                }
             }
             (None, _) => {}
         }
@@ -394,12 +425,40 @@
     })
 }
 
+/// Returns the call with the instance that `host` has, where upstreams ask for
+/// one.
+fn aimed(call: Arc<Call>, host: &Host) -> Arc<Call> {
+    let (Some(path), Some(instance)) = (&call.path, &host.instance) else {
+        return call;
+    };
+    let path = Path {
+        origin: path.origin.clone(),
+        instance: instance.clone(),
+        slots: host.slots.unwrap_or(0),
+    };
+    let mut aimed = Call::clone(&call);
+    aimed.path = Some(path);
+    Arc::new(aimed)
+}
+
+/// Takes the load that came with an answer.
+fn answered(context: &Arc<Context>, host: &Host, load: &Load) {
+    if context.settings.adapter.is_some() {
+        keyed_store::hear(context, host, load);
+    } else {
+        peers::answered(context, &host.name);
+    }
+}
+
 /// Returns the headers that bind a request to a host's run, as far as the run
 /// is known.
 fn addressed(context: &Context, host: &Host, estimate: &Estimate) -> HeaderMap {
     let mut headers = HeaderMap::new();
     let from = format!("{}/{}", context.settings.host, context.incarnation());
     headers.insert(header::FROM, value(&from));
+    if host.instance.is_some() {
+        return headers;
+    }
     let run = estimate.incarnation();
     if run.started_ms != 0 {
         headers.insert(header::TO, value(&format!("{}/{run}", host.name)));
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -60,6 +60,15 @@
         body: Body,
     ) -> Reply {
         let remaining = call.remaining(Instant::now());
+        if remaining.is_zero() {
+            return Reply {
+                result: Err(Refusal::not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no time remains",
+                )),
+                load: None,
+            };
+        }
         let request = request(address, call, remaining, extra, body);
         let client = match call.class.work {
             Work::Short => &self.short,
@@ -145,7 +154,15 @@
         header::TIMEOUT_MS,
         HeaderValue::from((remaining.as_millis() as u64).max(1)),
     );
-    headers.insert(header::CLASS, value(&call.class.name));
+    match call.hop(Instant::now()) {
+        Some(hop) => {
+            let hop = serde_json::to_string(&hop).unwrap_or_default();
+            headers.insert(header::HOP, value(&hop));
+        }
+        None => {
+            headers.insert(header::CLASS, value(&call.class.name));
+        }
+    }
     headers.insert(header::CALLER, value(&call.caller.to_string()));
     *request.headers_mut() = headers;
     request
@@ -180,9 +197,17 @@
     let explanation: Option<Explanation> = body
         .ok()
         .and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
-    let (reason, cause, owner) = match explanation {
-        Some(told) => (told.reason, told.cause, told.owner),
-        None => ("the host refused the request".into(), Cause::Busy, None),
+    let (reason, cause, owner, arrived) = match explanation {
+        Some(told) => (told.reason, told.cause, told.owner, told.arrived),
+        None => {
+            let arrived = verdict != Verdict::NotRun;
+            (
+                "the host refused the request".into(),
+                Cause::Busy,
+                None,
+                arrived,
+            )
+        }
     };
     Refusal {
         status,
@@ -191,6 +216,7 @@
         cause,
         retry_after: wait.map(Duration::from_millis),
         owner,
+        arrived,
     }
 }
 
--- a/crates/daemon/src/dispatch/table.rs
+++ b/crates/daemon/src/dispatch/table.rs
@@ -6,19 +6,19 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use savorylane_policy::retry::{Budget, Latency};
+use savorylane_policy::retry::{Budget, Latency, Settings};
 use savorylane_policy::route::Estimate;
 
 /// Map that is read without a lock and copied when a key is new.
 #[derive(Debug)]
 struct Map<V>(ArcSwap<HashMap<String, Arc<V>>>);
 
-impl<V: Default> Map<V> {
-    fn get(&self, key: &str) -> Arc<V> {
+impl<V> Map<V> {
+    fn get(&self, key: &str, create: impl FnOnce() -> V) -> Arc<V> {
         if let Some(value) = self.0.load().get(key) {
             return Arc::clone(value);
         }
-        let fresh = Arc::<V>::default();
+        let fresh = Arc::new(create());
         self.0.rcu(|map| {
             let mut map = HashMap::clone(map);
             map.entry(key.into()).or_insert_with(|| Arc::clone(&fresh));
@@ -58,21 +58,19 @@
 }
 
 impl Class {
-    /// Returns the recent response times.
-    pub fn latency(&self) -> MutexGuard<'_, Latency> {
-        self.latency.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
-impl Default for Class {
-    fn default() -> Self {
+    fn open(budgets: &Settings) -> Self {
         Self {
-            retry: Budget::retry(),
-            hedge: Budget::hedge(),
+            retry: Budget::retry(budgets),
+            hedge: Budget::hedge(budgets),
             turn: AtomicUsize::new(0),
             latency: Mutex::default(),
         }
     }
+
+    /// Returns the recent response times.
+    pub fn latency(&self) -> MutexGuard<'_, Latency> {
+        self.latency.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Estimates by host and state by class.
@@ -80,17 +78,26 @@
 pub struct Table {
     estimates: Map<Estimate>,
     classes: Map<Class>,
+    budgets: Settings,
 }
 
 impl Table {
+    /// Returns an empty table whose classes get `budgets`.
+    pub fn open(budgets: Settings) -> Self {
+        Self {
+            budgets,
+            ..Self::default()
+        }
+    }
+
     /// Returns the estimate of a host.
     pub fn estimate(&self, host: &str) -> Arc<Estimate> {
-        self.estimates.get(host)
+        self.estimates.get(host, Estimate::default)
     }
 
     /// Returns the state of a class.
     pub fn class(&self, class: &str) -> Arc<Class> {
-        self.classes.get(class)
+        self.classes.get(class, || Class::open(&self.budgets))
     }
 
     /// Forgets hosts and classes that are no longer in force.
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -2,13 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
 use savorylane_intent::document::Class;
-use savorylane_wire::Verdict;
+use savorylane_platform::header as platform;
+use savorylane_wire::{Verdict, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -20,12 +22,16 @@
 use crate::kernel::{Context, Plugin, Port};
 use crate::peers;
 
+/// Wait of a caller that comes before the configuration. A daemon reads it
+/// within some milliseconds unless the platform is away.
+const UNCONFIGURED_RETRY: Duration = Duration::from_millis(200);
+
 inventory::submit! {
     Plugin {
         name: "caller",
         order: 40,
         builtin: true,
-        port: Some(Port { flag: "entry", address: |settings| settings.entry }),
+        port: Some(Port { flag: "entry", address: |settings| Some(settings.entry) }),
         run,
     }
 }
@@ -37,9 +43,12 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
-        let connections = context.settings.caller_connections;
+        let limits = match context.settings.adapter {
+            Some(_) => server::Limits::DAEMONS,
+            None => server::Limits::own(context.settings.caller_connections),
+        };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
-        server::serve(listener, connections, stop, handle).await;
+        server::serve(listener, limits, stop, handle).await;
     })
 }
 
@@ -48,39 +57,76 @@
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Response<Body> {
+    let adapted = context.settings.adapter.is_some();
+    let id = platform::id(request.headers()).map(str::to_owned);
     match accept(&context, request, peer).await {
-        Ok(answer) => answer,
+        Ok(mut answer) => {
+            if adapted {
+                answer.headers_mut().remove(header::VERDICT);
+            }
+            answer
+        }
+        Err(refusal) if adapted => refuse(&refusal, id.as_deref()),
         Err(refusal) => refusal.answer(),
     }
 }
 
+/// Returns a refusal as callers of the adapted platform take it: they repeat
+/// work that did not run after 503, and not after any other status.
+fn refuse(refusal: &Refusal, id: Option<&str>) -> Response<Body> {
+    let mut answer = refusal.answer();
+    if refusal.verdict == Verdict::NotRun && refusal.cause != Cause::Request {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    let headers = answer.headers_mut();
+    headers.remove(header::VERDICT);
+    headers.remove(header::RETRY_AFTER_MS);
+    platform::refuse(headers, id, refusal.retry_after);
+    answer
+}
+
 async fn accept(
     context: &Arc<Context>,
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Result<Response<Body>, Refusal> {
-    peers::refresh(context).await;
+    let adapted = context.settings.adapter.is_some();
+    if !adapted {
+        peers::refresh(context).await;
+    }
     let Some(snapshot) = context.config.snapshot() else {
-        return Err(Refusal::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no configuration is in force yet",
-        ));
+        return Err(Refusal {
+            retry_after: Some(UNCONFIGURED_RETRY),
+            ..Refusal::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no configuration is in force yet",
+            )
+        });
     };
     let (head, body) = request.into_parts();
-    let Some(class) = snapshot.class(head.method.as_str(), head.uri.path()) else {
+    let authority = authority(&head);
+    let Some(class) = snapshot.class(authority, head.method.as_str(), head.uri.path()) else {
         return Err(Refusal::not_run(
             StatusCode::NOT_FOUND,
             "no class matches the method and path",
         ));
     };
-    let limit = context.settings.body_bytes;
+    let limits = snapshot.document.limits;
+    let limit = limits.map_or(context.settings.body_bytes, |limits| limits.body_bytes);
     if body.size_hint().lower() > limit {
         return Err(Refusal::not_run(
             StatusCode::PAYLOAD_TOO_LARGE,
             oversized(limit),
         ));
     }
-    let call = Arc::new(Call::read(&head, class, peer.ip(), Instant::now())?);
+    let call = if adapted {
+        let turn = context.turn.fetch_add(1, Ordering::Relaxed);
+        let origin = &context.settings.service;
+        Call::adapted(&head, class, peer.ip(), Instant::now(), origin, turn)
+    } else {
+        Call::read(&head, class, peer.ip(), Instant::now())?
+    };
+    let call = Arc::new(call);
     let body = Replay::open(body, limit);
     let mut record = Record {
         context: Arc::clone(context),
@@ -90,7 +136,7 @@
         verdict: Verdict::MayHaveRun,
     };
     // Work that may run twice needs no record of its key.
-    let served = if call.class.idempotent {
+    let served = if call.class.idempotent || adapted {
         dispatch::serve(context, &snapshot, &call, &body).await
     } else {
         holder::serve(context, &snapshot, &call, &body).await
@@ -109,6 +155,14 @@
     }
 }
 
+/// Returns the host name that a request names, without a port.
+fn authority(head: &http::request::Parts) -> Option<&str> {
+    let named = head.headers.get(http::header::HOST);
+    let named = named.and_then(|value| value.to_str().ok());
+    let authority = named.or_else(|| head.uri.authority().map(|authority| authority.as_str()))?;
+    Some(authority.split(':').next().unwrap_or(authority))
+}
+
 /// Names the caller's body as the reason of a refusal, where it is. The
 /// upstream may have run what it got of the body, so the verdict stays.
 fn blame(refusal: &mut Refusal, fault: Option<body::Fault>, limit: u64) {
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -31,7 +31,7 @@
         name: "control",
         order: 15,
         builtin: true,
-        port: Some(Port { flag: "control", address: |settings| settings.control }),
+        port: Some(Port { flag: "control", address: |settings| Some(settings.control) }),
         run,
     }
 }
@@ -45,6 +45,10 @@
         let Some(listener) = listener else { return };
         let methods = Handler(Arc::clone(&context)).into_rpc();
         let serve = rpc::serve(listener, stop.clone(), methods, |_| None);
+        // The adapted platform lists the hosts, and no class there uses keys.
+        if context.settings.adapter.is_some() {
+            return serve.await;
+        }
         let rings = rings::run(Arc::clone(&context), stop.clone());
         tokio::join!(serve, rings, peers::run(context, stop));
     })
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use savorylane_wire::header;
+use savorylane_wire::{Hop, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -26,7 +26,7 @@
         name: "data",
         order: 30,
         builtin: true,
-        port: Some(Port { flag: "data", address: |settings| settings.data }),
+        port: Some(Port { flag: "data", address: |settings| Some(settings.data) }),
         run,
     }
 }
@@ -38,8 +38,12 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
+        let limits = match context.settings.adapter {
+            Some(_) => server::Limits::DAEMONS,
+            None => server::Limits::own(CONNECTIONS_MAX),
+        };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
-        server::serve(listener, CONNECTIONS_MAX, stop, handle).await;
+        server::serve(listener, limits, stop, handle).await;
     })
 }
 
@@ -63,6 +67,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let (head, body) = request.into_parts();
+    if let Some(hop) = call::text(&head.headers, header::HOP)? {
+        return accept_hop(context, &head, body, &hop).await;
+    }
     let Some(snapshot) = context.config.snapshot() else {
         return Err(Refusal::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -117,3 +124,21 @@
     let body = body.map_err(Into::into).boxed_unsync();
     context.gatekeeper.run(context, &call, body).await
 }
+
+/// Runs a request with the attributes that the entry sent along.
+async fn accept_hop(
+    context: &Arc<Context>,
+    head: &http::request::Parts,
+    body: Incoming,
+    hop: &str,
+) -> Result<Response<Body>, Refusal> {
+    let Ok(hop) = serde_json::from_str::<Hop>(hop) else {
+        let reason = "malformed header savorylane-hop";
+        return Err(Refusal::not_run(StatusCode::BAD_REQUEST, reason));
+    };
+    let caller: IpAddr =
+        call::number(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
+    let call = Call::sent_on(head, hop, caller, Instant::now())?;
+    let body = body.map_err(Into::into).boxed_unsync();
+    context.gatekeeper.run(context, &call, body).await
+}
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -20,7 +20,7 @@
         name: "operator",
         order: 5,
         builtin: true,
-        port: Some(Port { flag: "operator", address: |settings| settings.operator }),
+        port: Some(Port { flag: "operator", address: |settings| Some(settings.operator) }),
         run,
     }
 }
--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::audit::Event;
 use crate::config::PLATFORM;
+use crate::edge::keyed_store;
 use crate::kernel::{Context, Plugin};
 use crate::peers::fetch_hosts_from;
 use crate::settings::Readers;
@@ -78,6 +79,9 @@
     stop: CancellationToken,
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
+        if context.settings.adapter.is_some() {
+            return keyed_store::run(context, stop).await;
+        }
         let platform = Platform::new(&context.settings.platform);
         let work = async {
             start(&context, &platform).await;
--- /dev/null
+++ b/crates/daemon/src/edge/ready/mod.rs
@@ -0,0 +1,60 @@
+//! Edge towards a platform that asks whether this daemon takes callers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use savorylane_platform::READY_PATH;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::{self, Body};
+use crate::edge::server;
+use crate::kernel::{Context, Plugin, Port};
+
+inventory::submit! {
+    Plugin {
+        name: "ready",
+        order: 5,
+        builtin: true,
+        port: Some(Port {
+            flag: "ready",
+            address: |settings| Some(settings.adapter.as_ref()?.ready),
+        }),
+        run,
+    }
+}
+
+fn run(
+    context: Arc<Context>,
+    listener: Option<TcpListener>,
+    stop: CancellationToken,
+) -> BoxFuture<'static, ()> {
+    Box::pin(async move {
+        let Some(listener) = listener else { return };
+        let answer = move |request: Request<Incoming>, _peer: SocketAddr| {
+            let status = status(&context, request.uri().path());
+            async move { answer(status) }
+        };
+        server::serve(listener, server::Limits::DAEMONS, stop, answer).await;
+    })
+}
+
+/// Callers are taken while a configuration is in force and the daemon stays.
+fn status(context: &Context, path: &str) -> StatusCode {
+    if path != READY_PATH {
+        return StatusCode::NOT_FOUND;
+    }
+    if context.leaving.is_cancelled() || context.config.snapshot().is_none() {
+        return StatusCode::SERVICE_UNAVAILABLE;
+    }
+    StatusCode::OK
+}
+
+fn answer(status: StatusCode) -> Response<Body> {
+    let mut answer = Response::new(body::empty());
+    *answer.status_mut() = status;
+    answer
+}
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -23,6 +23,9 @@
 
 /// Time in which a caller must send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same on the adapted platform, whose callers may keep a connection idle
+/// for this long; the library counts the idle time as a part of the head's.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval of the keep-alive pings of HTTP/2.
 pub const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time in which a ping must be answered; with the interval, a silent
@@ -43,14 +46,45 @@
 /// Streams of one HTTP/2 connection.
 const STREAMS_MAX: u32 = 1024;
 
+/// Bounds of a server's connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections that one address may open.
+    pub connections: usize,
+    /// Time in which the head of a request must arrive.
+    pub head: Duration,
+    /// Size of all headers of a request, bytes.
+    pub header_bytes: u32,
+    /// Headers of a request.
+    pub headers: usize,
+}
+
+impl Limits {
+    /// Limits towards other daemons of the adapted platform and the platform
+    /// itself. A request takes a few more headers there than its caller sent.
+    pub const DAEMONS: Self = Self {
+        connections: 65_536,
+        head: IDLE_TIMEOUT,
+        header_bytes: 4 * HEADER_BYTES,
+        headers: 4 * HEADERS_MAX,
+    };
+
+    /// Returns the product's own limits for `connections` connections of one
+    /// address.
+    pub fn own(connections: usize) -> Self {
+        Self {
+            connections,
+            head: HEAD_TIMEOUT,
+            header_bytes: HEADER_BYTES,
+            headers: HEADERS_MAX,
+        }
+    }
+}
+
 /// Serves HTTP/1.1 and HTTP/2 until `stop`, then waits until each connection
-/// has answered what it took. One address may open `connections` connections.
-pub async fn serve<H, F>(
-    listener: TcpListener,
-    connections: usize,
-    stop: CancellationToken,
-    handle: H,
-) where
+/// has answered what it took.
+pub async fn serve<H, F>(listener: TcpListener, limits: Limits, stop: CancellationToken, handle: H)
+where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
@@ -68,7 +102,7 @@
             },
             () = stop.cancelled() => break,
         };
-        let Some(permit) = Permit::take(&open, peer.ip(), connections) else {
+        let Some(permit) = Permit::take(&open, peer.ip(), limits.connections) else {
             log::warn!("refused a connection of {}: it has too many", peer.ip());
             continue;
         };
@@ -81,7 +115,7 @@
             let answer = handle(request, peer);
             async move { Ok::<_, Infallible>(answer.await) }
         });
-        let connection = builder()
+        let connection = builder(&limits)
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
         let watched = graceful.watch(connection);
@@ -90,7 +124,7 @@
             let mut watched = pin!(watched);
             // The library's limit starts once it knows the protocol, so a
             // silent connection would hold its permit for ever.
-            let ended = match timeout(HEAD_TIMEOUT, &mut watched).await {
+            let ended = match timeout(limits.head, &mut watched).await {
                 Ok(ended) => ended,
                 Err(_) if begun.load(Ordering::Relaxed) => watched.await,
                 Err(_) => {
@@ -107,14 +141,14 @@
     graceful.shutdown().await;
 }
 
-fn builder() -> auto::Builder<TokioExecutor> {
+fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_headers(HEADERS_MAX)
-        .max_buf_size(HEADER_BYTES as usize);
+        .header_read_timeout(limits.head)
+        .max_headers(limits.headers)
+        .max_buf_size(limits.header_bytes as usize);
     builder
         .http2()
         .timer(TokioTimer::new())
@@ -122,7 +156,7 @@
         .keep_alive_timeout(PING_TIMEOUT)
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
-        .max_header_list_size(HEADER_BYTES)
+        .max_header_list_size(limits.header_bytes)
         .max_concurrent_streams(STREAMS_MAX);
     builder
 }
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -8,8 +8,9 @@
 use http::{HeaderValue, Request, Response, StatusCode, Uri, uri};
 use http_body_util::BodyExt;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use savorylane_platform::header as platform;
 use savorylane_wire::header;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -64,14 +65,27 @@
         *request.uri_mut() = target(self.address, &call.uri);
         *request.headers_mut() = call.headers.clone();
         let headers = request.headers_mut();
-        let remaining = call.remaining(Instant::now()).as_millis() as u64;
+        let remaining = call.remaining(Instant::now());
+        if let Some(path) = &call.path {
+            platform::write(headers, remaining, &path.origin, &path.instance);
+            return self.exchange(request).await;
+        }
+        let remaining = remaining.as_millis() as u64;
         headers.insert(header::TIMEOUT_MS, HeaderValue::from(remaining.max(1)));
         headers.insert(header::DEPTH, HeaderValue::from(call.depth + 1));
         if let Some(left) = call.attempts_left {
             headers.insert(header::ATTEMPTS_LEFT, HeaderValue::from(left));
         }
+        self.exchange(request).await
+    }
+
+    async fn exchange(&self, mut request: Request<Body>) -> Result<Response<Body>, Failure> {
+        let connection = capture_connection(&mut request);
         match self.client.request(request).await {
-            Ok(answer) => Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync())),
+            Ok(mut answer) => {
+                answer.extensions_mut().insert(connection);
+                Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync()))
+            }
             Err(error) if error.is_connect() => Err(Failure::Connect),
             Err(error) => {
                 log::debug!("request to the upstream failed: {error}");
@@ -106,6 +120,16 @@
     }
 }
 
+/// Sees to it that the connection of an answer is not used again.
+pub fn discard(answer: &Response<Body>) {
+    let connection = answer.extensions().get::<CaptureConnection>();
+    if let Some(connection) = connection
+        && let Some(connected) = connection.connection_metadata().as_ref()
+    {
+        connected.poison();
+    }
+}
+
 inventory::submit! {
     Plugin { name: "upstream", order: 20, builtin: true, port: None, run }
 }
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
@@ -19,6 +20,7 @@
 use crate::config::Store;
 use crate::dispatch::Dispatcher;
 use crate::edge::control::Clients;
+use crate::edge::keyed_store::Contact;
 use crate::edge::upstream::Upstream;
 use crate::error::{BindSnafu, Error};
 use crate::gatekeeper::Gatekeeper;
@@ -34,6 +36,9 @@
 /// Time between the announcement that the host leaves and the end of the
 /// servers, so that peers route elsewhere first.
 const LEAVE_NOTICE: Duration = Duration::from_secs(1);
+/// The same on the adapted platform, which asks once a second whether callers
+/// are taken, and sends none after two refusals.
+const UNREADY_NOTICE: Duration = Duration::from_millis(2_300);
 
 /// State that the edges share.
 #[derive(Debug)]
@@ -70,6 +75,10 @@
     pub metrics: Metrics,
     /// Chooses hosts and sends requests to them.
     pub dispatcher: Dispatcher,
+    /// Contact with the store of the adapted platform.
+    pub store: Contact,
+    /// Number of the next request, by which splits share requests.
+    pub turn: AtomicU64,
     /// Cancelled when the host announces that it leaves.
     pub leaving: CancellationToken,
     /// Cancelled when the edges end.
@@ -86,6 +95,9 @@
     pub fn load(&self) -> Load {
         let mut load = self.gatekeeper.load();
         load.incarnation = self.incarnation();
+        let current = self.config.current();
+        load.version = current.version.map_or(0, |version| version.number);
+        load.list = current.hosts;
         load
     }
 
@@ -127,8 +139,9 @@
 pub struct Port {
     /// Flag that names the address.
     pub flag: &'static str,
-    /// Picks the address from the settings.
-    pub address: fn(&Settings) -> SocketAddr,
+    /// Picks the address from the settings; `None` for an edge that these
+    /// settings do not use.
+    pub address: fn(&Settings) -> Option<SocketAddr>,
 }
 
 /// An edge. Edges register with [`inventory::submit!`].
@@ -176,8 +189,9 @@
     let mut addresses = BTreeMap::new();
     for plugin in plugins() {
         let mut listener = None;
-        if let Some(port) = plugin.port {
-            let address = (port.address)(&settings);
+        if let Some(port) = plugin.port
+            && let Some(address) = (port.address)(&settings)
+        {
             let context = BindSnafu {
                 port: port.flag,
                 address,
@@ -216,7 +230,9 @@
         gatekeeper,
         results: Results::default(),
         metrics: Metrics::open(),
-        dispatcher: Dispatcher::open(settings.data.ip()),
+        dispatcher: Dispatcher::open(settings.data.ip(), settings.budgets),
+        store: Contact::default(),
+        turn: AtomicU64::new(0),
         leaving: CancellationToken::new(),
         stop: CancellationToken::new(),
         settings,
@@ -254,7 +270,11 @@
     /// Returns the names of the edges that had to be cut at the drain limit.
     pub async fn shutdown(self) -> Vec<&'static str> {
         self.context.leave("shutdown");
-        tokio::time::sleep(LEAVE_NOTICE).await;
+        let notice = match self.context.settings.adapter {
+            Some(_) => UNREADY_NOTICE,
+            None => LEAVE_NOTICE,
+        };
+        tokio::time::sleep(notice).await;
         self.context.stop.cancel();
         let limit = tokio::time::Instant::now() + self.context.settings.drain_limit;
         let mut cut = Vec::new();
@@ -292,6 +312,8 @@
         control: address("control", settings.control),
         operator: address("operator", settings.operator),
         state: hosts::State::Live,
+        instance: None,
+        slots: None,
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -69,12 +69,22 @@
     let _ = writeln!(out, "ready");
 }
 
+/// Settings stand in flags and environment variables, which a running process
+/// cannot read anew; all that changes while it runs comes from the platform.
+fn reload() {
+    log::info!(
+        target: "process", outcome = "reloaded";
+        "settings hold for the life of the process; a restart takes new ones"
+    );
+}
+
 async fn run(command: Command) -> ExitCode {
     let signals = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
     );
-    let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+    let (Ok(mut terminate), Ok(mut interrupt), Ok(mut hangup)) = signals else {
         eprintln!("cannot listen for signals");
         return ExitCode::FAILURE;
     };
@@ -85,19 +95,30 @@
             return ExitCode::FAILURE;
         }
     };
-    announce(&handle);
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    if handle.context.settings.adapter.is_none() {
+        announce(&handle);
     }
+    log::info!(target: "process", outcome = "started"; "all ports are bound");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(),
+        }
+    }
+    log::info!(target: "process", outcome = "stopping"; "a signal asks to stop");
     let cut = tokio::select! {
         cut = handle.shutdown() => cut,
         _ = terminate.recv() => vec!["all"],
         _ = interrupt.recv() => vec!["all"],
     };
     if cut.is_empty() {
+        log::info!(target: "process", outcome = "stopped"; "nothing was cut");
         return ExitCode::SUCCESS;
     }
-    log::warn!("ended with requests in flight at: {}", cut.join(", "));
+    log::warn!(
+        target: "process", outcome = "stopped";
+        "ended with requests in flight at: {}", cut.join(", ")
+    );
     ExitCode::FAILURE
 }
--- a/crates/daemon/src/settings/arguments.rs
+++ b/crates/daemon/src/settings/arguments.rs
@@ -29,6 +29,12 @@
     pub(super) caller_connections: String,
     pub(super) readers: String,
     pub(super) policy: String,
+    pub(super) retry_percent: String,
+    pub(super) retry_burst: String,
+    pub(super) hedge_percent: String,
+    pub(super) adapter: String,
+    pub(super) ready: Option<String>,
+    pub(super) regions: Option<String>,
     pub(super) log_level: String,
     pub(super) check: bool,
 }
@@ -209,6 +215,48 @@
         "How hosts are chosen: savorylane, or a baseline: random, round-robin, least-outstanding",
         "savorylane",
     );
+    let retry_percent = optional(
+        "retry-percent",
+        "SAVORYLANE_RETRY_PERCENT",
+        "COUNT",
+        "Fresh requests per hundred that may be retried",
+        "10",
+    );
+    let retry_burst = optional(
+        "retry-burst",
+        "SAVORYLANE_RETRY_BURST",
+        "COUNT",
+        "Retries that may be sent at once",
+        "10",
+    );
+    let hedge_percent = optional(
+        "hedge-percent",
+        "SAVORYLANE_HEDGE_PERCENT",
+        "COUNT",
+        "Fresh requests per hundred that may be hedged; 0 for none",
+        "5",
+    );
+    let adapter = optional(
+        "adapter",
+        "SAVORYLANE_ADAPTER",
+        "NAME",
+        "Platform to run on: none, the product's own, or keyed-store",
+        "none",
+    );
+    let ready = argument(
+        "ready",
+        "SAVORYLANE_READY",
+        "IP:PORT",
+        "Where the platform asks whether callers are taken; needed with --adapter keyed-store",
+    )
+    .optional();
+    let regions = argument(
+        "regions",
+        "SAVORYLANE_REGIONS",
+        "JSON",
+        "Object with the region of each data centre; needed with --adapter keyed-store",
+    )
+    .optional();
     let log_level = optional(
         "log-level",
         "SAVORYLANE_LOG_LEVEL",
@@ -239,6 +287,12 @@
         caller_connections,
         readers,
         policy,
+        retry_percent,
+        retry_burst,
+        hedge_percent,
+        adapter,
+        ready,
+        regions,
         log_level,
         check
     })
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use savorylane_intent::bound;
+use savorylane_policy::retry;
 use savorylane_policy::route::Policy;
 
 use super::arguments::Raw;
-use super::{Command, Fault, Readers, Settings};
+use super::{Adapter, Command, Fault, Readers, Settings};
 
 pub(super) fn check_all(raw: Raw) -> Result<Command, Fault> {
     let settings = Settings {
@@ -33,6 +34,12 @@
         caller_connections: number("caller-connections", &raw.caller_connections, 1, 65_536)?,
         readers: readers(&raw.readers)?,
         policy: policy(&raw.policy)?,
+        budgets: retry::Settings {
+            retry_percent: number("retry-percent", &raw.retry_percent, 0, 100)?,
+            retry_burst: number("retry-burst", &raw.retry_burst, 0, 1000)?,
+            hedge_percent: number("hedge-percent", &raw.hedge_percent, 0, 100)?,
+        },
+        adapter: adapter(&raw.adapter, raw.ready.as_deref(), raw.regions.as_deref())?,
         log_level: log_level(&raw.log_level)?,
     };
     if settings.platform.is_empty() && settings.peers.is_empty() {
@@ -62,6 +69,31 @@
     })
 }
 
+fn adapter(
+    name: &str,
+    ready: Option<&str>,
+    regions: Option<&str>,
+) -> Result<Option<Adapter>, Fault> {
+    match name {
+        "none" => return Ok(None),
+        "keyed-store" => {}
+        _ => return Err(Fault::value("adapter", name, "one of none, keyed-store")),
+    }
+    let needed = |flag, value: &str| Fault::Missing {
+        flag,
+        accepted: format!("give --{flag} {value} with --adapter keyed-store"),
+    };
+    let ready = ready.ok_or_else(|| needed("ready", "IP:PORT"))?;
+    let regions = regions.ok_or_else(|| needed("regions", "JSON"))?;
+    Ok(Some(Adapter {
+        ready: address("ready", ready)?,
+        regions: serde_json::from_str(regions).map_err(|_| {
+            let accepted = "a JSON object of data centres and their regions";
+            Fault::value("regions", regions, accepted)
+        })?,
+    }))
+}
+
 fn health(value: &str) -> Result<String, Fault> {
     let accepted = "a path from `/`, without `?`, `#` and spaces";
     let visible = |c: char| c.is_ascii_graphic() && !"?#".contains(c);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -4,10 +4,12 @@
 mod arguments;
 mod check;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use savorylane_intent::bound;
+use savorylane_policy::retry;
 use savorylane_policy::route::Policy;
 use snafu::Snafu;
 
@@ -56,10 +58,23 @@
     pub readers: Readers,
     /// How hosts are chosen.
     pub policy: Policy,
+    /// Bounds of retries and hedges.
+    pub budgets: retry::Settings,
+    /// Platform that the daemon is adapted to; `None` for the product's own.
+    pub adapter: Option<Adapter>,
     /// Log level.
     pub log_level: log::LevelFilter,
 }
 
+/// What the daemon needs to run on a platform with a store of keys.
+#[derive(Clone, Debug)]
+pub struct Adapter {
+    /// Where the platform asks whether this daemon takes callers.
+    pub ready: SocketAddr,
+    /// Region of each data centre.
+    pub regions: BTreeMap<String, String>,
+}
+
 /// Who watches the platform.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Readers {
--- a/crates/daemon/src/suspects/mod.rs
+++ b/crates/daemon/src/suspects/mod.rs
@@ -120,7 +120,10 @@
     };
     let path = call.uri.path_and_query();
     let path = path.map_or("/", http::uri::PathAndQuery::as_str);
-    let caller = call.caller.to_string();
+    let caller = match &call.path {
+        Some(path) => path.origin.clone(),
+        None => call.caller.to_string(),
+    };
     suspect::fingerprint(call.method.as_str(), path, &caller, length, start)
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -63,6 +63,8 @@
         let lines = BufReader::new(stdout).lines().map_while(Result::ok);
         let addresses = lines
             .take_while(|line| line != "ready")
+            // Log lines stand on standard output as well.
+            .filter(|line| !line.starts_with('{'))
             .map(|line| {
                 let (port, address) = line.split_once(' ').expect("a port and an address");
                 (port.to_owned(), address.parse().expect("an address"))
@@ -87,6 +89,8 @@
             control: self.addresses["control"],
             operator: self.addresses["operator"],
             state: State::Live,
+            instance: None,
+            slots: None,
         }
     }
 }
@@ -103,6 +107,7 @@
     Document {
         number,
         deployment: "test".into(),
+        limits: None,
         services: vec![Service {
             name: "stock".into(),
         }],
@@ -119,6 +124,10 @@
                 success: 0.999,
             },
             shed_order: 0,
+            authority: None,
+            split: Vec::new(),
+            timeout_ms: None,
+            attempts: None,
         }],
     }
 }
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -61,6 +61,8 @@
             control: handle.addresses["control"],
             operator: handle.addresses["operator"],
             state: State::Live,
+            instance: None,
+            slots: None,
         };
         Self {
             handle,
@@ -236,6 +238,8 @@
         caller_connections: 256,
         readers: Readers::Ranked,
         policy: Policy::Savorylane,
+        budgets: Default::default(),
+        adapter: None,
         log_level: log::LevelFilter::Off,
     }
 }
--- a/crates/daemon/tests/in_process/mod.rs
+++ b/crates/daemon/tests/in_process/mod.rs
@@ -187,6 +187,8 @@
             caller_connections: 256,
             readers: Readers::default(),
             policy: Policy::default(),
+            budgets: Default::default(),
+            adapter: None,
             log_level: log::LevelFilter::Warn,
         };
         let mut builder = tokio::runtime::Builder::new_multi_thread();
@@ -203,6 +205,8 @@
             control: handle.addresses["control"],
             operator: handle.addresses["operator"],
             state: State::Live,
+            instance: None,
+            slots: None,
         };
         Member {
             name: name.into(),
@@ -268,6 +272,10 @@
             success: 0.999,
         },
         shed_order: 0,
+        authority: None,
+        split: Vec::new(),
+        timeout_ms: None,
+        attempts: None,
     };
     Document {
         number: 1,
@@ -279,6 +287,7 @@
             class("check", "/stock/", &["GET", "PUT"], true),
             class("order", "/orders/", &["POST"], false),
         ],
+        limits: None,
     }
 }
 
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -92,6 +92,8 @@
         caller_connections: 256,
         readers: Readers::Ranked,
         policy: Policy::Savorylane,
+        budgets: Default::default(),
+        adapter: None,
         log_level: log::LevelFilter::Off,
     }
 }
@@ -110,6 +112,10 @@
             success: 0.999,
         },
         shed_order: 0,
+        authority: None,
+        split: Vec::new(),
+        timeout_ms: None,
+        attempts: None,
     }
 }
 
@@ -125,6 +131,7 @@
             class("near", "near", "/near/", &["GET"], Work::Short),
             class("upload", "near", "/upload", &["POST", "PUT"], Work::Long),
         ],
+        limits: None,
     }
 }
 
@@ -173,6 +180,8 @@
             control: SocketAddr::from(([127, 0, 0, 1], 9)),
             operator: daemon.addresses["operator"],
             state: State::Live,
+            instance: None,
+            slots: None,
         });
         daemons.push(daemon);
     }
--- a/crates/intent/src/bound/mod.rs
+++ b/crates/intent/src/bound/mod.rs
@@ -51,6 +51,9 @@
 /// leaves room for uploads.
 pub const LATENCY_MS: RangeInclusive<u32> = 1..=600_000;
 
+/// Accepted numbers of upstreams that a request may be handed to.
+pub const ATTEMPTS: RangeInclusive<u32> = 1..=100;
+
 /// Number of steps between 0 and 1 for quantiles and success shares.
 ///
 /// With at most 6 decimals, a share is read and printed exactly by any JSON
--- a/crates/intent/src/delta/mod.rs
+++ b/crates/intent/src/delta/mod.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::document::{Class, Document, Service, Target};
+use crate::document::{Class, Document, Limits, Service, Target};
 use crate::fault::Fault;
 use crate::version::Version;
 
@@ -29,6 +29,9 @@
     pub changed_classes: Vec<Class>,
     /// Names of the classes that only the base holds.
     pub removed_classes: Vec<String>,
+    /// Limits of the result.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<Limits>,
 }
 
 impl Delta {
@@ -43,6 +46,7 @@
             added_classes: Vec::new(),
             changed_classes: Vec::new(),
             removed_classes: Vec::new(),
+            limits: next.limits,
         };
         for pair in pairs(&base.services, &next.services, |service| &service.name) {
             match pair {
@@ -121,6 +125,7 @@
             deployment: self.deployment.clone(),
             services: services.into_values().cloned().collect(),
             classes: classes.into_values().cloned().collect(),
+            limits: self.limits,
         };
         document.sort();
         matches("result", self.version, document.version())?;
--- a/crates/intent/src/document/mod.rs
+++ b/crates/intent/src/document/mod.rs
@@ -26,6 +26,34 @@
     pub services: Vec<Service>,
     /// Classes of work.
     pub classes: Vec<Class>,
+    /// What callers may send and how long they may take; the daemon's settings
+    /// hold without it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<Limits>,
+}
+
+/// Limits of the callers' connections.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limits {
+    /// Size of all headers of a request, bytes.
+    pub header_bytes: u32,
+    /// Size of a request's body, bytes.
+    pub body_bytes: u64,
+    /// Time in which the head of a request must arrive, milliseconds.
+    pub header_ms: u32,
+    /// Time that a connection may be idle, milliseconds.
+    pub idle_ms: u32,
+}
+
+/// Part of a class's requests that one service runs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Share {
+    /// Service that runs the part.
+    pub service: String,
+    /// Weight among the shares of the class; a share of weight 0 gets nothing.
+    pub weight: u32,
 }
 
 /// A service; the host list tells which hosts run it.
@@ -68,6 +96,18 @@
     /// Under overload, classes with a higher value are shed first.
     #[serde(default)]
     pub shed_order: u8,
+    /// Host name that requests must name; any if it is not given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub authority: Option<String>,
+    /// Services that share the requests by weight. Empty if `service` runs all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub split: Vec<Share>,
+    /// Longest time that a caller waits for the final answer, milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub timeout_ms: Option<u32>,
+    /// Upstreams that one request may be handed to, at most.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempts: Option<u32>,
 }
 
 /// How quickly and how reliably a class must be served.
@@ -155,8 +195,17 @@
                     service: class.service.clone(),
                 });
             }
+            for share in &class.split {
+                if !services.contains(share.service.as_str()) {
+                    return Err(Fault::Dangling {
+                        class: class.name.clone(),
+                        service: share.service.clone(),
+                    });
+                }
+            }
             for method in &class.methods {
-                let route = (class.path_prefix.as_str(), method.as_str());
+                let authority = class.authority.as_deref();
+                let route = (authority, class.path_prefix.as_str(), method.as_str());
                 if let Some(other) = routes.insert(route, class.name.as_str()) {
                     return Err(Fault::Ambiguous {
                         class: class.name.clone(),
@@ -205,8 +254,52 @@
                 ));
             }
         }
+        self.check_routing(field)?;
         self.target.check(&format!("{field}.target"))
     }
+
+    /// Checks the optional fields that say where and how long a request goes.
+    fn check_routing(&self, field: &str) -> Result<(), Fault> {
+        if let Some(authority) = &self.authority {
+            bound::name(format_args!("{field}.authority"), authority)?;
+        }
+        if let Some(timeout) = self.timeout_ms {
+            let field = format_args!("{field}.timeout_ms");
+            bound::range(field, timeout, &bound::LATENCY_MS)?;
+        }
+        if let Some(attempts) = self.attempts {
+            let field = format_args!("{field}.attempts");
+            bound::range(field, attempts, &bound::ATTEMPTS)?;
+        }
+        if !self.split.is_empty() && self.split.iter().all(|share| share.weight == 0) {
+            return Err(Fault::value(
+                format_args!("{field}.split"),
+                "only weights of 0",
+                "accepted is at least one weight above 0",
+            ));
+        }
+        Ok(())
+    }
+
+    /// Returns the service of the request with number `turn`.
+    ///
+    /// Over any run of consecutive turns, each share gets its weight to within
+    /// a few requests: multiples of the golden ratio spread evenly.
+    pub fn service_of(&self, turn: u64) -> &str {
+        /// The golden ratio's fraction of 2^64.
+        const STEP: u64 = 0x9E37_79B9_7F4A_7C15;
+        let total: u64 = self.split.iter().map(|share| u64::from(share.weight)).sum();
+        let point = (u128::from(turn.wrapping_mul(STEP)) * u128::from(total)) >> 64;
+        let mut point = point as u64;
+        for share in &self.split {
+            let weight = u64::from(share.weight);
+            if point < weight {
+                return &share.service;
+            }
+            point -= weight;
+        }
+        &self.service
+    }
 }
 
 impl Target {
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -57,6 +57,12 @@
     pub operator: SocketAddr,
     /// State as the platform reports it.
     pub state: State,
+    /// Instance of the upstream; requests for it name it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub instance: Option<String>,
+    /// Requests that the upstream runs at once.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
 }
 
 fn address<'de, Source: Deserializer<'de>>(source: Source) -> Result<SocketAddr, Source::Error> {
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault;
 pub mod hosts;
 pub mod manifest;
+pub mod registry;
 pub mod snapshot;
 pub mod transfer;
 pub mod version;
--- /dev/null
+++ b/crates/intent/src/registry/mod.rs
@@ -0,0 +1,171 @@
+//! Upstreams as a store lists them one by one.
+//!
+//! A store that was away removes the entries of upstreams whose leases lapsed
+//! in the meantime, although most of them live and register again at once.
+//! The registry therefore keeps such entries for a short time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::hosts::State;
+
+/// Time after the return of a store within which live upstreams register again.
+pub const RETURN: Duration = Duration::from_secs(2);
+/// Bits of a list's number below the store's revision. Lists also change
+/// between two revisions, when kept entries expire.
+const STEP_BITS: u32 = 8;
+
+/// One run of an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Instance {
+    /// Unique id; a restart mostly brings a new one.
+    pub id: String,
+    /// Where the daemon of the host reaches the upstream.
+    pub address: SocketAddr,
+    /// Service that it runs.
+    pub service: String,
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it leaves.
+    pub state: State,
+    /// Time for which it remained slow after its start when it wrote this.
+    pub warming: Duration,
+    /// Start, Unix milliseconds; 0 if unknown.
+    pub started_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    revision: u64,
+    /// `None` if the entry names no upstream to use.
+    instance: Option<Instance>,
+    /// Set when the entry was removed and is kept until then.
+    until: Option<Duration>,
+}
+
+/// Upstreams by id.
+///
+/// Invariant: an entry changes only to a greater revision, so that an answer
+/// that arrives late undoes nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    entries: BTreeMap<String, Entry>,
+    /// Revision up to which all changes are known.
+    revision: u64,
+    step: u64,
+    /// Removals before this moment may be those of an outage.
+    returning: Duration,
+}
+
+impl Registry {
+    /// Takes the end of an outage of the store.
+    pub fn on_return(&mut self, now: Duration) {
+        self.returning = now + RETURN;
+    }
+
+    /// Takes an entry that was written; `None` if it names no upstream to use.
+    pub fn put(&mut self, revision: u64, id: &str, instance: Option<Instance>) {
+        if self.knows(revision, id) {
+            return;
+        }
+        let entry = Entry {
+            revision,
+            instance,
+            until: None,
+        };
+        self.entries.insert(id.to_owned(), entry);
+    }
+
+    /// Takes the removal of an entry.
+    pub fn remove(&mut self, now: Duration, revision: u64, id: &str) {
+        if self.knows(revision, id) {
+            return;
+        }
+        self.drop_entry(now, revision, id);
+    }
+
+    /// Takes a complete reading: all entries that it does not name are gone.
+    pub fn retain(&mut self, now: Duration, revision: u64, ids: &[&str]) {
+        let missing: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(id, entry)| entry.revision <= revision && !ids.contains(&id.as_str()))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            self.drop_entry(now, revision, &id);
+        }
+    }
+
+    fn drop_entry(&mut self, now: Duration, revision: u64, id: &str) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
+        };
+        let live = |instance: &Instance| instance.state == State::Live;
+        let kept = entry.instance.as_ref().is_some_and(live) && now < self.returning;
+        match (kept, entry.until) {
+            (true, Some(_)) => {}
+            (true, None) => {
+                entry.revision = entry.revision.max(revision);
+                entry.until = Some(self.returning);
+            }
+            (false, _) => {
+                self.entries.remove(id);
+            }
+        }
+    }
+
+    /// Takes the revision up to which all changes are known, and ends entries
+    /// that were kept long enough. Returns the number of the list.
+    pub fn settle(&mut self, now: Duration, revision: u64) -> u64 {
+        self.entries
+            .retain(|_, entry| entry.until.is_none_or(|until| now < until));
+        self.step += 1;
+        if revision > self.revision {
+            self.revision = revision;
+            self.step = 0;
+        }
+        let step = self.step.min((1 << STEP_BITS) - 1);
+        (self.revision << STEP_BITS) | step
+    }
+
+    /// Returns when a kept entry ends.
+    pub fn expires(&self) -> Option<Duration> {
+        self.entries.values().filter_map(|entry| entry.until).min()
+    }
+
+    /// Returns the revision up to which all changes are known.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the upstreams, one for each address: the one that started last.
+    pub fn instances(&self) -> Vec<&Instance> {
+        let mut by_address: BTreeMap<SocketAddr, (&Instance, u64)> = BTreeMap::new();
+        for entry in self.entries.values() {
+            let Some(instance) = &entry.instance else {
+                continue;
+            };
+            let age = |instance: &Instance, revision| (instance.started_ms, revision);
+            let known = by_address.get(&instance.address);
+            if known.is_some_and(|(known, revision)| {
+                age(known, *revision) >= age(instance, entry.revision)
+            }) {
+                continue;
+            }
+            by_address.insert(instance.address, (instance, entry.revision));
+        }
+        by_address
+            .into_values()
+            .map(|(instance, _)| instance)
+            .collect()
+    }
+
+    fn knows(&self, revision: u64, id: &str) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.revision >= revision)
+    }
+}
--- a/crates/intent/src/snapshot/mod.rs
+++ b/crates/intent/src/snapshot/mod.rs
@@ -46,12 +46,14 @@
         list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
         let services = services(&document, &list);
         for class in &document.classes {
-            assert!(
-                services.contains_key(&class.service),
-                "class {} routes to service {}, which the snapshot lacks",
-                class.name,
-                class.service
-            );
+            let split = class.split.iter().map(|share| &share.service);
+            for service in split.chain([&class.service]) {
+                assert!(
+                    services.contains_key(service),
+                    "class {} routes to service {service}, which the snapshot lacks",
+                    class.name,
+                );
+            }
         }
         Self {
             version: document.version(),
@@ -63,17 +65,19 @@
     }
 
     /// Returns the class with the longest matching prefix for a request.
-    pub fn class(&self, method: &str, path: &str) -> Option<&Class> {
-        let index = self.class_index(method, path)?;
+    pub fn class(&self, authority: Option<&str>, method: &str, path: &str) -> Option<&Class> {
+        let index = self.class_index(authority, method, path)?;
         Some(&self.document.classes[index])
     }
 
-    /// Returns the index of a request's class in `document.classes`.
+    /// Returns the index of a request's class in `document.classes`. Classes
+    /// that name another authority are passed over; of two with the same
+    /// prefix, the one that names the authority wins.
     ///
     /// All prefixes of `path` sort between the shortest of them and `path`,
     /// and each is also a prefix of the last route at or before `path`. A
     /// binary search and a walk along the parents therefore find the longest.
-    pub fn class_index(&self, method: &str, path: &str) -> Option<usize> {
+    pub fn class_index(&self, authority: Option<&str>, method: &str, path: &str) -> Option<usize> {
         let classes = &self.document.classes;
         let after = self
             .routes
@@ -82,7 +86,11 @@
         while let Some(at) = next {
             let route = self.routes[at];
             let class = &classes[route.class];
-            if path.starts_with(&class.path_prefix) && class.methods.iter().any(|m| m == method) {
+            let meant = class.authority.is_none() || class.authority.as_deref() == authority;
+            if meant
+                && path.starts_with(&class.path_prefix)
+                && class.methods.iter().any(|m| m == method)
+            {
                 return Some(route.class);
             }
             next = route.parent;
@@ -158,7 +166,8 @@
 
 fn routes(classes: &[Class]) -> Vec<Route> {
     let mut order: Vec<usize> = (0..classes.len()).collect();
-    order.sort_by(|&a, &b| classes[a].path_prefix.cmp(&classes[b].path_prefix));
+    let key = |class: usize| (&classes[class].path_prefix, &classes[class].authority);
+    order.sort_by(|&a, &b| key(a).cmp(&key(b)));
     let mut routes: Vec<Route> = Vec::with_capacity(order.len());
     for class in order {
         let prefix = &classes[class].path_prefix;
--- a/crates/intent/tests/suite/limits.rs
+++ b/crates/intent/tests/suite/limits.rs
@@ -52,6 +52,8 @@
         control: address(at, 7002),
         operator: address(at, 7003),
         state: State::Live,
+        instance: None,
+        slots: None,
     };
     List {
         number: 1,
@@ -167,7 +169,7 @@
         Some("host-0999")
     );
     assert!(snapshot.host("host-1100").is_none());
-    let class = snapshot.class("GET", "/s7/c3/x").expect("a class");
+    let class = snapshot.class(None, "GET", "/s7/c3/x").expect("a class");
     assert_eq!(snapshot.class_named("s7-c3"), Some(class));
     let fewer = snapshot.with_list(host_list(200));
     assert_eq!(
--- a/crates/intent/tests/suite/properties.rs
+++ b/crates/intent/tests/suite/properties.rs
@@ -278,6 +278,6 @@
             .filter(|class| class.methods.iter().any(|m| m == method))
             .max_by_key(|class| class.path_prefix.len());
         let snapshot = Snapshot::build(document.clone(), List::default());
-        prop_assert_eq!(snapshot.class(method, &path), expected);
+        prop_assert_eq!(snapshot.class(None, method, &path), expected);
     }
 }
--- a/crates/intent/tests/suite/sample/mod.rs
+++ b/crates/intent/tests/suite/sample/mod.rs
@@ -35,6 +35,10 @@
             success: 0.999,
         },
         shed_order: 0,
+        authority: None,
+        split: Vec::new(),
+        timeout_ms: None,
+        attempts: None,
     }
 }
 
@@ -62,6 +66,7 @@
             deployment: "testata".into(),
             services: services_named(used),
             classes,
+            limits: None,
         }
     })
 }
@@ -81,6 +86,7 @@
         deployment: "design-size".into(),
         services: services_named((0..services).collect()),
         classes: Vec::new(),
+        limits: None,
     };
     for service in 0..services {
         for at in 0..classes {
--- a/crates/ledger/tests/drain.rs
+++ b/crates/ledger/tests/drain.rs
@@ -37,6 +37,8 @@
         control: address,
         operator: address,
         state: State::Live,
+        instance: None,
+        slots: None,
     };
     let mut list = List {
         number,
--- a/crates/ledger/tests/ring.rs
+++ b/crates/ledger/tests/ring.rs
@@ -28,6 +28,8 @@
         control: address,
         operator: address,
         state: State::Live,
+        instance: None,
+        slots: None,
     };
     List {
         number,
--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -30,6 +30,8 @@
         control: address,
         operator: address,
         state: Platform::Live,
+        instance: None,
+        slots: None,
     }
 }
 
--- a/crates/policy/examples/model/world.rs
+++ b/crates/policy/examples/model/world.rs
@@ -107,8 +107,8 @@
             .map(|_| Entry {
                 estimates: (0..HOSTS).map(|_| Estimate::default()).collect(),
                 turn: AtomicUsize::new(0),
-                retry: Budget::retry(),
-                hedge: Budget::hedge(),
+                retry: Budget::retry(&Default::default()),
+                hedge: Budget::hedge(&Default::default()),
                 latency: Latency::new(),
             })
             .collect();
--- a/crates/policy/src/gate/limit.rs
+++ b/crates/policy/src/gate/limit.rs
@@ -107,6 +107,18 @@
         }
     }
 
+    /// Takes another number of slots; a limit that was found for the former
+    /// one is dropped.
+    pub(super) fn set_slots(&mut self, slots: usize) {
+        if slots == self.slots {
+            return;
+        }
+        self.slots = slots;
+        self.wanted = slots;
+        self.trial = None;
+        self.restart();
+    }
+
     fn floor(&self) -> usize {
         FLOOR.min(self.slots)
     }
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -224,6 +224,11 @@
         Some(wake)
     }
 
+    /// Takes the number of slots of the upstream, at least 1.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.limit.set_slots(slots.max(1));
+    }
+
     /// Refuses new work from now on. Waiting requests still run.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -267,7 +272,8 @@
         (wait_ms.ceil() as u32).clamp(1, RETRY_MAX_MS)
     }
 
-    /// Returns the load to report; the daemon fills in `incarnation`.
+    /// Returns the load to report; the daemon fills in `incarnation`, `version`
+    /// and `list`.
     pub fn load(&self) -> Load {
         Load {
             running: self.running.len() as u32,
@@ -276,6 +282,8 @@
             service_us: self.short_us as u32,
             leaving: self.leaving,
             incarnation: Incarnation::default(),
+            version: 0,
+            list: 0,
         }
     }
 }
--- a/crates/policy/src/retry/mod.rs
+++ b/crates/policy/src/retry/mod.rs
@@ -9,16 +9,18 @@
 
 /// Attempts of one request in total, the first included.
 pub const ATTEMPTS: u32 = 3;
-/// Millionths of a token that a fresh request adds for retries: 10%.
-const RETRY_SHARE: u64 = 100_000;
-/// Millionths of a token that a fresh request adds for hedges: 5%.
-const HEDGE_SHARE: u64 = 50_000;
+/// Fresh requests per hundred that may be retried.
+const RETRY_PERCENT: u32 = 10;
+/// Fresh requests per hundred that may be hedged.
+const HEDGE_PERCENT: u32 = 5;
+/// Millionths of a token for one percent.
+const PERCENT: u64 = 10_000;
 /// One token.
 const TOKEN: u64 = 1_000_000;
 /// Retries that a class may send at once.
-pub const RETRY_BURST: u64 = 10;
+pub const RETRY_BURST: u32 = 10;
 /// Hedges that a class may send at once.
-pub const HEDGE_BURST: u64 = 5;
+pub const HEDGE_BURST: u32 = 5;
 /// Longest latency that the histogram tells apart, microseconds.
 const LATENCY_MAX_US: u64 = 60_000_000;
 /// Answers before the percentile is used.
@@ -28,6 +30,29 @@
 /// A histogram is forgotten after one to two of these.
 const PERIOD: Duration = Duration::from_secs(5);
 
+/// Bounds of the budgets that a daemon keeps by itself. Over all daemons of a
+/// deployment, the repeats in any time are at most the sum of the bursts and
+/// the share of the fresh requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Fresh requests per hundred that may be retried.
+    pub retry_percent: u32,
+    /// Retries that may be sent at once.
+    pub retry_burst: u32,
+    /// Fresh requests per hundred that may be hedged; 0 allows no hedge.
+    pub hedge_percent: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            retry_percent: RETRY_PERCENT,
+            retry_burst: RETRY_BURST,
+            hedge_percent: HEDGE_PERCENT,
+        }
+    }
+}
+
 /// Token bucket that is filled by fresh traffic. It starts full, so after
 /// `n` fresh requests at most `burst + share * n` tokens were taken.
 #[derive(Debug)]
@@ -38,21 +63,27 @@
 }
 
 impl Budget {
-    /// Returns the budget of retries of one class.
-    pub fn retry() -> Self {
-        Self::new(RETRY_SHARE, RETRY_BURST)
+    /// Returns a budget of retries.
+    pub fn retry(settings: &Settings) -> Self {
+        Self::new(settings.retry_percent, settings.retry_burst)
     }
 
-    /// Returns the budget of hedged requests of one class.
-    pub fn hedge() -> Self {
-        Self::new(HEDGE_SHARE, HEDGE_BURST)
+    /// Returns a budget of hedged requests.
+    pub fn hedge(settings: &Settings) -> Self {
+        let burst = if settings.hedge_percent > 0 {
+            HEDGE_BURST
+        } else {
+            0
+        };
+        Self::new(settings.hedge_percent, burst)
     }
 
-    fn new(share: u64, burst: u64) -> Self {
+    fn new(percent: u32, burst: u32) -> Self {
+        let burst = u64::from(burst) * TOKEN;
         Self {
-            tokens: AtomicU64::new(burst * TOKEN),
-            share,
-            burst: burst * TOKEN,
+            tokens: AtomicU64::new(burst),
+            share: u64::from(percent) * PERCENT,
+            burst,
         }
     }
 
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use savorylane_intent::document::Work;
 use savorylane_policy::retry::{
-    ATTEMPTS, Budget, HEDGE_BURST, Latency, RETRY_BURST, attempts, may_hedge, may_retry,
+    ATTEMPTS, Budget, HEDGE_BURST, Latency, RETRY_BURST, Settings, attempts, may_hedge, may_retry,
 };
 use savorylane_wire::Verdict;
 
@@ -23,8 +23,8 @@
     let histories = prop::collection::vec(any::<bool>(), 0..2_000);
     let result = runner.run(&histories, |history| {
         let budgets = [
-            (Budget::retry(), RETRY_BURST, 10),
-            (Budget::hedge(), HEDGE_BURST, 5),
+            (Budget::retry(&Settings::default()), RETRY_BURST, 10),
+            (Budget::hedge(&Settings::default()), HEDGE_BURST, 5),
         ];
         for (budget, burst, percent) in budgets {
             let (mut fresh, mut taken) = (0, 0);
@@ -35,7 +35,7 @@
                 } else {
                     taken += u64::from(budget.take());
                 }
-                prop_assert!(taken * 100 <= burst * 100 + fresh * percent);
+                prop_assert!(taken * 100 <= u64::from(burst) * 100 + fresh * percent);
             }
         }
         Ok(())
--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -79,6 +79,8 @@
             control,
             operator,
             state: State::Live,
+            instance: None,
+            slots: None,
         }
     }
 }
@@ -155,6 +157,7 @@
             deployment: name.into(),
             services: services.to_vec(),
             classes,
+            limits: None,
         },
         hosts: 18,
         slots,
@@ -205,6 +208,10 @@
             success: 0.999,
         },
         shed_order,
+        authority: None,
+        split: Vec::new(),
+        timeout_ms: None,
+        attempts: None,
     }
 }
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -71,6 +71,7 @@
         deployment: "test".into(),
         services: Vec::new(),
         classes: Vec::new(),
+        limits: None,
     };
     platform.publish_document(&document);
     platform.freeze(Clients::Address(second));
--- a/crates/wire/src/header/mod.rs
+++ b/crates/wire/src/header/mod.rs
@@ -27,7 +27,9 @@
 /// Keyed work for its holder: run of the holder, ring of the key and time of
 /// the holder's clock; between daemons.
 pub const HOLD: &str = "savorylane-hold";
+/// Attributes of a request for its gatekeeper, as JSON; between daemons.
+pub const HOP: &str = "savorylane-hop";
 /// Headers that only daemons send; an entry drops them from callers' requests.
-pub const INTERNAL: [&str; 6] = [CALLER, CLASS, FROM, HOLD, LOAD, TO];
+pub const INTERNAL: [&str; 7] = [CALLER, CLASS, FROM, HOLD, HOP, LOAD, TO];
 /// Wait before another attempt is useful, in milliseconds; on refusals.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
--- a/crates/wire/src/load/mod.rs
+++ b/crates/wire/src/load/mod.rs
@@ -22,19 +22,27 @@
     pub leaving: bool,
     /// Run of the daemon that reports.
     pub incarnation: Incarnation,
+    /// Number of the configuration in force there; 0 for none.
+    #[serde(default)]
+    pub version: u64,
+    /// Number of the host list in force there; 0 for none.
+    #[serde(default)]
+    pub list: u64,
 }
 
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} {} {} {} {} {}",
+            "{} {} {} {} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
             self.service_us,
             u8::from(self.leaving),
-            self.incarnation
+            self.incarnation,
+            self.version,
+            self.list
         )
     }
 }
@@ -57,6 +65,11 @@
         let (running, queued, limit, service_us, leaving) =
             (next()?, next()?, next()?, next()?, next()?);
         let incarnation = fields.next().ok_or(Malformed)?;
+        let mut number = || match fields.next() {
+            None => Ok(0),
+            Some(field) => field.parse::<u64>().map_err(|_| Malformed),
+        };
+        let (version, list) = (number()?, number()?);
         Ok(Self {
             running,
             queued,
@@ -64,6 +77,8 @@
             service_us,
             leaving: leaving != 0,
             incarnation: incarnation.parse().map_err(|_| Malformed)?,
+            version,
+            list,
         })
     }
 }
