--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -10,7 +10,6 @@
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
-use hyper::body::Incoming;
 use tokio::time::Sleep;
 
 use crate::edge::server::STREAM_WINDOW;
@@ -220,19 +219,28 @@
 }
 
 struct Shared {
-    source: Incoming,
+    source: Body,
     kept: Vec<Bytes>,
     kept_bytes: usize,
     read_bytes: u64,
     limit: u64,
     ended: bool,
     dropped: bool,
+    /// Set once the answer has ended; the rest of the body may then be missing.
+    answered: bool,
+    /// Number of attempts; only the latest one reads on from the caller.
+    attempts: u64,
     fault: Option<Fault>,
 }
 
 impl Replay {
     /// Takes a caller's body of at most `limit` bytes.
-    pub fn open(source: Incoming, limit: u64) -> Self {
+    pub fn open<Source>(source: Source, limit: u64) -> Self
+    where
+        Source: http_body::Body<Data = Bytes> + Send + 'static,
+        Source::Error: Into<Cut>,
+    {
+        let source = source.map_err(Into::into).boxed_unsync();
         let ended = source.is_end_stream();
         Self {
             shared: Arc::new(Mutex::new(Shared {
@@ -243,6 +251,8 @@
                 limit,
                 ended,
                 dropped: false,
+                answered: false,
+                attempts: 0,
                 fault: None,
             })),
         }
@@ -275,28 +285,40 @@
         if !small {
             return Ok(());
         }
-        let mut attempt = Attempt {
-            replay: self.clone(),
-            next: 0,
-        };
+        let mut attempt = self.next_attempt();
         while let Some(frame) = attempt.frame().await {
             frame?;
         }
         Ok(())
     }
 
+    /// Takes the end of the answer. The server then drops what it has not read
+    /// of the body, and the library reports that as the body's end. An upstream
+    /// that answered early and reads on must not take it for one.
+    pub fn answered(&self) {
+        self.lock().answered = true;
+    }
+
     /// Returns what was wrong with the part that was read.
     pub fn fault(&self) -> Option<Fault> {
         self.lock().fault
     }
 
-    /// Returns the body of one attempt.
+    /// Returns the body of one attempt. Earlier attempts that have not read the
+    /// whole body fail from now on: an upstream that answered early may still be
+    /// reading one, and would take frames that the new attempt needs.
     pub fn attempt(&self) -> Body {
+        self.next_attempt().boxed_unsync()
+    }
+
+    fn next_attempt(&self) -> Attempt {
+        let mut shared = self.lock();
+        shared.attempts += 1;
         Attempt {
             replay: self.clone(),
+            number: shared.attempts,
             next: 0,
         }
-        .boxed_unsync()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
@@ -306,9 +328,17 @@
 
 struct Attempt {
     replay: Replay,
+    number: u64,
     next: usize,
 }
 
+impl Attempt {
+    /// Says whether the attempt lacks bytes that it can no longer get.
+    fn superseded(&self, shared: &Shared) -> bool {
+        self.number != shared.attempts && (shared.dropped || !shared.ended)
+    }
+}
+
 impl http_body::Body for Attempt {
     type Data = Bytes;
     type Error = Cut;
@@ -323,10 +353,17 @@
             self.next += 1;
             return Poll::Ready(Some(Ok(Frame::data(bytes.clone()))));
         }
+        if self.superseded(&shared) {
+            return Poll::Ready(Some(Err("another attempt reads the body".into())));
+        }
         if shared.ended {
             return Poll::Ready(None);
         }
         loop {
+            if shared.answered {
+                shared.fault = Some(Fault::Broken);
+                return Poll::Ready(Some(Err("the answer ended before the body".into())));
+            }
             let frame = match Pin::new(&mut shared.source).poll_frame(cx) {
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(None) => {
@@ -335,7 +372,7 @@
                 }
                 Poll::Ready(Some(Err(error))) => {
                     shared.fault = Some(Fault::Broken);
-                    return Poll::Ready(Some(Err(error.into())));
+                    return Poll::Ready(Some(Err(error)));
                 }
                 Poll::Ready(Some(Ok(frame))) => frame,
             };
@@ -363,7 +400,7 @@
 
     fn is_end_stream(&self) -> bool {
         let shared = self.replay.lock();
-        shared.ended && self.next >= shared.kept.len()
+        shared.ended && self.next >= shared.kept.len() && !self.superseded(&shared)
     }
 
     fn size_hint(&self) -> SizeHint {
--- /dev/null
+++ b/crates/daemon/tests/replay.rs
@@ -0,0 +1,65 @@
+//! A caller's body that several attempts send.
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::channel::mpsc::{UnboundedSender, unbounded};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use savorylane_daemon::body::{Body, Cut, Replay};
+
+/// Size of a frame, bytes; a few of them exceed what is kept.
+const FRAME_BYTES: usize = 100_000;
+/// Frames of a body.
+const FRAMES: u8 = 5;
+
+/// Opens a body that the test feeds.
+fn open() -> (UnboundedSender<Bytes>, Replay) {
+    let (feed, fed) = unbounded::<Bytes>();
+    let frames = fed.map(|bytes| Ok::<_, Cut>(Frame::data(bytes)));
+    (feed, Replay::open(StreamBody::new(frames), u64::MAX))
+}
+
+fn frame(number: u8) -> Bytes {
+    Bytes::from(vec![number; FRAME_BYTES])
+}
+
+fn whole() -> Bytes {
+    (0..FRAMES).flat_map(frame).collect()
+}
+
+async fn read(body: Body) -> Result<Bytes, Cut> {
+    Ok(body.collect().await?.to_bytes())
+}
+
+/// Guards against an upstream that answered early and goes on reading while
+/// another one is sent the body: either would get a body with holes.
+#[tokio::test]
+async fn a_later_attempt_gets_the_whole_body_and_an_earlier_one_none_of_its_rest() {
+    let (feed, replay) = open();
+    let mut first = replay.attempt();
+    feed.unbounded_send(frame(0)).unwrap();
+    first.frame().await.unwrap().unwrap();
+    let second = tokio::spawn(read(replay.attempt()));
+    for number in 1..FRAMES {
+        feed.unbounded_send(frame(number)).unwrap();
+        tokio::task::yield_now().await;
+        // It may read what is kept, and nothing from the caller.
+        let _ = first.frame().await;
+    }
+    drop(feed);
+    assert_eq!(second.await.unwrap().unwrap(), whole());
+    assert!(read(first).await.is_err(), "a part was taken for the whole");
+}
+
+/// Guards against a body that looks complete because its caller's connection
+/// dropped the rest after the answer.
+#[tokio::test]
+async fn the_rest_of_a_body_is_missing_after_the_answer() {
+    let (feed, replay) = open();
+    let mut attempt = replay.attempt();
+    feed.unbounded_send(frame(0)).unwrap();
+    attempt.frame().await.unwrap().unwrap();
+    replay.answered();
+    drop(feed);
+    assert!(read(attempt).await.is_err());
+}
