daemon: log each decision on a request, and leave as late as possible

Cause: a refusal could not be traced to what decided it; and a host that was told to stop refused other entries' work for 2.3 s in which it could serve. Change: bounded JSON lines for the end of a request, each attempt and each admission; the gatekeeper takes work until its servers end.

--- /dev/null
+++ b/crates/daemon/src/decisions/mod.rs
@@ -0,0 +1,222 @@
+//! Log lines about decisions on requests: one for each, of bounded volume.
+//!
+//! Each kind of line has a rate of its own, so that a flood of one kind does
+//! not displace the others. What is left out is counted by kind.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use savorylane_policy::route::Picture;
+use savorylane_wire::Verdict;
+
+use crate::call::{Call, Cause, Refusal};
+
+/// Kinds of lines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// A request that was answered by its upstream with success.
+    Answered,
+    /// A request that was refused, failed or was abandoned.
+    Failed,
+    /// An attempt at a host that led to an answer.
+    Attempt,
+    /// An attempt at a host that led to none.
+    Attempted,
+    /// What a gatekeeper did with a request that it ran.
+    Admitted,
+    /// What a gatekeeper did with a request that it refused, or that failed.
+    Rejected,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 6] = [
+        Self::Answered,
+        Self::Failed,
+        Self::Attempt,
+        Self::Attempted,
+        Self::Admitted,
+        Self::Rejected,
+    ];
+
+    /// Returns the lines a second that are written. What went well is of
+    /// interest as a sample only; what did not is kept up to the rate at which
+    /// a host on a fifth of a core can refuse.
+    fn rate(self) -> u64 {
+        match self {
+            Self::Answered | Self::Attempt | Self::Admitted => 20,
+            Self::Failed | Self::Attempted | Self::Rejected => 200,
+        }
+    }
+
+    /// Returns the name that metrics give the kind.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Failed => "failed",
+            Self::Attempt => "attempt",
+            Self::Attempted => "attempted",
+            Self::Admitted => "admitted",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
+/// Lines of one kind in the present second.
+#[derive(Debug, Default)]
+struct Window {
+    second: AtomicU64,
+    written: AtomicU64,
+    left_out: AtomicU64,
+}
+
+/// Rates of the lines of one daemon.
+#[derive(Debug, Default)]
+pub struct Decisions {
+    windows: [Window; Kind::ALL.len()],
+}
+
+impl Decisions {
+    /// Says whether a line of `kind` is written at `now`, and counts it.
+    pub fn allow(&self, kind: Kind, now: Duration) -> bool {
+        let window = &self.windows[kind as usize];
+        let second = now.as_secs();
+        // A count that another thread adds between the swap and the reset is
+        // lost, which costs one line's worth of accuracy a second.
+        if window.second.swap(second, Ordering::Relaxed) != second {
+            window.written.store(0, Ordering::Relaxed);
+        }
+        let allowed = window.written.fetch_add(1, Ordering::Relaxed) < kind.rate();
+        if !allowed {
+            window.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        allowed
+    }
+
+    /// Returns the lines of `kind` that were left out.
+    pub fn left_out(&self, kind: Kind) -> u64 {
+        self.windows[kind as usize].left_out.load(Ordering::Relaxed)
+    }
+}
+
+/// Returns the id of a request, as lines name it.
+fn id(call: &Call) -> &str {
+    call.id.as_deref().unwrap_or("")
+}
+
+/// What a request was decided by at the entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Basis {
+    /// Number of the configuration.
+    pub version: u64,
+    /// Number of the host list.
+    pub list: u64,
+}
+
+/// Writes the line of a request that was answered by its upstream.
+pub fn answered(call: &Call, status: StatusCode, basis: Basis, elapsed: Duration, whole: bool) {
+    log::info!(
+        target: "request",
+        event = "end", id = id(call), class = call.class.name.as_str(),
+        service = call.service.as_str(), outcome = if whole { "answered" } else { "cut" },
+        status = status.as_u16(), elapsed_ms = elapsed.as_millis() as u64,
+        configuration = basis.version, list = basis.list;
+        "the upstream's answer was passed on"
+    );
+}
+
+/// Writes the line of a request that the system answered itself.
+pub fn refused(id: &str, class: &str, refusal: &Refusal, basis: Basis, elapsed: Duration) {
+    log::info!(
+        target: "request",
+        event = "end", id = id, class = class, outcome = outcome(refusal.verdict),
+        status = refusal.status.as_u16(), cause = cause(refusal.cause),
+        elapsed_ms = elapsed.as_millis() as u64,
+        retry_after_ms = refusal.retry_after.map_or(0, |wait| wait.as_millis() as u64),
+        configuration = basis.version, list = basis.list;
+        "{}", refusal.reason
+    );
+}
+
+/// Writes the line of an attempt at a host, with what the choice saw.
+pub fn attempted(
+    call: &Call,
+    host: &str,
+    number: usize,
+    picture: &Picture,
+    start: Instant,
+    result: Result<StatusCode, &Refusal>,
+) {
+    let elapsed_ms = start.elapsed().as_millis() as u64;
+    let left_ms = call.remaining(Instant::now()).as_millis() as u64;
+    let instance = call.path.as_ref().map_or("", |path| path.instance.as_str());
+    let (outcome, cause, reason) = match result {
+        Ok(_) => ("answered", "", "the host answered"),
+        Err(refusal) => (
+            outcome(refusal.verdict),
+            cause(refusal.cause),
+            refusal.reason.as_str(),
+        ),
+    };
+    log::info!(
+        target: "request",
+        event = "attempt", id = id(call), service = call.service.as_str(), to = host,
+        instance = instance, number = number, outcome = outcome, cause = cause,
+        elapsed_ms = elapsed_ms, left_ms = left_ms, load = picture.load, limit = picture.limit,
+        report_age_ms = picture.age_ms, latency_ms = picture.latency_ms;
+        "{reason}"
+    );
+}
+
+/// What a gatekeeper saw when it decided.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gate {
+    /// Requests that ran.
+    pub running: u32,
+    /// Requests that waited.
+    pub queued: u32,
+    /// Slots in use at most.
+    pub limit: u32,
+}
+
+/// Writes the line of a request at a gatekeeper.
+pub fn gated(
+    call: &Call,
+    gate: Gate,
+    waited: Duration,
+    start: Instant,
+    result: Result<StatusCode, &Refusal>,
+) {
+    let elapsed_ms = start.elapsed().as_millis() as u64;
+    let instance = call.path.as_ref().map_or("", |path| path.instance.as_str());
+    let (outcome, cause, reason) = match result {
+        Ok(_) => ("ran", "", "the upstream answered"),
+        Err(refusal) => (
+            outcome(refusal.verdict),
+            cause(refusal.cause),
+            refusal.reason.as_str(),
+        ),
+    };
+    log::info!(
+        target: "request",
+        event = "gate", id = id(call), class = call.class.name.as_str(), instance = instance,
+        outcome = outcome, cause = cause, waited_ms = waited.as_millis() as u64,
+        elapsed_ms = elapsed_ms, running = gate.running, queued = gate.queued,
+        limit = gate.limit, left_ms = call.remaining(Instant::now()).as_millis() as u64;
+        "{reason}"
+    );
+}
+
+fn outcome(verdict: Verdict) -> &'static str {
+    verdict.as_str()
+}
+
+fn cause(cause: Cause) -> &'static str {
+    match cause {
+        Cause::Away => "away",
+        Cause::Busy => "busy",
+        Cause::Request => "request",
+        Cause::Suspect => "suspect",
+    }
+}
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -14,11 +14,12 @@
 use savorylane_intent::Snapshot;
 use savorylane_intent::hosts::{Host, State};
 use savorylane_policy::retry::{self, attempts, may_hedge, may_retry};
-use savorylane_policy::route::{self, Candidate, Distance, Estimate, Outcome, Ticket};
+use savorylane_policy::route::{self, Candidate, Distance, Estimate, Outcome, Picture, Ticket};
 use savorylane_wire::{Load, Verdict, header};
 
 use crate::body::{Body, Replay};
 use crate::call::{Call, Cause, Path, Refusal};
+use crate::decisions::{self, Kind};
 use crate::edge::keyed_store;
 use crate::kernel::Context;
 use crate::peers;
@@ -176,7 +177,8 @@
     tried: &mut Vec<usize>,
 ) -> Result<Response<Body>, Refusal> {
     tried.push(plan.host);
-    let mut first = attempt(context, snapshot, call, class, plan.host, body.attempt());
+    let way = (plan.host, tried.len());
+    let mut first = attempt(context, snapshot, call, class, way, body.attempt());
     let Some(hedge) = plan.hedge else {
         return first.await;
     };
@@ -195,7 +197,8 @@
     };
     context.metrics.attempted("hedge");
     tried.push(host);
-    let second = attempt(context, snapshot, call, class, host, body.attempt());
+    let way = (host, tried.len());
+    let second = attempt(context, snapshot, call, class, way, body.attempt());
     let (result, loser) = race(first, second).await;
     if let Some(loser) = loser
         && hedge.probe
@@ -365,13 +368,14 @@
     }
 }
 
-/// Sends a call to one host.
+/// Sends a call to one host; `way` is the host's position and the number of
+/// the attempt.
 fn attempt(
     context: &Arc<Context>,
     snapshot: &Arc<Snapshot>,
     call: &Arc<Call>,
     class: &Arc<Class>,
-    host: usize,
+    (host, number): (usize, usize),
     body: Body,
 ) -> Attempt {
     let (context, snapshot) = (Arc::clone(context), Arc::clone(snapshot));
@@ -381,6 +385,7 @@
         let estimate = estimate(&context, host);
         let call = aimed(call, host);
         let start = Instant::now();
+        let picture = estimate.picture(context.now());
         let ticket = estimate.begin(context.now(), call.class.work);
         let mut pending = Pending {
             context: Arc::clone(&context),
@@ -418,6 +423,15 @@
             Err(refusal) if refusal.verdict == Verdict::NotRun => Outcome::Refused,
             Err(_) => Outcome::Cancelled,
         };
+        log_attempt(
+            &context,
+            &call,
+            host,
+            number,
+            &picture,
+            start,
+            &reply.result,
+        );
         if reply.result.is_ok() {
             class.latency().add(context.now(), start.elapsed());
         }
@@ -425,6 +439,25 @@
     })
 }
 
+fn log_attempt(
+    context: &Context,
+    call: &Call,
+    host: &Host,
+    number: usize,
+    picture: &Picture,
+    start: Instant,
+    result: &Result<Response<Body>, Refusal>,
+) {
+    let kind = match result {
+        Ok(_) => Kind::Attempt,
+        Err(_) => Kind::Attempted,
+    };
+    if context.decisions.allow(kind, context.now()) {
+        let result = result.as_ref().map(Response::status);
+        decisions::attempted(call, &host.name, number, picture, start, result);
+    }
+}
+
 /// Returns the call with the instance that `host` has, where upstreams ask for
 /// one.
 fn aimed(call: Arc<Call>, host: &Host) -> Arc<Call> {
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -8,7 +8,6 @@
 use futures::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
-use savorylane_intent::document::Class;
 use savorylane_platform::header as platform;
 use savorylane_wire::{Verdict, header};
 use tokio::net::TcpListener;
@@ -16,6 +15,7 @@
 
 use crate::body::{self, Body, Observer, Replay, Watched};
 use crate::call::{Call, Cause, Refusal};
+use crate::decisions::{self, Basis, Kind};
 use crate::dispatch;
 use crate::edge::server;
 use crate::holder;
@@ -58,6 +58,7 @@
     peer: SocketAddr,
 ) -> Response<Body> {
     let adapted = context.settings.adapter.is_some();
+    let start = Instant::now();
     let id = platform::id(request.headers()).map(str::to_owned);
     match accept(&context, request, peer).await {
         Ok(mut answer) => {
@@ -66,8 +67,26 @@
             }
             answer
         }
-        Err(refusal) if adapted => refuse(&refusal, id.as_deref()),
-        Err(refusal) => refusal.answer(),
+        Err(refusal) => {
+            if context.decisions.allow(Kind::Failed, context.now()) {
+                let id = id.as_deref().unwrap_or_default();
+                let basis = basis(&context);
+                decisions::refused(id, "", &refusal, basis, start.elapsed());
+            }
+            match adapted {
+                true => refuse(&refusal, id.as_deref()),
+                false => refusal.answer(),
+            }
+        }
+    }
+}
+
+/// Returns what requests are decided by at present.
+fn basis(context: &Context) -> Basis {
+    let current = context.config.current();
+    Basis {
+        version: current.version.map_or(0, |version| version.number),
+        list: current.hosts,
     }
 }
 
@@ -130,8 +149,14 @@
     let body = Replay::open(body, limit);
     let mut record = Record {
         context: Arc::clone(context),
-        class: call.class.clone(),
+        call: Arc::clone(&call),
+        body: body.clone(),
+        basis: Basis {
+            version: snapshot.version.number,
+            list: snapshot.list.number,
+        },
         start: Instant::now(),
+        status: None,
         success: false,
         verdict: Verdict::MayHaveRun,
     };
@@ -144,6 +169,7 @@
     match served {
         Ok(answer) => {
             record.success = !answer.status().is_server_error();
+            record.status = Some(answer.status());
             record.verdict = Verdict::Ran;
             Ok(answer.map(|body| Watched::wrap(body, call.deadline, record)))
         }
@@ -184,21 +210,34 @@
 /// Counts a request in results and metrics when its answer has ended.
 struct Record {
     context: Arc<Context>,
-    class: Class,
+    call: Arc<Call>,
+    body: Replay,
+    basis: Basis,
     start: Instant,
+    /// Status of the upstream's answer, if there was one.
+    status: Option<StatusCode>,
     success: bool,
     verdict: Verdict,
 }
 
 impl Drop for Record {
     fn drop(&mut self) {
+        self.body.answered();
         let latency = self.start.elapsed();
         let context = &self.context;
-        context.results.record(&self.class, latency, self.success);
+        let class = &self.call.class;
+        context.results.record(class, latency, self.success);
         let seconds = latency.as_secs_f64();
-        context
-            .metrics
-            .answered(&self.class.name, self.verdict, seconds);
+        context.metrics.answered(&class.name, self.verdict, seconds);
+        let Some(status) = self.status else { return };
+        let kind = match self.success {
+            true => Kind::Answered,
+            false => Kind::Failed,
+        };
+        if context.decisions.allow(kind, context.now()) {
+            let whole = self.success || status.is_server_error();
+            decisions::answered(&self.call, status, self.basis, latency, whole);
+        }
     }
 }
 
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::body::{Body, Observer, Watched, peek};
 use crate::call::{Call, Cause, Refusal};
+use crate::decisions::{self, Kind};
 use crate::dispatch::table::hash;
 use crate::edge::upstream::{self, Upstream};
 use crate::kernel::Context;
@@ -56,6 +57,13 @@
     waiters: HashMap<u64, oneshot::Sender<Result<(), Reason>>>,
 }
 
+/// What a request met at the gate.
+#[derive(Clone, Copy, Debug, Default)]
+struct Admission {
+    gate: decisions::Gate,
+    waited: Duration,
+}
+
 /// A slot of the upstream; given back when dropped.
 struct Slot {
     context: Arc<Context>,
@@ -119,6 +127,27 @@
         context: &Arc<Context>,
         call: &Call,
         body: Body,
+    ) -> Result<Response<Body>, Refusal> {
+        let start = Instant::now();
+        let mut admission = Admission::default();
+        let result = self.serve(context, call, body, &mut admission).await;
+        let kind = match &result {
+            Ok(_) => Kind::Admitted,
+            Err(_) => Kind::Rejected,
+        };
+        if context.decisions.allow(kind, context.now()) {
+            let result = result.as_ref().map(Response::status);
+            decisions::gated(call, admission.gate, admission.waited, start, result);
+        }
+        result
+    }
+
+    async fn serve(
+        self: &Arc<Self>,
+        context: &Arc<Context>,
+        call: &Call,
+        body: Body,
+        admission: &mut Admission,
     ) -> Result<Response<Body>, Refusal> {
         // The start of the body is waited for before a slot is taken: the
         // fingerprint of a request must not depend on how its body arrives.
@@ -135,7 +164,11 @@
             };
         let fingerprint = suspects::fingerprint(call, &start, whole);
         let trial = suspects::admit(context, &fingerprint)?;
-        let mut slot = self.admit(context, call, fingerprint, trial).await?;
+        let asked = Instant::now();
+        admission.gate = self.picture();
+        let admitted = self.admit(context, call, fingerprint, trial).await;
+        admission.waited = asked.elapsed();
+        let mut slot = admitted?;
         self.deaths.begin(slot.id, fingerprint);
         let remaining = call.remaining(Instant::now());
         let sent = self.upstream.send(call, body);
@@ -264,6 +297,16 @@
         self.changed.notify_one();
     }
 
+    /// Returns what a request meets that arrives now, for its log line.
+    fn picture(&self) -> decisions::Gate {
+        let load = self.load();
+        decisions::Gate {
+            running: load.running,
+            queued: load.queued,
+            limit: load.limit,
+        }
+    }
+
     /// Refuses new work from now on.
     pub fn leave(&self) {
         self.lock().gate.leave();
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::audit::{Event, Trail};
 use crate::config::Store;
+use crate::decisions::Decisions;
 use crate::dispatch::Dispatcher;
 use crate::edge::control::Clients;
 use crate::edge::keyed_store::Contact;
@@ -73,6 +74,8 @@
     pub results: Results,
     /// Metrics.
     pub metrics: Metrics,
+    /// Rates of log lines about requests.
+    pub decisions: Decisions,
     /// Chooses hosts and sends requests to them.
     pub dispatcher: Dispatcher,
     /// Contact with the store of the adapted platform.
@@ -125,7 +128,11 @@
         if self.leaving.is_cancelled() {
             return;
         }
-        self.gatekeeper.leave();
+        // On the adapted platform the work of other entries is taken until the
+        // servers end: the host is away for the shorter time.
+        if self.settings.adapter.is_none() {
+            self.gatekeeper.leave();
+        }
         self.leaving.cancel();
         peers::leave(self);
         self.trail.record(Event::Leaving {
@@ -230,6 +237,7 @@
         gatekeeper,
         results: Results::default(),
         metrics: Metrics::open(),
+        decisions: Decisions::default(),
         dispatcher: Dispatcher::open(settings.data.ip(), settings.budgets),
         store: Contact::default(),
         turn: AtomicU64::new(0),
@@ -275,6 +283,7 @@
             None => LEAVE_NOTICE,
         };
         tokio::time::sleep(notice).await;
+        self.context.gatekeeper.leave();
         self.context.stop.cancel();
         let limit = tokio::time::Instant::now() + self.context.settings.drain_limit;
         let mut cut = Vec::new();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod body;
 pub mod call;
 pub mod config;
+pub mod decisions;
 pub mod dispatch;
 pub mod edge;
 pub mod error;
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -45,6 +45,19 @@
     Refused,
 }
 
+/// What an estimate said of a host when a request was sent there.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Picture {
+    /// Expected requests at the host.
+    pub load: u32,
+    /// Reported limit; 0 before the first report.
+    pub limit: u32,
+    /// Age of the last report, milliseconds.
+    pub age_ms: u64,
+    /// Smoothed response time of short work, milliseconds; 0 if unknown.
+    pub latency_ms: u64,
+}
+
 /// A request that was counted by [`Estimate::begin`]. It must be given back to
 /// [`Estimate::end`] exactly once.
 #[derive(Debug)]
@@ -266,6 +279,18 @@
         own.max(reported + f64::from(self.sent.load(Ordering::Relaxed)))
     }
 
+    /// Returns what the estimate says at `now`, for a log line.
+    pub fn picture(&self, now: Duration) -> Picture {
+        let us = |atomic: &AtomicU64| atomic.load(Ordering::Relaxed);
+        let age_us = micros(now).saturating_sub(us(&self.reported_us));
+        Picture {
+            load: self.outstanding(now).round() as u32,
+            limit: self.limit.load(Ordering::Relaxed),
+            age_ms: age_us / 1_000,
+            latency_ms: us(&self.short_us) / 1_000,
+        }
+    }
+
     /// Returns the reported limit, if there is one.
     pub(super) fn limit(&self) -> Option<f64> {
         let limit = self.limit.load(Ordering::Relaxed);
