--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -142,7 +142,7 @@
             let known = self.snapshot.load();
             let snapshot = match known.as_deref() {
                 Some(known) if known.version == accepted.version => known.with_list(list),
-                _ => Snapshot::build(accepted.document.as_ref().clone(), list),
+                _ => Snapshot::adopt(accepted.version, Arc::clone(&accepted.document), list),
             };
             self.snapshot.store(Some(Arc::new(snapshot)));
         }
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -44,7 +44,7 @@
     Box::pin(async move {
         let Some(listener) = listener else { return };
         let limits = match context.settings.adapter {
-            Some(_) => server::Limits::DAEMONS,
+            Some(_) => server::Limits::CALLERS,
             None => server::Limits::own(context.settings.caller_connections),
         };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -57,6 +57,17 @@
     pub header_bytes: u32,
     /// Headers of a request.
     pub headers: usize,
+    /// Protocols that are spoken.
+    pub protocol: Protocol,
+}
+
+/// Protocols of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Protocol {
+    /// HTTP/1.1 or HTTP/2, as the peer begins.
+    Any,
+    /// HTTP/1.1 only; a connection takes less memory.
+    Http1,
 }
 
 impl Limits {
@@ -67,6 +78,15 @@
         head: IDLE_TIMEOUT,
         header_bytes: 4 * HEADER_BYTES,
         headers: 4 * HEADERS_MAX,
+        protocol: Protocol::Any,
+    };
+
+    /// Limits towards callers of the adapted platform. Headers take up to
+    /// 16 KiB there; what a connection reads at once is bounded by this too.
+    pub const CALLERS: Self = Self {
+        header_bytes: 2 * HEADER_BYTES,
+        protocol: Protocol::Http1,
+        ..Self::DAEMONS
     };
 
     /// Returns the product's own limits for `connections` connections of one
@@ -77,6 +97,7 @@
             head: HEAD_TIMEOUT,
             header_bytes: HEADER_BYTES,
             headers: HEADERS_MAX,
+            protocol: Protocol::Any,
         }
     }
 }
@@ -143,6 +164,9 @@
 
 fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
+    if limits.protocol == Protocol::Http1 {
+        builder = builder.http1_only();
+    }
     builder
         .http1()
         .timer(TokioTimer::new())
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -25,6 +25,10 @@
 /// Time for a connection to be opened.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Bytes that a connection reads at once, at most. The library would keep room
+/// for ten times as much on each connection.
+const READ_BYTES: usize = 32 << 10;
+
 /// Why no answer came.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Failure {
@@ -50,6 +54,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE)
             .pool_timer(TokioTimer::new())
+            .http1_max_buf_size(READ_BYTES)
             .build(connector);
         Self { address, client }
     }
--- a/crates/intent/src/document/mod.rs
+++ b/crates/intent/src/document/mod.rs
@@ -85,7 +85,8 @@
     /// Requests whose path starts with this belong to the class; the longest
     /// prefix among the classes with the request's method wins.
     pub path_prefix: String,
-    /// Upper-case HTTP methods that belong to the class.
+    /// Upper-case HTTP methods that belong to the class. A class that names an
+    /// authority may list none, and takes all.
     pub methods: Vec<String>,
     /// Expected length of the work.
     pub work: Work,
@@ -203,15 +204,17 @@
                     });
                 }
             }
-            for method in &class.methods {
+            let all = bound::METHODS.iter().filter(|_| class.methods.is_empty());
+            let methods = class.methods.iter().map(String::as_str);
+            for method in methods.chain(all.copied()) {
                 let authority = class.authority.as_deref();
-                let route = (authority, class.path_prefix.as_str(), method.as_str());
+                let route = (authority, class.path_prefix.as_str(), method);
                 if let Some(other) = routes.insert(route, class.name.as_str()) {
                     return Err(Fault::Ambiguous {
                         class: class.name.clone(),
                         other: other.into(),
                         prefix: class.path_prefix.clone(),
-                        method: method.clone(),
+                        method: method.to_owned(),
                     });
                 }
             }
@@ -241,7 +244,7 @@
             let methods = bound::METHODS.join(", ");
             format!("accepted are one or more of {methods}, each once")
         };
-        if self.methods.is_empty() {
+        if self.methods.is_empty() && self.authority.is_none() {
             return Err(Fault::value(&field_methods, "an empty list", accepted()));
         }
         let mut methods = BTreeSet::new();
@@ -281,6 +284,11 @@
         Ok(())
     }
 
+    /// Says whether requests with `method` belong to the class.
+    pub fn takes(&self, method: &str) -> bool {
+        self.methods.is_empty() || self.methods.iter().any(|taken| taken == method)
+    }
+
     /// Returns the service of the request with number `turn`.
     ///
     /// Over any run of consecutive turns, each share gets its weight to within
--- a/crates/intent/src/snapshot/mod.rs
+++ b/crates/intent/src/snapshot/mod.rs
@@ -1,6 +1,7 @@
 //! Immutable view that a request is routed by from start to end.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::document::{Class, Document};
 use crate::hosts::{Host, List};
@@ -15,7 +16,7 @@
     /// Version in force.
     pub version: Version,
     /// The document.
-    pub document: Document,
+    pub document: Arc<Document>,
     /// The host list.
     pub list: List,
     /// Indices into `list.hosts`, by service.
@@ -41,8 +42,19 @@
     ///
     /// Panics if a class names a service that the document does not hold;
     /// [`crate::document::validate`] refuses such a document.
-    pub fn build(mut document: Document, mut list: List) -> Self {
+    pub fn build(mut document: Document, list: List) -> Self {
         document.sort();
+        let version = document.version();
+        Self::adopt(version, Arc::new(document), list)
+    }
+
+    /// Builds a snapshot of a sorted document whose version is known, without
+    /// a copy of it; sorts `list` by name.
+    ///
+    /// # Panics
+    ///
+    /// As [`Snapshot::build`].
+    pub fn adopt(version: Version, document: Arc<Document>, mut list: List) -> Self {
         list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
         let services = services(&document, &list);
         for class in &document.classes {
@@ -56,7 +68,7 @@
             }
         }
         Self {
-            version: document.version(),
+            version,
             routes: routes(&document.classes),
             document,
             list,
@@ -89,7 +101,7 @@
             let meant = class.authority.is_none() || class.authority.as_deref() == authority;
             if meant
                 && path.starts_with(&class.path_prefix)
-                && class.methods.iter().any(|m| m == method)
+                && class.takes(method)
             {
                 return Some(route.class);
             }
@@ -144,7 +156,7 @@
             version: self.version,
             services: services(&self.document, &list),
             routes: self.routes.clone(),
-            document: self.document.clone(),
+            document: Arc::clone(&self.document),
             list,
         }
     }
