gate: bound the queue of an upstream with many slots by its length

Change: a wait beyond the share of the target is accepted for 4 requests, not for two service times whatever the number of slots.

--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -14,6 +14,9 @@
 /// Wait that is accepted whatever the target, in service times, so that noise
 /// does not leave slots idle.
 const WAIT_MIN: f64 = 2.0;
+/// Requests whose wait is accepted at most on these grounds. Of many slots, one
+/// becomes free soon, and a longer queue only delays every answer.
+const QUEUE_MIN: f64 = 4.0;
 /// Share of the time left until the target that wait and service may be
 /// expected to take. Under overload the queue grows to what is accepted; with
 /// all of the time, half of the answers would miss the target by the spread of
@@ -144,12 +147,14 @@
     /// Says whether the deadline can be met, given queue, limit and service
     /// time. Under lasting overload a longer queue delays every answer and
     /// answers no more of them, so the wait is also bounded by the target of
-    /// the class, or by [`WAIT_MIN`] service times if the target is nearer.
+    /// the class, or by [`WAIT_MIN`] if the target is nearer.
     pub(super) fn in_time(&self, now: Duration, work: &Work) -> bool {
         let (wait, service) = (self.wait_us(work), self.service_us(work));
         let left = |moment: Duration| micros(moment.saturating_sub(now));
+        let slots = self.slots_of(work.length) as f64;
+        let wait_min = service * WAIT_MIN.min(QUEUE_MIN / slots);
         wait + service <= left(work.deadline)
-            && (wait <= service * WAIT_MIN || wait + service <= left(work.target) * TARGET_SHARE)
+            && (wait <= wait_min || wait + service <= left(work.target) * TARGET_SHARE)
     }
 
     /// Says whether a waiting request has no chance to be answered in time.
