--- a/crates/daemon/src/audit/mod.rs
+++ b/crates/daemon/src/audit/mod.rs
@@ -66,6 +66,48 @@
     },
 }
 
+/// Changes of a version that a log line names; the trail has all of them. A
+/// first version of hundreds of classes would make a line of 50 KB.
+const LOGGED_CHANGES: usize = 16;
+
+impl Event {
+    /// Returns the event as a log line gives it.
+    fn line(&self) -> String {
+        let mut shown = self.clone();
+        if let Self::Offer {
+            outcome: Outcome::Adopted { changes, .. },
+            ..
+        } = &mut shown
+        {
+            changes.truncate(LOGGED_CHANGES);
+        }
+        serde_json::to_string(&shown).unwrap_or_else(|error| error.to_string())
+    }
+
+    /// Returns the number of changes that a version brought.
+    fn changes(&self) -> usize {
+        match self {
+            Self::Offer {
+                outcome: Outcome::Adopted { changes, .. },
+                ..
+            } => changes.len(),
+            _ => 0,
+        }
+    }
+
+    /// Returns what happened, in a word.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Offer { .. } => "offer",
+            Self::Refused { .. } => "refused",
+            Self::Hosts { .. } => "hosts",
+            Self::Leaving { .. } => "leaving",
+            Self::Banned { .. } => "banned",
+            Self::Paused { .. } => "paused",
+        }
+    }
+}
+
 /// Bounded trail in memory.
 #[derive(Debug, Default)]
 pub struct Trail {
@@ -83,9 +125,8 @@
             event,
         };
         log::info!(
-            target: "audit",
-            "{}",
-            serde_json::to_string(&entry.event).unwrap_or_default()
+            target: "audit", event_kind = entry.event.kind(), changes = entry.event.changes();
+            "{}", entry.event.line()
         );
         if guard.1.len() == ENTRIES_MAX {
             guard.1.pop_front();
--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -213,7 +213,8 @@
     verdict.as_str()
 }
 
-fn cause(cause: Cause) -> &'static str {
+/// Returns the word that lines and metrics have for a cause.
+pub fn cause(cause: Cause) -> &'static str {
     match cause {
         Cause::Away => "away",
         Cause::Busy => "busy",
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -448,10 +448,18 @@
     start: Instant,
     result: &Result<Response<Body>, Refusal>,
 ) {
-    let kind = match result {
-        Ok(_) => Kind::Attempt,
-        Err(_) => Kind::Attempted,
+    let (kind, outcome, cause) = match result {
+        Ok(_) => (Kind::Attempt, "answered", ""),
+        Err(refusal) => (
+            Kind::Attempted,
+            refusal.verdict.as_str(),
+            decisions::cause(refusal.cause),
+        ),
     };
+    let seconds = start.elapsed().as_secs_f64();
+    context
+        .metrics
+        .attempt(&call.service, outcome, cause, seconds);
     if context.decisions.allow(kind, context.now()) {
         let result = result.as_ref().map(Response::status);
         decisions::attempted(call, &host.name, number, picture, start, result);
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -47,6 +47,17 @@
     asking: AtomicBool,
 }
 
+impl Contact {
+    /// Returns the time at `now` for which the store gives no answers,
+    /// milliseconds; 0 while it does.
+    pub fn lost_ms(&self, now: Duration) -> u64 {
+        match self.lost_ms.load(Ordering::Relaxed) {
+            0 => 0,
+            since => (now.as_millis() as u64).saturating_sub(since).max(1),
+        }
+    }
+}
+
 /// Follows the store until `stop`.
 pub async fn run(context: Arc<Context>, stop: CancellationToken) {
     let Some(adapter) = context.settings.adapter.clone() else {
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -298,6 +298,10 @@
     /// Refuses work until a connection to the upstream succeeds.
     fn close(&self) {
         let now = self.now();
+        log::warn!(
+            target: "dependency", dependency = "upstream", outcome = "lost";
+            "the upstream refuses connections, broke all of them or drains"
+        );
         let mut inner = self.lock();
         inner.gate.close();
         inner.pump(now);
@@ -416,6 +420,10 @@
                 let mut inner = self.lock();
                 let now = self.now();
                 if up && !self.draining.load(Ordering::Relaxed) {
+                    log::info!(
+                        target: "dependency", dependency = "upstream", outcome = "regained";
+                        "the upstream takes connections again"
+                    );
                     inner.gate.reopen(now);
                 } else {
                     inner.gate.close();
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -8,6 +8,9 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use savorylane_wire::{Load, Verdict};
 
+use crate::decisions::{Decisions, Kind};
+use crate::logs;
+
 /// Instruments of one daemon.
 pub struct Metrics {
     registry: Registry,
@@ -20,8 +23,17 @@
     queued: Gauge<u64>,
     limit: Gauge<u64>,
     version: Gauge<u64>,
+    left_out: Gauge<u64>,
+    attempts: Counter<u64>,
+    attempt_latency: Histogram<f64>,
+    store_lost: Gauge<u64>,
 }
 
+/// Boundaries of latency histograms, seconds.
+const LATENCIES: [f64; 13] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0,
+];
+
 impl fmt::Debug for Metrics {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Metrics")
@@ -50,9 +62,7 @@
             latency: meter
                 .f64_histogram("savorylane_latency_seconds")
                 .with_description("Time from the head of a request to the end of its answer")
-                .with_boundaries(vec![
-                    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 30.0,
-                ])
+                .with_boundaries(LATENCIES.to_vec())
                 .build(),
             retries: meter
                 .u64_counter("savorylane_attempts")
@@ -66,6 +76,23 @@
             queued: meter.u64_gauge("savorylane_queued").build(),
             limit: meter.u64_gauge("savorylane_slots").build(),
             version: meter.u64_gauge("savorylane_version").build(),
+            left_out: meter
+                .u64_gauge("savorylane_log_lines_left_out")
+                .with_description("Log lines that were not written, by kind")
+                .build(),
+            attempts: meter
+                .u64_counter("savorylane_host_attempts")
+                .with_description("Attempts at hosts, by service, outcome and cause")
+                .build(),
+            attempt_latency: meter
+                .f64_histogram("savorylane_host_latency_seconds")
+                .with_description("Time from an attempt at a host to its answer's head")
+                .with_boundaries(LATENCIES.to_vec())
+                .build(),
+            store_lost: meter
+                .u64_gauge("savorylane_store_lost_milliseconds")
+                .with_description("Time for which the store gives no answers; 0 while it does")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -84,6 +111,28 @@
         self.retries.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts an attempt at a host; `outcome` and `cause` are the words of its
+    /// log line.
+    pub fn attempt(&self, service: &str, outcome: &'static str, cause: &'static str, seconds: f64) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.attempt_latency
+            .record(seconds, std::slice::from_ref(&service));
+        let outcome = KeyValue::new("outcome", outcome);
+        let cause = KeyValue::new("cause", cause);
+        self.attempts.add(1, &[service, outcome, cause]);
+    }
+
+    /// Sets what is known of log lines and of the store.
+    pub fn set_state(&self, decisions: &Decisions, store_lost_ms: u64) {
+        for kind in Kind::ALL {
+            let name = KeyValue::new("kind", kind.name());
+            self.left_out.record(decisions.left_out(kind), &[name]);
+        }
+        let full = KeyValue::new("kind", "queue-full");
+        self.left_out.record(logs::dropped(), &[full]);
+        self.store_lost.record(store_lost_ms, &[]);
+    }
+
     /// Counts an answer that came after its attempt was abandoned.
     pub fn late(&self) {
         self.late.add(1, &[]);
