client: explain one request from the logs of the hosts

Cause: a failed request could only be traced by hand. Change: savorylane explain ID FILE... streams logs, lists the lines of a request and its calls in order and says which are missing; a line for requests whose caller went away; tests of the registry of upstreams.

--- a/crates/client/src/arguments/mod.rs
+++ b/crates/client/src/arguments/mod.rs
@@ -55,6 +55,22 @@
         file: PathBuf,
     },
 
+    /// Shows one request's life from the logs of the hosts
+    ///
+    /// Lists the lines of the request and of the calls made while it ran, in
+    /// the order of their times, and says which lines are missing.
+    #[bpaf(command)]
+    Explain {
+        #[bpaf(external)]
+        output: Option<String>,
+        /// Id of the request
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Log files of the hosts; `-` reads from standard input
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
+
     /// Shows whether the targets are met, and the version of each host
     #[bpaf(command)]
     Status {
--- a/crates/client/src/command/mod.rs
+++ b/crates/client/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod audit;
 mod diff;
 mod drain;
+mod explain;
 mod split;
 mod status;
 mod target;
@@ -33,6 +34,7 @@
         Command::Validate { file } => validate::run(output, file),
         Command::Diff { old, new } => diff::run(output, old, new),
         Command::Split { file, out } => split::run(output, file, out),
+        Command::Explain { id, files } => explain::run(output, id, files),
         Command::Remote { operator, action } => ask(output, *operator, action),
     }
 }
--- a/crates/client/src/fault/mod.rs
+++ b/crates/client/src/fault/mod.rs
@@ -50,6 +50,16 @@
         /// Error of the system.
         source: std::io::Error,
     },
+    /// No log file has a line of a request.
+    #[snafu(display(
+        "{id}: no line of this request is in the files; {unreadable} lines could not be read"
+    ))]
+    Unknown {
+        /// Id of the request.
+        id: String,
+        /// Lines that are cut or not JSON.
+        unreadable: u64,
+    },
     /// A document is refused.
     #[snafu(display("{file}: {source}"))]
     Refused {
@@ -136,6 +146,7 @@
             | Self::File { .. }
             | Self::Refused { .. }
             | Self::Runtime { .. }
+            | Self::Unknown { .. }
             | Self::Unmet { .. } => ExitCode::from(FAILED),
         }
     }
--- a/crates/client/src/settings/mod.rs
+++ b/crates/client/src/settings/mod.rs
@@ -50,6 +50,13 @@
         /// Later document.
         new: PathBuf,
     },
+    /// Shows a request's life from log files.
+    Explain {
+        /// Id of the request.
+        id: String,
+        /// Log files.
+        files: Vec<PathBuf>,
+    },
     /// Splits a document into platform values.
     Split {
         /// The document.
@@ -165,6 +172,13 @@
             }
             (output, Command::Split { file, out })
         }
+        Arguments::Explain { output, id, files } => {
+            if id.is_empty() || files.is_empty() {
+                let accepted = "accepted are the id of a request and one or more log files";
+                return Err(Fault::setting("ID", &id, accepted));
+            }
+            (output, Command::Explain { id, files })
+        }
         other => return remote::check(other),
     };
     Ok(Settings {
--- a/crates/client/src/settings/remote.rs
+++ b/crates/client/src/settings/remote.rs
@@ -62,6 +62,7 @@
             (daemon, Action::Drain { limit })
         }
         Arguments::Diff { .. }
+        | Arguments::Explain { .. }
         | Arguments::Split { .. }
         | Arguments::Target(_)
         | Arguments::Validate { .. } => unreachable!("the caller handles the other commands"),
--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -127,6 +127,19 @@
     );
 }
 
+/// Writes the line of a request whose caller went away.
+pub fn abandoned(call: &Call, basis: Basis, elapsed: Duration) {
+    log::info!(
+        target: "request",
+        event = "end", id = id(call), class = call.class.name.as_str(),
+        service = call.service.as_str(), outcome = "abandoned",
+        elapsed_ms = elapsed.as_millis() as u64,
+        left_ms = call.remaining(Instant::now()).as_millis() as u64,
+        configuration = basis.version, list = basis.list;
+        "the caller went away; what was under way is cancelled"
+    );
+}
+
 /// Writes the line of a request that the system answered itself.
 pub fn refused(id: &str, class: &str, refusal: &Refusal, basis: Basis, elapsed: Duration) {
     log::info!(
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -157,6 +157,7 @@
         },
         start: Instant::now(),
         status: None,
+        refused: false,
         success: false,
         verdict: Verdict::MayHaveRun,
     };
@@ -176,6 +177,7 @@
         Err(mut refusal) => {
             blame(&mut refusal, body.fault(), limit);
             record.verdict = refusal.verdict;
+            record.refused = true;
             Err(refusal)
         }
     }
@@ -216,6 +218,8 @@
     start: Instant,
     /// Status of the upstream's answer, if there was one.
     status: Option<StatusCode>,
+    /// Whether the system answered itself.
+    refused: bool,
     success: bool,
     verdict: Verdict,
 }
@@ -229,7 +233,12 @@
         context.results.record(class, latency, self.success);
         let seconds = latency.as_secs_f64();
         context.metrics.answered(&class.name, self.verdict, seconds);
-        let Some(status) = self.status else { return };
+        let Some(status) = self.status else {
+            if !self.refused && context.decisions.allow(Kind::Failed, context.now()) {
+                decisions::abandoned(&self.call, self.basis, latency);
+            }
+            return;
+        };
         let kind = match self.success {
             true => Kind::Answered,
             false => Kind::Failed,
--- a/crates/intent/tests/suite/main.rs
+++ b/crates/intent/tests/suite/main.rs
@@ -2,4 +2,5 @@
 
 mod limits;
 mod properties;
+mod registry;
 mod sample;
