--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -120,9 +120,6 @@
     /// The only host that may run a suspect request.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub owner: Option<String>,
-    /// Whether the upstream itself was reached.
-    #[serde(default)]
-    pub arrived: bool,
 }
 
 impl Refusal {
@@ -163,7 +160,6 @@
             verdict: self.verdict,
             cause: self.cause,
             owner: self.owner.clone(),
-            arrived: self.arrived,
         };
         let mut text = serde_json::to_vec(&explanation).expect("text is expressible in JSON");
         text.push(b'\n');
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -191,23 +191,16 @@
 async fn refusal(answer: Response<Incoming>, verdict: Verdict) -> Refusal {
     let status = answer.status();
     let wait = parse::<u64>(answer.headers(), header::RETRY_AFTER_MS);
+    let arrived = verdict != Verdict::NotRun || answer.headers().contains_key(header::ARRIVED);
     let body = Limited::new(answer.into_body(), REFUSAL_BYTES)
         .collect()
         .await;
     let explanation: Option<Explanation> = body
         .ok()
         .and_then(|body| serde_json::from_slice(&body.to_bytes()).ok());
-    let (reason, cause, owner, arrived) = match explanation {
-        Some(told) => (told.reason, told.cause, told.owner, told.arrived),
-        None => {
-            let arrived = verdict != Verdict::NotRun;
-            (
-                "the host refused the request".into(),
-                Cause::Busy,
-                None,
-                arrived,
-            )
-        }
+    let (reason, cause, owner) = match explanation {
+        Some(told) => (told.reason, told.cause, told.owner),
+        None => ("the host refused the request".into(), Cause::Busy, None),
     };
     Refusal {
         status,
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -54,7 +54,14 @@
 ) -> Response<Body> {
     let mut answer = match accept(&context, request).await {
         Ok(answer) => answer,
-        Err(refusal) => refusal.answer(),
+        Err(refusal) => {
+            let mut answer = refusal.answer();
+            if refusal.arrived {
+                let headers = answer.headers_mut();
+                headers.insert(header::ARRIVED, HeaderValue::from_static("1"));
+            }
+            answer
+        }
     };
     if let Ok(value) = HeaderValue::from_str(&context.load().to_string()) {
         answer.headers_mut().insert(header::LOAD, value);
--- a/crates/wire/src/header/mod.rs
+++ b/crates/wire/src/header/mod.rs
@@ -29,6 +29,8 @@
 pub const HOLD: &str = "savorylane-hold";
 /// Attributes of a request for its gatekeeper, as JSON; between daemons.
 pub const HOP: &str = "savorylane-hop";
+/// Marks a refusal that the upstream itself made; on answers between daemons.
+pub const ARRIVED: &str = "savorylane-arrived";
 /// Headers that only daemons send; an entry drops them from callers' requests.
 pub const INTERNAL: [&str; 7] = [CALLER, CLASS, FROM, HOLD, HOP, LOAD, TO];
 /// Wait before another attempt is useful, in milliseconds; on refusals.
