gate: count all waiting work of the own class again

Change: the own class counts all of a round; other classes of the same shed order count up to the deadline, as before.

--- a/crates/policy/src/gate/queue.rs
+++ b/crates/policy/src/gate/queue.rs
@@ -93,17 +93,14 @@
                 .take_while(|(other, _)| *other <= deadline)
                 .count()
         });
-        // Others have as many requests in earlier rounds, and in the same round
-        // one that is served first if its deadline is not later.
+        // All of a round count, also those with a later deadline: work that is
+        // sent again has less time left, and would otherwise be admitted in
+        // place of work that is admitted already.
         let others = self
             .callers
             .iter()
             .filter(|(other, _)| **other != caller)
-            .map(|(_, share)| {
-                let rounds = share.waiting.len().min(earlier);
-                let same = share.waiting.iter().nth(earlier);
-                rounds + usize::from(same.is_some_and(|(other, _)| *other <= deadline))
-            })
+            .map(|(_, share)| share.waiting.len().min(earlier + 1))
             .sum::<usize>();
         earlier + others
     }
