--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use http::StatusCode;
-use savorylane_policy::route::Picture;
+use savorylane_policy::route::Observation;
 use savorylane_wire::Verdict;
 
 use crate::call::{Call, Cause, Refusal};
@@ -158,7 +158,7 @@
     call: &Call,
     host: &str,
     number: usize,
-    picture: &Picture,
+    observation: &Observation,
     start: Instant,
     result: Result<StatusCode, &Refusal>,
 ) {
@@ -177,8 +177,8 @@
         target: "request",
         event = "attempt", id = id(call), service = call.service.as_str(), to = host,
         instance = instance, number = number, outcome = outcome, cause = cause,
-        elapsed_ms = elapsed_ms, left_ms = left_ms, load = picture.load, limit = picture.limit,
-        report_age_ms = picture.age_ms, latency_ms = picture.latency_ms;
+        elapsed_ms = elapsed_ms, left_ms = left_ms, load = observation.load, limit = observation.limit,
+        report_age_ms = observation.age_ms, latency_ms = observation.latency_ms;
         "{reason}"
     );
 }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! Chooses a host for a request, sends it there, and tries again or hedges
 //! where that is allowed.
 
+mod choice;
 pub mod remote;
 pub mod table;
 
@@ -12,9 +13,9 @@
 
 use http::{HeaderMap, Response, StatusCode};
 use savorylane_intent::Snapshot;
-use savorylane_intent::hosts::{Host, State};
+use savorylane_intent::hosts::Host;
 use savorylane_policy::retry::{self, attempts, may_hedge, may_retry};
-use savorylane_policy::route::{self, Candidate, Distance, Estimate, Outcome, Picture, Ticket};
+use savorylane_policy::route::{Estimate, Observation, Outcome, Ticket};
 use savorylane_wire::{Load, Verdict, header};
 
 use crate::body::{Body, Replay};
@@ -23,6 +24,7 @@
 use crate::edge::keyed_store;
 use crate::kernel::Context;
 use crate::peers;
+use choice::{choose, estimate};
 use remote::{Clients, Reply, value};
 use table::{Class, Table};
 
@@ -273,84 +275,6 @@
     })
 }
 
-/// Chooses among the hosts that were not tried, with `near` only among those of
-/// the own region; indices are positions among
-/// the hosts of the snapshot's list.
-fn choose(
-    context: &Context,
-    snapshot: &Snapshot,
-    call: &Call,
-    class: &Class,
-    tried: &[usize],
-    near: bool,
-) -> Option<route::Choice> {
-    let usable = |index: &usize| {
-        let host = &snapshot.list.hosts[*index];
-        let listed = host.instance.is_none() || host.state == State::Live;
-        !tried.contains(index)
-            && listed
-            && context.peers.routable(&host.name)
-            && (!near || host.region == context.settings.region)
-    };
-    let indices: Vec<usize> = snapshot
-        .indices(&call.service)
-        .iter()
-        .copied()
-        .filter(usable)
-        .collect();
-    let estimates: Vec<Arc<Estimate>> = indices
-        .iter()
-        .map(|&index| estimate(context, &snapshot.list.hosts[index]))
-        .collect();
-    // The slow start of a host counts from when it could be chosen, so that
-    // one that was not needed before takes all of the work at once if need be.
-    let now = context.now();
-    estimates.iter().for_each(|estimate| estimate.seen(now));
-    let candidates: Vec<Candidate<'_>> = indices
-        .iter()
-        .zip(&estimates)
-        .map(|(&index, estimate)| Candidate {
-            estimate,
-            distance: distance(context, &snapshot.list.hosts[index]),
-        })
-        .collect();
-    let route = route::Context {
-        policy: context.settings.policy,
-        turn: &class.turn,
-        length: call.class.work,
-        probe: tried.is_empty()
-            && may_hedge(call.class.idempotent, call.class.work)
-            && class.hedge.available(),
-        slack: call.slack(Instant::now()),
-    };
-    let mut choice = route::choose(&route, now, &mut rand::rng(), &candidates)?;
-    choice.index = indices[choice.index];
-    if let Some(hedge) = &mut choice.hedge {
-        hedge.index = indices[hedge.index];
-    }
-    Some(choice)
-}
-
-/// Returns what is known of a host. Another instance of the upstream is another
-/// upstream.
-fn estimate(context: &Context, host: &Host) -> Arc<Estimate> {
-    let name = host.instance.as_ref().unwrap_or(&host.name);
-    context.dispatcher.table.estimate(name)
-}
-
-fn distance(context: &Context, host: &Host) -> Distance {
-    let settings = &context.settings;
-    if host.name == settings.host {
-        Distance::Host
-    } else if host.data_centre == settings.data_centre {
-        Distance::DataCentre
-    } else if host.region == settings.region {
-        Distance::Region
-    } else {
-        Distance::Far
-    }
-}
-
 /// Counts a request in its host's estimate until its head came back or it was
 /// dropped.
 struct Pending {
@@ -383,9 +307,9 @@
     Box::pin(async move {
         let host = &snapshot.list.hosts[host];
         let estimate = estimate(&context, host);
-        let call = aimed(call, host);
+        let call = for_host(call, host);
         let start = Instant::now();
-        let picture = estimate.picture(context.now());
+        let observation = estimate.observe(context.now());
         let ticket = estimate.begin(context.now(), call.class.work);
         let mut pending = Pending {
             context: Arc::clone(&context),
@@ -428,7 +352,7 @@
             &call,
             host,
             number,
-            &picture,
+            &observation,
             start,
             &reply.result,
         );
@@ -444,7 +368,7 @@
     call: &Call,
     host: &Host,
     number: usize,
-    picture: &Picture,
+    observation: &Observation,
     start: Instant,
     result: &Result<Response<Body>, Refusal>,
 ) {
@@ -462,13 +386,13 @@
         .attempt(&call.service, outcome, cause, seconds);
     if context.decisions.allow(kind, context.now()) {
         let result = result.as_ref().map(Response::status);
-        decisions::attempted(call, &host.name, number, picture, start, result);
+        decisions::attempted(call, &host.name, number, observation, start, result);
     }
 }
 
 /// Returns the call with the instance that `host` has, where upstreams ask for
 /// one.
-fn aimed(call: Arc<Call>, host: &Host) -> Arc<Call> {
+fn for_host(call: Arc<Call>, host: &Host) -> Arc<Call> {
     let (Some(path), Some(instance)) = (&call.path, &host.instance) else {
         return call;
     };
@@ -477,15 +401,15 @@
         instance: instance.clone(),
         slots: host.slots.unwrap_or(0),
     };
-    let mut aimed = Call::clone(&call);
-    aimed.path = Some(path);
-    Arc::new(aimed)
+    let mut copy = Call::clone(&call);
+    copy.path = Some(path);
+    Arc::new(copy)
 }
 
 /// Takes the load that came with an answer.
 fn answered(context: &Arc<Context>, host: &Host, load: &Load) {
     if context.settings.adapter.is_some() {
-        keyed_store::hear(context, host, load);
+        keyed_store::on_load(context, host, load);
     } else {
         peers::answered(context, &host.name);
     }
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -18,8 +18,10 @@
 use crate::edge::server::{PING_INTERVAL, PING_TIMEOUT};
 use crate::edge::upstream::target;
 
-/// Time for a connection to another daemon to be opened.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for a connection to another daemon to be opened: six round trips to
+/// another region. A host that is cut off does not refuse connections, and each
+/// attempt there takes this time from a request that another host can serve.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Bytes of a refusal that are read.
 const REFUSAL_BYTES: usize = 4096;
 
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -29,6 +29,12 @@
 /// The same where only the configuration changed. It must be in force within
 /// seconds; hosts that come and go are wanted sooner.
 const CONFIG_BATCH: Duration = Duration::from_millis(600);
+/// Time between two watches for each host of the list, so that all hosts
+/// together make at most 100 calls a second however many they are.
+const HOST_BATCH: Duration = Duration::from_millis(10);
+/// Longest time between two watches; less than half of the time within which a
+/// change must be in force.
+const BATCH_MAX: Duration = Duration::from_secs(1);
 /// Longest wait before a failed call is made again.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 /// Time without the store after which other daemons are asked for what they
@@ -116,7 +122,8 @@
         let wait = expires.map_or(WATCH, |at| at.saturating_sub(now).min(WATCH));
         match self.client.watch(self.registry.revision(), wait).await {
             Ok(batch) => {
-                let pause = pause(&batch, expires.is_some());
+                let hosts = self.registry.instances().len();
+                let pause = pause(&batch, expires.is_some(), hosts);
                 self.take(batch);
                 tokio::time::sleep(pause).await;
             }
@@ -253,21 +260,22 @@
 }
 
 /// Returns the time between a batch and the next watch. `kept` says whether
-/// entries of an outage are about to expire.
-fn pause(batch: &Batch, kept: bool) -> Duration {
+/// entries of an outage are about to expire, and `hosts` how many are listed.
+fn pause(batch: &Batch, kept: bool, hosts: usize) -> Duration {
     if batch.changes.is_empty() && !kept {
         return Duration::ZERO;
     }
     let config = |change: &Change| matches!(change.what, What::Config(_));
-    match batch.changes.iter().all(config) && !kept {
+    let least = match batch.changes.iter().all(config) && !kept {
         true => CONFIG_BATCH,
         false => BATCH,
-    }
+    };
+    (HOST_BATCH * hosts as u32).clamp(least, BATCH_MAX)
 }
 
 /// Takes what another daemon has in force. A daemon that does not reach the
 /// store fetches what is newer from there.
-pub fn hear(context: &Arc<Context>, host: &Host, load: &Load) {
+pub fn on_load(context: &Arc<Context>, host: &Host, load: &Load) {
     let current = context.config.current();
     let version = current.version.map_or(0, |version| version.number);
     if load.version <= version && load.list <= current.hosts {
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -172,7 +172,7 @@
         let fingerprint = suspects::fingerprint(call, &start, whole);
         let trial = suspects::admit(context, &fingerprint)?;
         let asked = Instant::now();
-        admission.gate = self.picture();
+        admission.gate = self.observe();
         let admitted = self.admit(context, call, fingerprint, trial).await;
         admission.waited = asked.elapsed();
         let mut slot = admitted?;
@@ -309,7 +309,7 @@
     }
 
     /// Returns what a request meets that arrives now, for its log line.
-    fn picture(&self) -> decisions::Gate {
+    fn observe(&self) -> decisions::Gate {
         let load = self.load();
         decisions::Gate {
             running: load.running,
--- a/crates/daemon/tests/suspects.rs
+++ b/crates/daemon/tests/suspects.rs
@@ -110,7 +110,7 @@
     for member in &fleet.members {
         assert_eq!(bans(member), first, "at {}", member.name);
     }
-    let other = send(fleet.members[0].entry, &put("/stock/art", "a picture")).await;
+    let other = send(fleet.members[0].entry, &put("/stock/art", "a observation")).await;
     assert_eq!(other.unwrap().status, StatusCode::OK);
 }
 
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -47,7 +47,7 @@
 
 /// What an estimate said of a host when a request was sent there.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Picture {
+pub struct Observation {
     /// Expected requests at the host.
     pub load: u32,
     /// Reported limit; 0 before the first report.
@@ -280,10 +280,10 @@
     }
 
     /// Returns what the estimate says at `now`, for a log line.
-    pub fn picture(&self, now: Duration) -> Picture {
+    pub fn observe(&self, now: Duration) -> Observation {
         let us = |atomic: &AtomicU64| atomic.load(Ordering::Relaxed);
         let age_us = micros(now).saturating_sub(us(&self.reported_us));
-        Picture {
+        Observation {
             load: self.outstanding(now).round() as u32,
             limit: self.limit.load(Ordering::Relaxed),
             age_ms: age_us / 1_000,
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -10,7 +10,7 @@
 use savorylane_intent::document;
 
 use estimate::micros;
-pub use estimate::{Estimate, Outcome, Picture, Ticket};
+pub use estimate::{Estimate, Observation, Outcome, Ticket};
 
 /// A host whose latency is this many times the median is slow.
 const SLOW: f64 = 2.5;
