--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -29,8 +29,8 @@
 /// The same where only the configuration changed. It must be in force within
 /// seconds; hosts that come and go are wanted sooner.
 const CONFIG_BATCH: Duration = Duration::from_millis(600);
-/// Time between two watches for each host of the list, so that all hosts
-/// together make at most 100 calls a second however many they are.
+/// Time between two watches for each host of the list, so that up to 100 hosts
+/// together make at most 100 calls a second.
 const HOST_BATCH: Duration = Duration::from_millis(10);
 /// Longest time between two watches; less than half of the time within which a
 /// change must be in force.
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -40,7 +40,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     revision: u64,
-    /// `None` if the entry names no upstream to use.
+    /// `None` if the entry is unusable.
     instance: Option<Instance>,
     /// Set when the entry was removed and is kept until then.
     until: Option<Duration>,
@@ -66,7 +66,7 @@
         self.returning = now + RETURN;
     }
 
-    /// Takes an entry that was written; `None` if it names no upstream to use.
+    /// Takes an entry that was written; `None` if it is unusable.
     pub fn put(&mut self, revision: u64, id: &str, instance: Option<Instance>) {
         if self.knows(revision, id) {
             return;
