server: answer requests that arrived when the server stops

Cause: at its stop the server closed the port, which resets connections that the kernel had accepted, and shut its connections down at once; the library closes one between two requests without a look at what arrived.

Change: after the stop the port's last connections are accepted, all connections go on for 100 ms, HTTP/1.1 answers then say `connection: close`, and only then connections without a request are closed.

Ruled out: accepting through the runtime after the stop, which does not know yet what the kernel holds (one test still failed).

--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -3,21 +3,22 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
-use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
 
@@ -46,6 +47,11 @@
 /// Streams of one HTTP/2 connection.
 const STREAMS_MAX: u32 = 1024;
 
+/// Time after the stop in which requests that are on their way are still taken.
+/// The library closes a connection between two requests without a look at what
+/// arrived on it.
+const STOP_GRACE: Duration = Duration::from_millis(100);
+
 /// Bounds of a server's connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -102,64 +108,128 @@
     }
 }
 
-/// Serves HTTP/1.1 and HTTP/2 until `stop`, then waits until each connection
-/// has answered what it took.
+/// Serves HTTP/1.1 and HTTP/2 until `stop`, then answers the requests that
+/// arrived and waits until each connection has answered what it took.
 pub async fn serve<H, F>(listener: TcpListener, limits: Limits, stop: CancellationToken, handle: H)
 where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
+    let connections = TaskTracker::new();
     let open: Arc<Mutex<HashMap<IpAddr, usize>>> = Arc::default();
+    let take = |stream: TcpStream, peer: SocketAddr| {
+        let Some(permit) = Permit::take(&open, peer.ip(), limits.connections) else {
+            log::warn!("refused a connection of {}: it has too many", peer.ip());
+            return;
+        };
+        let _ = stream.set_nodelay(true);
+        let served = converse(stream, peer, limits, stop.clone(), handle.clone());
+        connections.spawn(async move {
+            let _permit = permit;
+            served.await;
+        });
+    };
     loop {
-        let (stream, peer) = tokio::select! {
+        tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok(accepted) => accepted,
+                Ok((stream, peer)) => take(stream, peer),
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
-                    continue;
                 }
             },
             () = stop.cancelled() => break,
-        };
-        let Some(permit) = Permit::take(&open, peer.ip(), limits.connections) else {
-            log::warn!("refused a connection of {}: it has too many", peer.ip());
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let handle = handle.clone();
-        let begun = Arc::new(AtomicBool::new(false));
-        let begin = Arc::clone(&begun);
-        let service = service_fn(move |request| {
-            begin.store(true, Ordering::Relaxed);
-            let answer = handle(request, peer);
-            async move { Ok::<_, Infallible>(answer.await) }
-        });
-        let connection = builder(&limits)
-            .serve_connection(TokioIo::new(stream), service)
-            .into_owned();
-        let watched = graceful.watch(connection);
-        tokio::spawn(async move {
-            let _permit = permit;
-            let mut watched = pin!(watched);
-            // The library's limit starts once it knows the protocol, so a
-            // silent connection would hold its permit for ever.
-            let ended = match timeout(limits.head, &mut watched).await {
-                Ok(ended) => ended,
-                Err(_) if begun.load(Ordering::Relaxed) => watched.await,
-                Err(_) => {
-                    log::debug!("a connection of {peer} was closed: it sent no request in time");
-                    return;
-                }
-            };
-            if let Err(error) = ended {
-                log::debug!("a connection of {peer} ended: {error}");
+        }
+    }
+    // Closing the port resets the connections that the kernel holds for it.
+    match waiting(listener) {
+        Ok(waiting) => waiting
+            .into_iter()
+            .for_each(|(stream, peer)| take(stream, peer)),
+        Err(error) => log::warn!("cannot accept the last connections: {error}"),
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+/// Accepts what the kernel holds, which the runtime may not know of yet, and
+/// closes the port.
+fn waiting(listener: TcpListener) -> io::Result<Vec<(TcpStream, SocketAddr)>> {
+    let listener = listener.into_std()?;
+    let mut accepted = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, peer)) => {
+                stream.set_nonblocking(true)?;
+                accepted.push((TcpStream::from_std(stream)?, peer));
             }
-        });
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(accepted),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => {
+                log::warn!("cannot accept a connection: {error}");
+                return Ok(accepted);
+            }
+        }
+    }
+}
+
+/// Serves one connection until it ends or, after `stop`, until what it took is
+/// answered.
+async fn converse<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: Limits,
+    stop: CancellationToken,
+    handle: H,
+) where
+    H: Fn(Request<Incoming>, SocketAddr) -> F + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let begun = Arc::new(AtomicBool::new(false));
+    let begin = Arc::clone(&begun);
+    let stopped = stop.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        begin.store(true, Ordering::Relaxed);
+        let version = request.version();
+        let answer = handle(request, peer);
+        let stop = stopped.clone();
+        async move {
+            let mut answer = answer.await;
+            if stop.is_cancelled() && version == Version::HTTP_11 {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let builder = builder(&limits);
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    // The library's limit starts once it knows the protocol, so a silent
+    // connection would hold its permit for ever.
+    let silent = async {
+        tokio::time::sleep(limits.head).await;
+        if begun.load(Ordering::Relaxed) {
+            std::future::pending().await
+        }
+    };
+    let closing = async {
+        stop.cancelled().await;
+        tokio::time::sleep(STOP_GRACE).await;
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = silent => {
+            log::debug!("a connection of {peer} was closed: it sent no request in time");
+            return;
+        }
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("a connection of {peer} ended: {error}");
     }
-    drop(listener);
-    graceful.shutdown().await;
 }
 
 fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
--- /dev/null
+++ b/crates/daemon/tests/server.rs
@@ -0,0 +1,128 @@
+//! The HTTP server of the edges at its stop.
+//!
+//! The clients are blocking sockets on the server's only thread: what they
+//! write before they yield lies unread in the kernel when the server stops.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use savorylane_daemon::body;
+use savorylane_daemon::edge::server::{self, Limits};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Time until a server without requests must have ended.
+const END: Duration = Duration::from_secs(2);
+const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+
+struct Server {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+async fn server(limits: Limits) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stop = CancellationToken::new();
+    let answer =
+        |_: Request<Incoming>, _: SocketAddr| async { Response::new(body::full("answered")) };
+    let task = tokio::spawn(server::serve(listener, limits, stop.clone(), answer));
+    tokio::task::yield_now().await;
+    Server {
+        address,
+        stop,
+        task,
+    }
+}
+
+/// Reads one answer; an empty string means that the server closed first.
+async fn answer(stream: &TcpStream) -> String {
+    let mut stream = stream.try_clone().unwrap();
+    let read = tokio::task::spawn_blocking(move || {
+        stream.set_read_timeout(Some(END)).unwrap();
+        let mut text = Vec::new();
+        let mut part = [0; 1024];
+        while !text.ends_with(b"answered") {
+            match stream.read(&mut part) {
+                Ok(0) | Err(_) => break,
+                Ok(length) => text.extend_from_slice(&part[..length]),
+            }
+        }
+        String::from_utf8(text).unwrap()
+    });
+    read.await.unwrap()
+}
+
+const LIMITS: [fn() -> Limits; 2] = [|| Limits::CALLERS, || Limits::own(16)];
+
+/// Guards against a stop that resets connections which the kernel accepted and
+/// whose first request lies unread.
+#[tokio::test]
+async fn a_stop_answers_the_first_request_of_a_new_connection() {
+    for limits in LIMITS {
+        let server = server(limits()).await;
+        let mut streams = Vec::new();
+        for _ in 0..8 {
+            let mut stream = TcpStream::connect(server.address).unwrap();
+            stream.write_all(REQUEST).unwrap();
+            streams.push(stream);
+        }
+        server.stop.cancel();
+        for stream in &streams {
+            let text = answer(stream).await;
+            assert!(text.starts_with("HTTP/1.1 200"), "{text:?}");
+        }
+        tokio::time::timeout(END, server.task)
+            .await
+            .unwrap()
+            .unwrap();
+    }
+}
+
+/// Guards against a stop that closes a kept connection on which the next
+/// request has arrived already, and against an answer after the stop that
+/// invites another request.
+#[tokio::test]
+async fn a_stop_answers_the_next_request_of_a_kept_connection() {
+    for limits in LIMITS {
+        let server = server(limits()).await;
+        let mut stream = TcpStream::connect(server.address).unwrap();
+        stream.write_all(REQUEST).unwrap();
+        let first = answer(&stream).await;
+        assert!(first.starts_with("HTTP/1.1 200"), "{first:?}");
+        assert!(!first.contains("connection: close"), "{first:?}");
+        stream.write_all(REQUEST).unwrap();
+        server.stop.cancel();
+        let next = answer(&stream).await;
+        assert!(next.starts_with("HTTP/1.1 200"), "{next:?}");
+        assert!(next.contains("connection: close"), "{next:?}");
+        tokio::time::timeout(END, server.task)
+            .await
+            .unwrap()
+            .unwrap();
+    }
+}
+
+/// Guards against a stop that waits for connections without a request.
+#[tokio::test]
+async fn a_stop_closes_idle_connections() {
+    for limits in LIMITS {
+        let server = server(limits()).await;
+        let silent = TcpStream::connect(server.address).unwrap();
+        let mut kept = TcpStream::connect(server.address).unwrap();
+        kept.write_all(REQUEST).unwrap();
+        assert!(answer(&kept).await.starts_with("HTTP/1.1 200"));
+        server.stop.cancel();
+        tokio::time::timeout(END, server.task)
+            .await
+            .unwrap()
+            .unwrap();
+        assert_eq!(answer(&silent).await, "");
+        assert_eq!(answer(&kept).await, "");
+    }
+}
