platform: let a daemon without configuration ask its seeds directly

Cause: a daemon that starts while the store is away learns the version from heartbeat answers only. Where these are lost, nothing asked the seed that answers, and the delay between attempts grew to 30 s.

Change: the start asks each seed for its document after the store, and waits 2 s at most between attempts. A failed fetch of a document or host list is logged; it was swallowed.

--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -21,7 +21,7 @@
 use crate::config::PLATFORM;
 use crate::edge::keyed_store;
 use crate::kernel::{Context, Plugin};
-use crate::peers::fetch_hosts_from;
+use crate::peers::{fetch_from, fetch_hosts_from};
 use crate::settings::Readers;
 
 /// Key of the manifest.
@@ -39,6 +39,10 @@
 /// that is published right after an outage must be in force within 4 s; 20
 /// readers at the design size make at most 20 calls a second by it.
 const WATCH_RETRY_MAX: Duration = Duration::from_secs(2);
+/// Longest wait of a daemon without a configuration before it asks again. One
+/// that can be had must be in force within 4 s; 1,100 daemons that start at
+/// once make some 1,100 calls a second by it, of the 2,000 that are allowed.
+const START_RETRY_MAX: Duration = Duration::from_secs(2);
 /// Largest value that is read, bytes; the platform holds up to a megabyte.
 const VALUE_BYTES: usize = 1 << 20;
 
@@ -116,7 +120,7 @@
         if context.config.list().is_some() {
             break;
         }
-        tokio::time::sleep(jittered(&mut delay)).await;
+        tokio::time::sleep(jittered(&mut delay).min(START_RETRY_MAX)).await;
     }
     let mut asked = context.peers.asked();
     let answered = asked.wait_for(|answers| answers.is_some());
@@ -124,9 +128,18 @@
     let mut current = context.config.watch();
     let adopted = current.wait_for(|current| current.version.is_some());
     let _ = tokio::time::timeout(PEERS_LIMIT, adopted).await;
+    delay.reset();
     while context.config.version().is_none() {
         read(context, platform, INTENT).await;
-        tokio::time::sleep(jittered(&mut delay)).await;
+        // Heartbeats that tell of a version can be lost; a seed is asked for
+        // its document in any case.
+        for peer in &context.settings.peers {
+            if context.config.version().is_some() {
+                return;
+            }
+            fetch_from(context, *peer, "peer", None).await;
+        }
+        tokio::time::sleep(jittered(&mut delay).min(START_RETRY_MAX)).await;
     }
 }
 
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -18,6 +18,7 @@
 use savorylane_wire::control::Heartbeat;
 use savorylane_wire::rpc::{ControlClient, Fetch};
 use tokio::sync::watch;
+use tokio::time::error::Elapsed;
 use tokio_util::sync::CancellationToken;
 
 use crate::audit::Event;
@@ -391,8 +392,8 @@
         base,
     };
     let client = client(context, address);
-    let sent = tokio::time::timeout(FETCH_LIMIT, client.fetch(message));
-    let transfer = sent.await.ok()?.ok()??;
+    let sent = tokio::time::timeout(FETCH_LIMIT, client.fetch(message)).await;
+    let transfer = fetched(sent, "document", source)?;
     let content = decode(&transfer.content)?;
     let outcome = context.config.offer(&context.trail, source, |store| {
         store.offer_transfer(&content)
@@ -422,8 +423,8 @@
 ) -> Option<hosts::List> {
     let after = context.config.list().map_or(0, |list| list.number);
     let client = client(context, address);
-    let answer = tokio::time::timeout(FETCH_LIMIT, client.hosts(after)).await;
-    let content = decode(&answer.ok()?.ok()??.content)?;
+    let sent = tokio::time::timeout(FETCH_LIMIT, client.hosts(after)).await;
+    let content = decode(&fetched(sent, "host list", source)?.content)?;
     let fault = match hosts::unpack(&content) {
         Ok(list) => return Some(list),
         Err(fault) => fault,
@@ -435,6 +436,25 @@
     None
 }
 
+/// Returns what a daemon sent, and logs why it sent nothing.
+fn fetched<T>(
+    sent: Result<Result<Option<T>, jsonrpsee::core::ClientError>, Elapsed>,
+    what: &str,
+    source: &str,
+) -> Option<T> {
+    match sent {
+        Ok(Ok(content)) => content,
+        Ok(Err(error)) => {
+            log::warn!("cannot fetch the {what} of {source}: {error}");
+            None
+        }
+        Err(_) => {
+            log::warn!("cannot fetch the {what} of {source}: no answer in {FETCH_LIMIT:?}");
+            None
+        }
+    }
+}
+
 fn decode(content: &str) -> Option<Vec<u8>> {
     use base64::Engine;
     base64::engine::general_purpose::STANDARD
--- a/crates/daemon/tests/config_faults.rs
+++ b/crates/daemon/tests/config_faults.rs
@@ -5,6 +5,8 @@
 #[allow(dead_code, reason = "each test file uses some of the helpers")]
 mod fleet;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use common::{document, get, get_until_ok};
@@ -14,6 +16,7 @@
 use savorylane_intent::Document;
 use savorylane_intent::adopt::Outcome;
 use savorylane_standin::platform::{Clients, Outage};
+use tokio::net::{TcpListener, TcpStream};
 
 const HOSTS: [&str; 6] = ["a1", "a2", "b1", "b2", "c1", "c2"];
 
@@ -186,3 +189,61 @@
     assert!(after.calls() - before.calls() <= 12 + 12 + 6 * 2);
     fleet.end();
 }
+
+/// Guards against a daemon that starts during an outage, loses its first
+/// heartbeats and then waits for others though a seed has the configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_start_during_an_outage_needs_its_seed_only() {
+    let mut fleet = Fleet::start(&["a1"]).await;
+    let seed = fleet.members[0].listed.control;
+    // Connections to it are accepted by the kernel and never answered.
+    let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    fleet.members[0].listed.control = silent.local_addr().unwrap();
+    fleet.publish_hosts(2);
+    let listed = || fleet.members[0].handle.context.config.current().hosts == 2;
+    within(IN_FORCE, listed, || "the list was not taken".into()).await;
+    fleet
+        .platform
+        .fault(|faults| faults.outage = Outage::Unavailable);
+    let late = Member::start(&fleet, "c3", |settings| settings.peers = vec![seed]).await;
+    fleet.members.push(late);
+    let taken = fleet.reach(1, IN_FORCE).await;
+    println!("in force after {taken:?}");
+    fleet.end();
+}
+
+/// Guards against a daemon that tries ever more seldom to get its first
+/// configuration, and is without one long after it could have it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_outage_does_not_delay_the_first_configuration() {
+    let mut fleet = Fleet::start(&["a1"]).await;
+    let target = fleet.members[0].listed.control;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let seed = listener.local_addr().unwrap();
+    let open = Arc::new(AtomicBool::new(false));
+    let opened = Arc::clone(&open);
+    tokio::spawn(async move {
+        while let Ok((mut near, _)) = listener.accept().await {
+            if !opened.load(Ordering::Relaxed) {
+                continue;
+            }
+            tokio::spawn(async move {
+                let mut far = TcpStream::connect(target).await.unwrap();
+                tokio::io::copy_bidirectional(&mut near, &mut far).await
+            });
+        }
+    });
+    fleet
+        .platform
+        .fault(|faults| faults.outage = Outage::Unavailable);
+    for host in ["c1", "c2", "c3", "c4", "c5", "c6", "c7", "c8"] {
+        let late = Member::start(&fleet, host, |settings| settings.peers = vec![seed]).await;
+        fleet.members.push(late);
+    }
+    // Doubled from 50 ms on, a delay exceeds the promised time after this.
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    open.store(true, Ordering::Relaxed);
+    let taken = fleet.reach(1, IN_FORCE).await;
+    println!("in force everywhere {taken:?} after the seed is reached");
+    fleet.end();
+}
