logs: write the last lines of a process before it ends

Cause: the thread that writes lines gathers them for 50 ms, and the process ended without waiting for it, so that the line that says how a stop went was never written. Found by the new test of start, hang-up and stop lines, which failed on the code before ("no line says stopped").

Change: the queue and its thread are a module of their own, logs::sink; the end of the process waits 200 ms at most for what it holds.

Tests added: a slow output (3 times the queue offered at once takes less than 500 ms and the surplus is refused), a closed output, the rate of a kind of line under a flood, and the lines of SIGHUP.

--- a/crates/daemon/src/logs/mod.rs
+++ b/crates/daemon/src/logs/mod.rs
@@ -4,11 +4,11 @@
 //! bounded; further lines are dropped and counted, so that a slow or closed
 //! standard output never holds up a request.
 
+pub mod sink;
+
 use std::io::{self, Write};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
-
-use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::time::Duration;
 
 use flexi_logger::writers::LogWriter;
@@ -19,6 +19,7 @@
 use serde_json::Map;
 
 use crate::settings::Settings;
+use sink::Sink;
 
 /// Host and data centre that every line names.
 #[derive(Debug)]
@@ -44,12 +45,8 @@
     fields: Map<String, serde_json::Value>,
 }
 
-/// Lines that wait to be written, at most; about 2 MB.
-const WAITING_MAX: usize = 8_192;
-/// Time for which lines are gathered before they are written together.
-const GATHER: Duration = Duration::from_millis(50);
-/// Bytes that are written together.
-const WRITE_BYTES: usize = 32 << 10;
+/// Time for the last lines to be written at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
@@ -58,23 +55,25 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
-/// Hands lines to the thread that writes them.
-struct Queue(SyncSender<Vec<u8>>);
+/// Writes records as lines of the sink.
+struct Writer(Sink);
 
-impl LogWriter for Queue {
+impl LogWriter for Writer {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
         let mut text = Vec::with_capacity(256);
         line(&mut text, now, record)?;
         text.push(b'\n');
-        // A thread that ended had its output closed; its lines count as well.
-        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) = self.0.try_send(text) {
+        if !self.0.offer(text) {
             DROPPED.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
     fn flush(&self) -> io::Result<()> {
-        Ok(())
+        match self.0.flush(FLUSH_LIMIT) {
+            true => Ok(()),
+            false => Err(io::ErrorKind::TimedOut.into()),
+        }
     }
 
     fn max_log_level(&self) -> log::LevelFilter {
@@ -82,23 +81,6 @@
     }
 }
 
-/// Writes lines to `out` until it is closed or the process ends.
-fn write_lines(lines: &Receiver<Vec<u8>>, out: &mut dyn Write) {
-    while let Ok(mut text) = lines.recv() {
-        std::thread::sleep(GATHER);
-        while text.len() < WRITE_BYTES
-            && let Ok(more) = lines.try_recv()
-        {
-            text.extend_from_slice(&more);
-        }
-        let written = out.write_all(&text).and_then(|()| out.flush());
-        if let Err(error) = written {
-            eprintln!("standard output cannot be written, logging ends: {error}");
-            return;
-        }
-    }
-}
-
 /// Takes the fields of a record.
 struct Fields(Map<String, serde_json::Value>);
 
@@ -129,10 +111,8 @@
         .module("hyper_util", log::LevelFilter::Warn)
         .module("jsonrpsee", log::LevelFilter::Warn)
         .build();
-    let (sender, lines) = sync_channel(WAITING_MAX);
-    std::thread::spawn(move || write_lines(&lines, &mut io::stdout()));
     Logger::with(level)
-        .log_to_writer(Box::new(Queue(sender)))
+        .log_to_writer(Box::new(Writer(Sink::spawn(io::stdout()))))
         .start()
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,10 +1,6 @@
 //! The daemon's binary: reads settings, starts the kernel, waits for a signal.
 
 use std::io::Write;
-
-/// Gives pages back where the C library's allocator keeps a third more of them.
-#[global_allocator]
-static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
 use std::process::ExitCode;
 
 use bpaf::{Args, ParseFailure};
@@ -12,6 +8,10 @@
 use savorylane_daemon::{Handle, logs};
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Gives pages back where the C library's allocator keeps a third more of them.
+#[global_allocator]
+static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
+
 /// Exit code for refused settings.
 const USAGE: u8 = 2;
 
@@ -24,7 +24,7 @@
         println!("settings are accepted");
         return ExitCode::SUCCESS;
     }
-    let _logger = match logs::open(&command.settings) {
+    let logger = match logs::open(&command.settings) {
         Ok(logger) => logger,
         Err(error) => {
             eprintln!("cannot start logging: {error}");
@@ -38,7 +38,9 @@
             return ExitCode::FAILURE;
         }
     };
-    runtime.block_on(run(command))
+    let code = runtime.block_on(run(command));
+    logger.flush();
+    code
 }
 
 fn read_command() -> Result<Command, ExitCode> {
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! Helpers of the process tests.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Lines};
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -23,6 +23,8 @@
 pub(crate) struct Daemon {
     /// The process.
     pub(crate) child: Child,
+    /// Lines of standard output behind the announced addresses.
+    pub(crate) output: Lines<BufReader<ChildStdout>>,
     /// Bound addresses by flag.
     pub(crate) addresses: BTreeMap<String, SocketAddr>,
     /// Name of the host.
@@ -54,14 +56,16 @@
             .args(["--data-centre", data_centre])
             .args(service)
             .args(ports.map(|(flag, address)| format!("--{flag}={address}")))
-            .args(["--log-level", "warn", "--first-start"])
+            .args(["--log-level", "info", "--first-start"])
             .args(more)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the built daemon starts");
         let stdout = child.stdout.take().expect("standard output is piped");
-        let lines = BufReader::new(stdout).lines().map_while(Result::ok);
-        let addresses = lines
+        let mut output = BufReader::new(stdout).lines();
+        let addresses = output
+            .by_ref()
+            .map_while(Result::ok)
             .take_while(|line| line != "ready")
             // Log lines stand on standard output as well.
             .filter(|line| !line.starts_with('{'))
@@ -72,6 +76,7 @@
             .collect();
         Self {
             child,
+            output,
             addresses,
             host: host.into(),
         }
--- /dev/null
+++ b/crates/daemon/tests/logs.rs
@@ -0,0 +1,146 @@
+//! Bounds of the log lines.
+
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod common;
+
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::process::Command;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use common::Daemon;
+use savorylane_daemon::decisions::{Decisions, Kind};
+use savorylane_daemon::logs::sink::{Sink, WAITING_MAX};
+
+/// Longest wait for a condition; a loaded machine needs some of it.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Time that a request may wait for its log lines.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// An output that writes when it is told to, and tells what it wrote.
+struct Output {
+    go: Receiver<io::Result<()>>,
+    written: Sender<usize>,
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.go
+            .recv()
+            .unwrap_or(Err(io::ErrorKind::BrokenPipe.into()))?;
+        self.written.send(bytes.len()).unwrap();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn output() -> (Output, Sender<io::Result<()>>, Receiver<usize>) {
+    let (told, go) = channel();
+    let (written, lengths) = channel();
+    (Output { go, written }, told, lengths)
+}
+
+fn line() -> Vec<u8> {
+    b"0123456789\n".to_vec()
+}
+
+/// Guards against a reader of standard output that holds up requests, and
+/// against a queue that grows while it does.
+#[test]
+fn a_slow_output_delays_nobody_and_bounds_what_waits() {
+    let (output, told, lengths) = output();
+    let sink = Sink::spawn(output);
+    let start = Instant::now();
+    let taken = (0..3 * WAITING_MAX).filter(|_| sink.offer(line())).count();
+    assert!(start.elapsed() < WAIT, "{:?}", start.elapsed());
+    // The thread may have taken one batch, of 32 KiB, from the queue.
+    let batch = (32 << 10) / line().len() + 1;
+    assert!(
+        (WAITING_MAX..=WAITING_MAX + batch).contains(&taken),
+        "{taken}"
+    );
+    drop(sink);
+    let mut bytes = 0;
+    while bytes < taken * line().len() {
+        told.send(Ok(())).unwrap();
+        bytes += lengths.recv_timeout(PATIENCE).unwrap();
+    }
+    assert_eq!(bytes, taken * line().len());
+}
+
+/// Guards against requests that fail or wait once standard output is closed.
+#[test]
+fn a_closed_output_drops_lines() {
+    let (output, told, _lengths) = output();
+    let sink = Sink::spawn(output);
+    told.send(Err(io::ErrorKind::BrokenPipe.into())).unwrap();
+    assert!(sink.offer(line()));
+    let start = Instant::now();
+    while sink.offer(line()) {
+        assert!(
+            start.elapsed() < PATIENCE,
+            "lines are taken for a closed output"
+        );
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    assert!(!sink.offer(line()));
+}
+
+/// Guards against a flood of one kind of line that grows the volume, or that
+/// displaces the lines of failures.
+#[test]
+fn a_flood_of_one_kind_is_bounded_and_displaces_no_other() {
+    let decisions = Decisions::default();
+    let mut written = BTreeMap::new();
+    for ms in 0..10_000 {
+        let now = Duration::from_millis(ms);
+        for kind in [Kind::Answered, Kind::Attempt, Kind::Admitted] {
+            let allowed = (0..10).filter(|_| decisions.allow(kind, now)).count();
+            *written.entry(kind.name()).or_default() += allowed;
+        }
+        if ms % 100 == 0 {
+            assert!(decisions.allow(Kind::Failed, now), "{now:?}");
+        }
+    }
+    let expected = [("admitted", 200), ("answered", 200), ("attempt", 200)];
+    assert_eq!(written, BTreeMap::from(expected));
+    assert_eq!(decisions.left_out(Kind::Answered), 100_000 - 200);
+    assert_eq!(decisions.left_out(Kind::Failed), 0);
+}
+
+/// Guards against a hang-up that ends the process or is not logged, and against
+/// a start and a stop without a line.
+#[test]
+fn a_start_a_hang_up_and_a_stop_are_logged() {
+    let more = [
+        "--drain-limit-s=1".to_owned(),
+        "--upstream=127.0.0.1:1".to_owned(),
+        "--platform=127.0.0.1:1".to_owned(),
+    ];
+    let mut daemon = Daemon::start("a1", "a", &more);
+    let until = |daemon: &mut Daemon, outcome: &str| {
+        let mut lines = daemon.output.by_ref().map_while(Result::ok);
+        let found = lines.find(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
+            line["module"] == "process" && line["outcome"] == outcome
+        });
+        found.unwrap_or_else(|| panic!("no line says {outcome}"))
+    };
+    until(&mut daemon, "started");
+    for (signal, outcome) in [
+        ("-HUP", "reloaded"),
+        ("-HUP", "reloaded"),
+        ("-TERM", "stopping"),
+    ] {
+        let id = daemon.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &id]).status();
+        assert!(sent.unwrap().success());
+        until(&mut daemon, outcome);
+    }
+    until(&mut daemon, "stopped");
+    assert!(daemon.child.wait().unwrap().success());
+}
