dispatch: repeat lost idempotent work at the only host of a service

Cause: a host that was tried is not tried again, so a call whose answer was lost at the last host of its service ended with 502, although the call is idempotent, the configuration allows it more attempts and the budget has room. The extended test of lost answers failed with 502.

Change: where the answer was lost and no other host is left, the call may go to a tried one. A refusal is still not repeated there.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -112,7 +112,13 @@
                 // Under overload a refusal must come soon, and the way to
                 // another region and back takes 40 ms.
                 let near = cause == Cause::Busy && !tried.is_empty();
-                plan(context, snapshot, call, &class, body, &tried, near)
+                let fresh = plan(context, snapshot, call, &class, body, &tried, near);
+                // Where only the answer was lost, the one host that is left
+                // may well give another.
+                fresh.or_else(|| {
+                    let lost = last.verdict == Verdict::MayHaveRun;
+                    lost.then(|| plan(context, snapshot, call, &class, body, &[], false))?
+                })
             }
         };
         let Some(plan) = next else {
