server: take the limits of callers from the configuration

Cause: the size of a request's head (32 KiB) and the time that a connection may be idle (30 s) were fixed on the adapted platform. A deployment that allows larger heads had them refused, one that lets callers idle longer had their connections closed under a request, and one that allows less kept idle connections and their memory.

Change: a connection takes its limits from the document in force when it is accepted. The library has one time for the head and for idleness; the longer of the two configured ones bounds both.

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -43,15 +43,24 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
-        let limits = match context.settings.adapter {
-            Some(_) => server::Limits::CALLERS,
-            None => server::Limits::own(context.settings.caller_connections),
+        let limits = {
+            let context = Arc::clone(&context);
+            move || limits(&context)
         };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
         server::serve(listener, limits, stop, handle).await;
     })
 }
 
+/// Returns the limits of a connection that is accepted now.
+fn limits(context: &Context) -> server::Limits {
+    if context.settings.adapter.is_none() {
+        return server::Limits::own(context.settings.caller_connections);
+    }
+    let snapshot = context.config.snapshot();
+    server::Limits::CALLERS.following(snapshot.and_then(|snapshot| snapshot.document.limits))
+}
+
 async fn handle(
     context: Arc<Context>,
     request: Request<Incoming>,
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -38,15 +38,31 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
-        let limits = match context.settings.adapter {
-            Some(_) => server::Limits::DAEMONS,
-            None => server::Limits::own(CONNECTIONS_MAX),
+        let limits = {
+            let context = Arc::clone(&context);
+            move || limits(&context)
         };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
         server::serve(listener, limits, stop, handle).await;
     })
 }
 
+/// Returns the limits of a connection that is accepted now. Heads of callers
+/// come through here with a few more headers.
+fn limits(context: &Context) -> server::Limits {
+    if context.settings.adapter.is_none() {
+        return server::Limits::own(CONNECTIONS_MAX);
+    }
+    let snapshot = context.config.snapshot();
+    let limits = snapshot.and_then(|snapshot| snapshot.document.limits);
+    let limits = server::Limits::DAEMONS.following(limits);
+    // An HTTP/2 connection stays open while it answers pings.
+    server::Limits {
+        head: server::Limits::DAEMONS.head,
+        ..limits
+    }
+}
+
 async fn handle(
     context: Arc<Context>,
     request: Request<Incoming>,
--- a/crates/daemon/src/edge/ready/mod.rs
+++ b/crates/daemon/src/edge/ready/mod.rs
@@ -38,7 +38,7 @@
             let status = status(&context, request.uri().path());
             async move { answer(status) }
         };
-        server::serve(listener, server::Limits::CALLERS, stop, answer).await;
+        server::serve(listener, || server::Limits::CALLERS, stop, answer).await;
     })
 }
 
--- a/crates/daemon/src/edge/rpc/mod.rs
+++ b/crates/daemon/src/edge/rpc/mod.rs
@@ -59,7 +59,13 @@
             }
         }
     };
-    server::serve(listener, server::Limits::own(CONNECTIONS_MAX), stop, answer).await;
+    server::serve(
+        listener,
+        || server::Limits::own(CONNECTIONS_MAX),
+        stop,
+        answer,
+    )
+    .await;
     drop(handle);
 }
 
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -16,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
+use savorylane_intent::document;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -24,8 +25,8 @@
 
 /// Time in which a caller must send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// The same on the adapted platform, whose callers may keep a connection idle
-/// for this long; the library counts the idle time as a part of the head's.
+/// The same on the adapted platform, while no document says how long callers
+/// may keep a connection idle; the library counts that time as the head's.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval of the keep-alive pings of HTTP/2.
 pub const PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -88,13 +89,29 @@
     };
 
     /// Limits towards callers of the adapted platform. Headers take up to
-    /// 16 KiB there; what a connection reads at once is bounded by this too.
+    /// 16 KiB there unless the document says more; what a connection reads at
+    /// once is bounded by this too.
     pub const CALLERS: Self = Self {
         header_bytes: 2 * HEADER_BYTES,
         protocol: Protocol::Http1,
         ..Self::DAEMONS
     };
 
+    /// Returns these limits with what the document in force says of callers.
+    /// The library has one time for an idle connection and for a head that
+    /// arrives, so the longer one bounds both.
+    pub fn following(self, document: Option<document::Limits>) -> Self {
+        let Some(document) = document else {
+            return self;
+        };
+        let head = document.header_ms.max(document.idle_ms);
+        Self {
+            head: Duration::from_millis(u64::from(head)),
+            header_bytes: self.header_bytes.max(2 * document.header_bytes),
+            ..self
+        }
+    }
+
     /// Returns the product's own limits for `connections` connections of one
     /// address.
     pub fn own(connections: usize) -> Self {
@@ -110,14 +127,18 @@
 
 /// Serves HTTP/1.1 and HTTP/2 until `stop`, then answers the requests that
 /// arrived and waits until each connection has answered what it took.
-pub async fn serve<H, F>(listener: TcpListener, limits: Limits, stop: CancellationToken, handle: H)
+///
+/// A connection keeps the limits that `limits` returns when it is accepted.
+pub async fn serve<L, H, F>(listener: TcpListener, limits: L, stop: CancellationToken, handle: H)
 where
+    L: Fn() -> Limits + Send,
     H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
     let open: Arc<Mutex<HashMap<IpAddr, usize>>> = Arc::default();
     let take = |stream: TcpStream, peer: SocketAddr| {
+        let limits = limits();
         let Some(permit) = Permit::take(&open, peer.ip(), limits.connections) else {
             log::warn!("refused a connection of {}: it has too many", peer.ip());
             return;
--- a/crates/daemon/tests/server.rs
+++ b/crates/daemon/tests/server.rs
@@ -31,7 +31,12 @@
     let stop = CancellationToken::new();
     let answer =
         |_: Request<Incoming>, _: SocketAddr| async { Response::new(body::full("answered")) };
-    let task = tokio::spawn(server::serve(listener, limits, stop.clone(), answer));
+    let task = tokio::spawn(server::serve(
+        listener,
+        move || limits,
+        stop.clone(),
+        answer,
+    ));
     tokio::task::yield_now().await;
     Server {
         address,
