decisions: log a call without a repeat left, and what is said of suspects

Cause: a call that was not sent again for want of a repeat in the budget of its service looked like one that may not run twice, and the belief that a request may crash upstreams changed without a line.

Change: event `retry` with outcome `budget-empty`, at most 200 a second; module `suspects`, at most 20 a second, names the daemon that said so and the fingerprints with their states. The tests cover the first.

--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -9,9 +9,13 @@
 use http::StatusCode;
 use savorylane_policy::route::Observation;
 use savorylane_wire::Verdict;
+use savorylane_wire::control::Suspicion;
 
 use crate::call::{Call, Cause, Refusal};
 
+/// Requests that a line about suspects names, at most.
+const SUSPECTS_LISTED: usize = 8;
+
 /// Kinds of lines.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -19,6 +23,10 @@
     Answered,
     /// A request that was refused, failed or was abandoned.
     Failed,
+    /// A call that was not sent again.
+    Unrepeated,
+    /// What a daemon said of requests that may crash upstreams.
+    Suspected,
     /// An attempt at a host that led to an answer.
     Attempt,
     /// An attempt at a host that led to none.
@@ -31,9 +39,11 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 8] = [
         Self::Answered,
         Self::Failed,
+        Self::Unrepeated,
+        Self::Suspected,
         Self::Attempt,
         Self::Attempted,
         Self::Admitted,
@@ -45,8 +55,8 @@
     /// a host on a fifth of a core can refuse.
     fn rate(self) -> u64 {
         match self {
-            Self::Answered | Self::Attempt | Self::Admitted => 20,
-            Self::Failed | Self::Attempted | Self::Rejected => 200,
+            Self::Answered | Self::Attempt | Self::Admitted | Self::Suspected => 20,
+            Self::Failed | Self::Unrepeated | Self::Attempted | Self::Rejected => 200,
         }
     }
 
@@ -55,6 +65,8 @@
         match self {
             Self::Answered => "answered",
             Self::Failed => "failed",
+            Self::Unrepeated => "unrepeated",
+            Self::Suspected => "suspected",
             Self::Attempt => "attempt",
             Self::Attempted => "attempted",
             Self::Admitted => "admitted",
@@ -183,6 +195,36 @@
     );
 }
 
+/// Writes the line of a call that is not sent again because the budget of
+/// repeats of its service has none left. The refusal says what it met.
+pub fn budget_empty(call: &Call, last: &Refusal) {
+    log::info!(
+        target: "request",
+        event = "retry", id = id(call), class = call.class.name.as_str(),
+        service = call.service.as_str(), outcome = "budget-empty", cause = cause(last.cause),
+        verdict = last.verdict.as_str(),
+        left_ms = call.remaining(Instant::now()).as_millis() as u64;
+        "the call is not sent again: its service has no repeat left"
+    );
+}
+
+/// Writes the line of what a daemon said of requests that may crash upstreams.
+pub fn suspicion(news: &Suspicion) {
+    if news.suspects.is_empty() {
+        return;
+    }
+    let listed = news.suspects.iter().take(SUSPECTS_LISTED);
+    let listed: Vec<String> = listed
+        .map(|suspect| format!("{} {:?}", suspect.fingerprint, suspect.state))
+        .collect();
+    log::warn!(
+        target: "suspects",
+        from = news.from.host.as_str(), service = news.service.as_str(),
+        suspects = news.suspects.len() as u64;
+        "{}", listed.join(", ")
+    );
+}
+
 /// What a gatekeeper saw when it decided.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gate {
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -130,7 +130,7 @@
         };
         unknown |= last.verdict == Verdict::MayHaveRun;
         handed += u32::from(last.arrived);
-        if handed >= handed_most || !again(call, body, &class, &last) {
+        if handed >= handed_most || !again(context, call, body, &class, &last) {
             break;
         }
         context.metrics.attempted("retry");
@@ -152,7 +152,7 @@
 }
 
 /// Says whether a refused call may be sent to another host.
-fn again(call: &Call, body: &Replay, class: &Class, last: &Refusal) -> bool {
+fn again(context: &Context, call: &Call, body: &Replay, class: &Class, last: &Refusal) -> bool {
     if !may_retry(call.class.idempotent, last.verdict) || !body.repeatable() {
         return false;
     }
@@ -171,7 +171,11 @@
     // nothing from the budget that protects loaded upstreams.
     let spared = last.cause == Cause::Away || call.path.is_some();
     let free = spared && !last.arrived && last.verdict == Verdict::NotRun;
-    free || class.retry.take()
+    let granted = free || class.retry.take();
+    if !granted && context.decisions.allow(Kind::Unrepeated, context.now()) {
+        decisions::budget_empty(call, last);
+    }
+    granted
 }
 
 /// Makes one attempt and, where the plan says so, a hedge.
--- a/crates/daemon/src/suspects/mod.rs
+++ b/crates/daemon/src/suspects/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::audit::Event;
 use crate::call::{Call, Cause, Refusal};
+use crate::decisions::{self, Kind};
 use crate::kernel::Context;
 
 /// Suspects that this daemon knows, and what it has to tell of them.
@@ -73,8 +74,12 @@
         self.audit(context, reply);
     }
 
-    /// Writes bans to the audit trail, each once.
+    /// Logs what a daemon said of suspects, and writes bans to the audit trail,
+    /// each once.
     fn audit(&self, context: &Context, news: &Suspicion) {
+        if context.decisions.allow(Kind::Suspected, context.now()) {
+            decisions::suspicion(news);
+        }
         let now = context.now();
         let mut banned = self.banned.lock().unwrap_or_else(PoisonError::into_inner);
         for suspect in &news.suspects {
--- a/crates/daemon/tests/logs.rs
+++ b/crates/daemon/tests/logs.rs
@@ -9,9 +9,13 @@
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::{Duration, Instant};
 
-use common::Daemon;
+use common::{Daemon, document, get, list};
 use savorylane_daemon::decisions::{Decisions, Kind};
 use savorylane_daemon::logs::sink::{Sink, WAITING_MAX};
+use savorylane_standin::platform;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
 
 /// Longest wait for a condition; a loaded machine needs some of it.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -144,3 +148,49 @@
     until(&mut daemon, "stopped");
     assert!(daemon.child.wait().unwrap().success());
 }
+
+/// Guards against a call that is not sent again without a line that says why.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_without_a_repeat_left_is_logged() {
+    let cancel = CancellationToken::new();
+    let platform = platform::spawn(1, &cancel).unwrap();
+    // Connections to it are closed without an answer.
+    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = upstream.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = upstream.accept().await.unwrap();
+            tokio::spawn(async move { stream.read(&mut [0; 4_096]).await });
+        }
+    });
+    let more = [
+        format!("--platform={}", platform.addr()),
+        format!("--upstream={address}"),
+    ];
+    let mut daemon = Daemon::start("a1", "a", &more);
+    platform.publish_hosts(&list(1, vec![daemon.listed("a")]));
+    platform.publish_document(&document(1));
+    let entry = daemon.addresses["entry"];
+    let start = Instant::now();
+    // The budget lets ten repeats through at once.
+    while get(entry, "/stock/x")
+        .await
+        .map_or(true, |answer| answer.verdict == "not-run")
+    {
+        assert!(
+            start.elapsed() < PATIENCE,
+            "no request reaches the upstream"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for _ in 0..30 {
+        let _ = get(entry, "/stock/x").await;
+    }
+    daemon.child.kill().unwrap();
+    let mut lines = daemon.output.by_ref().map_while(Result::ok);
+    let found = lines.any(|line| {
+        let line: serde_json::Value = serde_json::from_str(&line).unwrap_or_default();
+        line["event"] == "retry" && line["outcome"] == "budget-empty"
+    });
+    assert!(found, "no line names the empty budget");
+}
