keyed_store: learn from whoever sends work, while nothing is known

They had no host list and no configuration for 3.9 s and 2.4 s, and no one to ask: a daemon asks others only by the load on answers to what it sends. Their gatekeepers went on to run work of others, and the calls of that work were refused at their own entries ("no configuration is in force yet", 1,043 lines), so that upstreams answered 500.

Ruled out: upstreams that fail part of their requests, which is what a 500 looks like in a report. The failed calls carry the id of the request that made them and stand in the logs of the same host just before it.

Change: a daemon without a configuration that the store turned away fetches host list and document from the daemon whose request reaches it; control ports are the same on all hosts.

--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::body::{Body, Replay};
 use crate::call::{self, Call, Cause, Refusal};
-use crate::edge::server;
+use crate::edge::{keyed_store, server};
 use crate::holder::{self, Handoff};
 use crate::kernel::{Context, Plugin, Port};
 
@@ -66,8 +66,11 @@
 async fn handle(
     context: Arc<Context>,
     request: Request<Incoming>,
-    _peer: SocketAddr,
+    peer: SocketAddr,
 ) -> Response<Body> {
+    if context.settings.adapter.is_some() {
+        keyed_store::on_request(&context, peer.ip());
+    }
     let mut answer = match accept(&context, request).await {
         Ok(answer) => answer,
         Err(refusal) => {
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -1,7 +1,7 @@
 //! Edge towards a platform that keeps the configuration and one entry for each
 //! upstream in a store of keys.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -281,31 +281,60 @@
     if load.version <= version && load.list <= current.hosts {
         return;
     }
-    let contact = &context.store;
-    let since = contact.lost_ms.load(Ordering::Relaxed);
+    let since = context.store.lost_ms.load(Ordering::Relaxed);
     let now = context.now().as_millis() as u64;
     if since == 0 || now < since + LOST.as_millis() as u64 {
         return;
     }
-    if contact.asking.swap(true, Ordering::Relaxed) {
+    let wanted = Wanted {
+        list: load.list > current.hosts,
+        version: load.version > version,
+    };
+    ask(context, host.control, wanted);
+}
+
+/// Takes a request from the daemon at `peer`. A daemon that was turned away by
+/// the store since its start knows no other one to ask; the calls of the work
+/// that it runs would fail.
+pub fn on_request(context: &Arc<Context>, peer: IpAddr) {
+    let lost = context.store.lost_ms.load(Ordering::Relaxed) != 0;
+    if !lost || context.config.snapshot().is_some() {
         return;
     }
-    let (context, host, load) = (Arc::clone(context), host.clone(), *load);
+    let wanted = Wanted {
+        list: true,
+        version: true,
+    };
+    let control = SocketAddr::new(peer, context.settings.control.port());
+    ask(context, control, wanted);
+}
+
+/// What another daemon is asked for.
+struct Wanted {
+    list: bool,
+    version: bool,
+}
+
+/// Fetches from the daemon at `control`, unless another one is being asked.
+fn ask(context: &Arc<Context>, control: SocketAddr, wanted: Wanted) {
+    if context.store.asking.swap(true, Ordering::Relaxed) {
+        return;
+    }
+    let context = Arc::clone(context);
+    let source = control.ip().to_string();
     tokio::spawn(async move {
-        if load.list > context.config.current().hosts
-            && let Some(list) = read_hosts(&context, host.control, &host.name).await
+        if wanted.list
+            && let Some(list) = read_hosts(&context, control, &source).await
         {
             let own = context.config.list().unwrap_or_default();
             let merged = hosts::merge(&own, list);
-            context
-                .config
-                .offer_hosts(&context.trail, merged, &host.name);
+            context.config.offer_hosts(&context.trail, merged, &source);
         }
-        if load.version > version {
+        if wanted.version {
             let base = context.config.version().map(|version| version.hash);
-            let outcome = fetch_from(&context, host.control, &host.name, base).await;
+            let outcome = fetch_from(&context, control, &source, base).await;
             if matches!(outcome, Some(Outcome::Baseless { .. })) {
-                fetch_from(&context, host.control, &host.name, None).await;
+                fetch_from(&context, control, &source, None).await;
             }
         }
         context.store.asking.store(false, Ordering::Relaxed);
