peers: move what is fetched from other daemons to a module of its own

Functions are named by what they fetch, and an argument that was never read is gone. No behaviour changes.

--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -17,7 +17,7 @@
 use crate::audit::Event;
 use crate::config::PLATFORM;
 use crate::kernel::Context;
-use crate::peers::{fetch_from, read_hosts};
+use crate::peers::fetch;
 use crate::settings::Adapter;
 
 /// Time that a watch waits at the store.
@@ -324,7 +324,7 @@
     let source = control.ip().to_string();
     tokio::spawn(async move {
         if wanted.list
-            && let Some(list) = read_hosts(&context, control, &source).await
+            && let Some(list) = fetch::list_of(&context, control, &source).await
         {
             let own = context.config.list().unwrap_or_default();
             let merged = hosts::merge(&own, list);
@@ -332,9 +332,9 @@
         }
         if wanted.version {
             let base = context.config.version().map(|version| version.hash);
-            let outcome = fetch_from(&context, control, &source, base).await;
+            let outcome = fetch::document_of(&context, control, &source, base).await;
             if matches!(outcome, Some(Outcome::Baseless { .. })) {
-                fetch_from(&context, control, &source, None).await;
+                fetch::document_of(&context, control, &source, None).await;
             }
         }
         context.store.asking.store(false, Ordering::Relaxed);
--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -21,7 +21,7 @@
 use crate::config::PLATFORM;
 use crate::edge::keyed_store;
 use crate::kernel::{Context, Plugin};
-use crate::peers::{fetch_from, fetch_hosts_from};
+use crate::peers::fetch;
 use crate::settings::Readers;
 
 /// Key of the manifest.
@@ -110,7 +110,7 @@
     let mut delay = Delay::default();
     loop {
         for peer in &context.settings.peers {
-            if fetch_hosts_from(context, *peer, "peer").await {
+            if fetch::offer_list_of(context, *peer, "peer").await {
                 break;
             }
         }
@@ -137,7 +137,7 @@
             if context.config.version().is_some() {
                 return;
             }
-            fetch_from(context, *peer, "peer", None).await;
+            fetch::document_of(context, *peer, "peer", None).await;
         }
         tokio::time::sleep(jittered(&mut delay).min(START_RETRY_MAX)).await;
     }
--- /dev/null
+++ b/crates/daemon/src/peers/fetch.rs
@@ -0,0 +1,123 @@
+//! Documents and host lists that are fetched from other daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use savorylane_intent::adopt::Outcome;
+use savorylane_intent::{Hash, hosts};
+use savorylane_wire::rpc::{ControlClient, Fetch};
+use tokio::time::error::Elapsed;
+
+use super::address;
+use crate::audit::Event;
+use crate::edge::control::client;
+use crate::kernel::Context;
+
+/// Time for a document or host list to be fetched from a peer.
+const FETCH_LIMIT: Duration = Duration::from_secs(2);
+
+/// Fetches until no greater version is announced.
+pub(super) async fn newest(context: Arc<Context>) {
+    loop {
+        let mut next = None;
+        context.peers.fetching.send_modify(|fetching| {
+            next = fetching.next.take();
+            fetching.active = next.is_some();
+        });
+        let Some((host, version)) = next else { return };
+        if let Some(address) = address(&context, &host)
+            && context.config.version() < Some(version)
+        {
+            let base = context.config.version().map(|version| version.hash);
+            let outcome = document_of(&context, address, &host, base).await;
+            if matches!(outcome, Some(Outcome::Baseless { .. })) {
+                document_of(&context, address, &host, None).await;
+            }
+        }
+    }
+}
+
+/// Fetches the document of the daemon at `address` and offers it.
+pub async fn document_of(
+    context: &Arc<Context>,
+    address: SocketAddr,
+    source: &str,
+    base: Option<Hash>,
+) -> Option<Outcome> {
+    let message = Fetch {
+        from: context.sender(),
+        base,
+    };
+    let client = client(context, address);
+    let sent = tokio::time::timeout(FETCH_LIMIT, client.fetch(message)).await;
+    let transfer = fetched(sent, "document", source)?;
+    let content = decode(&transfer.content)?;
+    let outcome = context.config.offer(&context.trail, source, |store| {
+        store.offer_transfer(&content)
+    });
+    Some(outcome)
+}
+
+/// Fetches the host list of a host and offers it.
+pub(super) async fn hosts_of(context: Arc<Context>, host: Arc<str>) {
+    if let Some(address) = address(&context, &host) {
+        offer_list_of(&context, address, &host).await;
+    }
+    context.peers.fetching_hosts.store(false, Ordering::Relaxed);
+}
+
+/// Fetches the host list of the daemon at `address` and offers it; says
+/// whether one came.
+pub async fn offer_list_of(context: &Arc<Context>, address: SocketAddr, source: &str) -> bool {
+    let list = list_of(context, address, source).await;
+    list.is_some_and(|list| context.config.offer_hosts(&context.trail, list, source))
+}
+
+/// Fetches the host list of the daemon at `address`, if it is newer.
+pub async fn list_of(
+    context: &Arc<Context>,
+    address: SocketAddr,
+    source: &str,
+) -> Option<hosts::List> {
+    let after = context.config.list().map_or(0, |list| list.number);
+    let client = client(context, address);
+    let sent = tokio::time::timeout(FETCH_LIMIT, client.hosts(after)).await;
+    let content = decode(&fetched(sent, "host list", source)?.content)?;
+    let fault = match hosts::unpack(&content) {
+        Ok(list) => return Some(list),
+        Err(fault) => fault,
+    };
+    context.trail.record(Event::Refused {
+        source: source.into(),
+        reason: fault.to_string(),
+    });
+    None
+}
+
+/// Returns what a daemon sent, and logs why it sent nothing.
+fn fetched<T>(
+    sent: Result<Result<Option<T>, jsonrpsee::core::ClientError>, Elapsed>,
+    what: &str,
+    source: &str,
+) -> Option<T> {
+    match sent {
+        Ok(Ok(content)) => content,
+        Ok(Err(error)) => {
+            log::warn!("cannot fetch the {what} of {source}: {error}");
+            None
+        }
+        Err(_) => {
+            log::warn!("cannot fetch the {what} of {source}: no answer in {FETCH_LIMIT:?}");
+            None
+        }
+    }
+}
+
+fn decode(content: &str) -> Option<Vec<u8>> {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD
+        .decode(content)
+        .ok()
+}
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -1,6 +1,8 @@
 //! Drives the membership view: gives it time and messages, and carries out
 //! what it asks for.
 
+pub mod fetch;
+
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -8,17 +10,15 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use savorylane_intent::adopt::Outcome;
+use savorylane_intent::Version;
 use savorylane_intent::hosts::{self, Host};
-use savorylane_intent::{Hash, Version};
 use savorylane_membership::action::{Action, Purpose, Token};
 use savorylane_membership::view::{ANSWER_LIMIT, PAUSE, PROBE_LIMIT, TICK};
 use savorylane_membership::{View, view};
 use savorylane_wire::Incarnation;
 use savorylane_wire::control::Heartbeat;
-use savorylane_wire::rpc::{ControlClient, Fetch};
+use savorylane_wire::rpc::ControlClient;
 use tokio::sync::watch;
-use tokio::time::error::Elapsed;
 use tokio_util::sync::CancellationToken;
 
 use crate::audit::Event;
@@ -26,8 +26,6 @@
 use crate::holder::wall_ms;
 use crate::kernel::Context;
 
-/// Time for a document or host list to be fetched from a peer.
-const FETCH_LIMIT: Duration = Duration::from_secs(2);
 /// Longest time that a request waits for the refresh after a pause.
 pub const REFRESH_LIMIT: Duration = Duration::from_secs(1);
 
@@ -268,12 +266,12 @@
                 start = !std::mem::replace(&mut fetching.active, true);
             });
             if start {
-                tokio::spawn(fetch(Arc::clone(context)));
+                tokio::spawn(fetch::newest(Arc::clone(context)));
             }
         }
-        Action::HostsBehind { host, number } => {
+        Action::HostsBehind { host, .. } => {
             if !peers.fetching_hosts.swap(true, Ordering::Relaxed) {
-                tokio::spawn(fetch_hosts(Arc::clone(context), host, number));
+                tokio::spawn(fetch::hosts_of(Arc::clone(context), host));
             }
         }
         Action::Routable(host) => peers.set_routable(&host, true),
@@ -350,27 +348,6 @@
     }
 }
 
-/// Fetches until no greater version is announced.
-async fn fetch(context: Arc<Context>) {
-    loop {
-        let mut next = None;
-        context.peers.fetching.send_modify(|fetching| {
-            next = fetching.next.take();
-            fetching.active = next.is_some();
-        });
-        let Some((host, version)) = next else { return };
-        if let Some(address) = address(&context, &host)
-            && context.config.version() < Some(version)
-        {
-            let base = context.config.version().map(|version| version.hash);
-            let outcome = fetch_from(&context, address, &host, base).await;
-            if matches!(outcome, Some(Outcome::Baseless { .. })) {
-                fetch_from(&context, address, &host, None).await;
-            }
-        }
-    }
-}
-
 /// Lets requests go on when the versions that the asked peers announced are in
 /// force.
 async fn confirm(context: Arc<Context>) {
@@ -380,88 +357,6 @@
     context.peers.fresh.send_replace(true);
 }
 
-/// Fetches the document of the daemon at `address` and offers it.
-pub async fn fetch_from(
-    context: &Arc<Context>,
-    address: SocketAddr,
-    source: &str,
-    base: Option<Hash>,
-) -> Option<Outcome> {
-    let message = Fetch {
-        from: context.sender(),
-        base,
-    };
-    let client = client(context, address);
-    let sent = tokio::time::timeout(FETCH_LIMIT, client.fetch(message)).await;
-    let transfer = fetched(sent, "document", source)?;
-    let content = decode(&transfer.content)?;
-    let outcome = context.config.offer(&context.trail, source, |store| {
-        store.offer_transfer(&content)
-    });
-    Some(outcome)
-}
-
-async fn fetch_hosts(context: Arc<Context>, host: Arc<str>, _number: u64) {
-    if let Some(address) = address(&context, &host) {
-        fetch_hosts_from(&context, address, &host).await;
-    }
-    context.peers.fetching_hosts.store(false, Ordering::Relaxed);
-}
-
-/// Fetches the host list of the daemon at `address` and offers it; says
-/// whether one came.
-pub async fn fetch_hosts_from(context: &Arc<Context>, address: SocketAddr, source: &str) -> bool {
-    let list = read_hosts(context, address, source).await;
-    list.is_some_and(|list| context.config.offer_hosts(&context.trail, list, source))
-}
-
-/// Fetches the host list of the daemon at `address`, if it is newer.
-pub async fn read_hosts(
-    context: &Arc<Context>,
-    address: SocketAddr,
-    source: &str,
-) -> Option<hosts::List> {
-    let after = context.config.list().map_or(0, |list| list.number);
-    let client = client(context, address);
-    let sent = tokio::time::timeout(FETCH_LIMIT, client.hosts(after)).await;
-    let content = decode(&fetched(sent, "host list", source)?.content)?;
-    let fault = match hosts::unpack(&content) {
-        Ok(list) => return Some(list),
-        Err(fault) => fault,
-    };
-    context.trail.record(Event::Refused {
-        source: source.into(),
-        reason: fault.to_string(),
-    });
-    None
-}
-
-/// Returns what a daemon sent, and logs why it sent nothing.
-fn fetched<T>(
-    sent: Result<Result<Option<T>, jsonrpsee::core::ClientError>, Elapsed>,
-    what: &str,
-    source: &str,
-) -> Option<T> {
-    match sent {
-        Ok(Ok(content)) => content,
-        Ok(Err(error)) => {
-            log::warn!("cannot fetch the {what} of {source}: {error}");
-            None
-        }
-        Err(_) => {
-            log::warn!("cannot fetch the {what} of {source}: no answer in {FETCH_LIMIT:?}");
-            None
-        }
-    }
-}
-
-fn decode(content: &str) -> Option<Vec<u8>> {
-    use base64::Engine;
-    base64::engine::general_purpose::STANDARD
-        .decode(content)
-        .ok()
-}
-
 /// Tries a host on behalf of a peer.
 pub async fn probe_for(context: &Arc<Context>, host: &str) -> bool {
     let action = context.peers.view().on_probe_request(context.now(), host);
