--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -113,8 +113,8 @@
                 // another region and back takes 40 ms.
                 let near = cause == Cause::Busy && !tried.is_empty();
                 let fresh = plan(context, snapshot, call, &class, body, &tried, near);
-                // Where only the answer was lost, the one host that is left
-                // may well give another.
+                // Where only the answer was lost and no other host is left, a
+                // tried one may well give another.
                 fresh.or_else(|| {
                     let lost = last.verdict == Verdict::MayHaveRun;
                     lost.then(|| plan(context, snapshot, call, &class, body, &[], false))?
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -104,10 +104,16 @@
         let Some(document) = document else {
             return self;
         };
-        let head = document.header_ms.max(document.idle_ms);
+        let head = Duration::from_millis(document.header_ms.max(document.idle_ms).into());
         Self {
-            head: Duration::from_millis(u64::from(head)),
-            header_bytes: self.header_bytes.max(2 * document.header_bytes),
+            // A document without these times gives none to close by.
+            head: if head.is_zero() { self.head } else { head },
+            // Two heads of the configured size fit, for what stands beside the
+            // headers: the request line and what a daemon adds.
+            header_bytes: document
+                .header_bytes
+                .saturating_mul(2)
+                .max(self.header_bytes),
             ..self
         }
     }
