--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -1,5 +1,6 @@
 //! The built daemon as separate processes.
 
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
 mod common;
 
 use std::sync::Arc;
