keyed_store: learn from senders also while the store is silent

Cause: a daemon without a configuration asked the sender of its first work only once a call to the store had failed. A store that is silent fails a read after 2 s; the calls of work that ran until then were refused.

server: the limits of the two ports are taken in one place; the data port undid a part of what it had asked for.

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -17,7 +17,7 @@
 use crate::call::{Call, Cause, Refusal};
 use crate::decisions::{self, Basis, Kind};
 use crate::dispatch;
-use crate::edge::server;
+use crate::edge::server::{self, Limits};
 use crate::holder;
 use crate::kernel::{Context, Plugin, Port};
 use crate::peers;
@@ -45,22 +45,16 @@
         let Some(listener) = listener else { return };
         let limits = {
             let context = Arc::clone(&context);
-            move || limits(&context)
+            move || {
+                let own = context.settings.caller_connections;
+                Limits::in_force(&context, Limits::CALLERS, own)
+            }
         };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
         server::serve(listener, limits, stop, handle).await;
     })
 }
 
-/// Returns the limits of a connection that is accepted now.
-fn limits(context: &Context) -> server::Limits {
-    if context.settings.adapter.is_none() {
-        return server::Limits::own(context.settings.caller_connections);
-    }
-    let snapshot = context.config.snapshot();
-    server::Limits::CALLERS.following(snapshot.and_then(|snapshot| snapshot.document.limits))
-}
-
 async fn handle(
     context: Arc<Context>,
     request: Request<Incoming>,
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -14,7 +14,8 @@
 
 use crate::body::{Body, Replay};
 use crate::call::{self, Call, Cause, Refusal};
-use crate::edge::{keyed_store, server};
+use crate::edge::keyed_store;
+use crate::edge::server::{self, Limits};
 use crate::holder::{self, Handoff};
 use crate::kernel::{Context, Plugin, Port};
 
@@ -40,29 +41,13 @@
         let Some(listener) = listener else { return };
         let limits = {
             let context = Arc::clone(&context);
-            move || limits(&context)
+            move || Limits::in_force(&context, Limits::DAEMONS, CONNECTIONS_MAX)
         };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
         server::serve(listener, limits, stop, handle).await;
     })
 }
 
-/// Returns the limits of a connection that is accepted now. Heads of callers
-/// come through here with a few more headers.
-fn limits(context: &Context) -> server::Limits {
-    if context.settings.adapter.is_none() {
-        return server::Limits::own(CONNECTIONS_MAX);
-    }
-    let snapshot = context.config.snapshot();
-    let limits = snapshot.and_then(|snapshot| snapshot.document.limits);
-    let limits = server::Limits::DAEMONS.following(limits);
-    // An HTTP/2 connection stays open while it answers pings.
-    server::Limits {
-        head: server::Limits::DAEMONS.head,
-        ..limits
-    }
-}
-
 async fn handle(
     context: Arc<Context>,
     request: Request<Incoming>,
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -293,12 +293,11 @@
     ask(context, host.control, wanted);
 }
 
-/// Takes a request from the daemon at `peer`. A daemon that was turned away by
-/// the store since its start knows no other one to ask; the calls of the work
+/// Takes a request from the daemon at `peer`. A daemon that the store has not
+/// answered since its start knows no other one to ask; the calls of the work
 /// that it runs would fail.
 pub fn on_request(context: &Arc<Context>, peer: IpAddr) {
-    let lost = context.store.lost_ms.load(Ordering::Relaxed) != 0;
-    if !lost || context.config.snapshot().is_some() {
+    if context.config.snapshot().is_some() {
         return;
     }
     let wanted = Wanted {
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -22,6 +22,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::Body;
+use crate::kernel::Context;
 
 /// Time in which a caller must send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -97,13 +98,24 @@
         ..Self::DAEMONS
     };
 
-    /// Returns these limits with what the document in force says of callers.
-    /// The library has one time for an idle connection and for a head that
-    /// arrives, so the longer one bounds both.
-    pub fn following(self, document: Option<document::Limits>) -> Self {
-        let Some(document) = document else {
-            return self;
-        };
+    /// Returns the limits of a connection that is accepted now: on the adapted
+    /// platform `adapted` with what the document in force says of callers, and
+    /// elsewhere the product's own for `connections` of one address.
+    pub fn in_force(context: &Context, adapted: Self, connections: usize) -> Self {
+        if context.settings.adapter.is_none() {
+            return Self::own(connections);
+        }
+        let snapshot = context.config.snapshot();
+        match snapshot.and_then(|snapshot| snapshot.document.limits) {
+            Some(document) => adapted.following(&document),
+            None => adapted,
+        }
+    }
+
+    /// Returns these limits with what a document says of callers. The library
+    /// has one time for an idle connection and for a head that arrives, so the
+    /// longer one bounds both.
+    fn following(self, document: &document::Limits) -> Self {
         let head = Duration::from_millis(document.header_ms.max(document.idle_ms).into());
         Self {
             // A document without these times gives none to close by.
