dispatch, server: log what broke a connection between daemons

A line `the connection to the host broke` did not say whether the peer died, reset the connection, or only answered no keep-alive ping in time. They fit a ping that is late behind bodies and a process that dies alike; the reason now ends with the innermost error, and the server writes a line `dependency` when it closes a connection for want of a ping's answer.

--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -93,13 +93,10 @@
             Ok(Err(error)) if is_reset(&error) => {
                 Refusal::unknown(StatusCode::BAD_GATEWAY, "the host broke off the answer")
             }
-            Ok(Err(error)) => {
-                log::debug!("request to {address} failed: {error}");
-                Refusal {
-                    cause: Cause::Away,
-                    ..Refusal::unknown(StatusCode::BAD_GATEWAY, "the connection to the host broke")
-                }
-            }
+            Ok(Err(error)) => Refusal {
+                cause: Cause::Away,
+                ..Refusal::unknown(StatusCode::BAD_GATEWAY, broken(&error))
+            },
             Err(_) => Refusal::unknown(
                 StatusCode::GATEWAY_TIMEOUT,
                 "the host did not answer in time",
@@ -112,6 +109,16 @@
     }
 }
 
+/// Returns the reason of a refusal after the connection broke under a request,
+/// with what broke it.
+fn broken(error: &(dyn Error + 'static)) -> String {
+    let mut innermost = error;
+    while let Some(source) = innermost.source() {
+        innermost = source;
+    }
+    format!("the connection to the host broke: {innermost}")
+}
+
 /// Says whether one stream was reset on a connection that goes on.
 fn is_reset(error: &(dyn Error + 'static)) -> bool {
     h2_error(error).is_some_and(h2::Error::is_reset)
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -226,10 +227,13 @@
 {
     let begun = Arc::new(AtomicBool::new(false));
     let begin = Arc::clone(&begun);
+    let multiplexed = Arc::new(AtomicBool::new(false));
+    let multiplex = Arc::clone(&multiplexed);
     let stopped = stop.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         begin.store(true, Ordering::Relaxed);
         let version = request.version();
+        multiplex.store(version == Version::HTTP_2, Ordering::Relaxed);
         let answer = handle(request, peer);
         let stop = stopped.clone();
         async move {
@@ -267,6 +271,23 @@
         }
     };
     if let Err(error) = ended {
+        report(peer, error.as_ref(), multiplexed.load(Ordering::Relaxed));
+    }
+}
+
+/// Writes the line of a connection that ended with an error. One that was
+/// closed since the peer answered no ping cuts all requests on it, and takes
+/// the time of a ping at least, so these lines are bounded.
+fn report(peer: SocketAddr, error: &(dyn Error + 'static), multiplexed: bool) {
+    let timed_out = error
+        .downcast_ref::<hyper::Error>()
+        .is_some_and(hyper::Error::is_timeout);
+    if timed_out && multiplexed {
+        log::warn!(
+            target: "dependency", dependency = "peer", outcome = "lost", peer:display = peer;
+            "the peer answered no keep-alive ping in time; its connection was closed"
+        );
+    } else {
         log::debug!("a connection of {peer} ended: {error}");
     }
 }
