server: read the rest of a body after an early answer

Callers that were answered before their body was in (a refused upload, an upstream that answers early) got a reset in place of the answer: the server closed the connection with unread bytes, and the reset overtakes the answer. Found while looking for other places where one side ends a connection while the other still expects something on it.

The rest of a body over HTTP/1.1 is now read for 2 s at most after the handler drops it; a caller that sends on for longer is cut.

an_answer_before_the_end_of_a_body_is_delivered failed before (broken pipe at the caller after some of 400 kB) and passes; the tests of daemon and platform pass.

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -7,7 +7,7 @@
 
 use futures::future::BoxFuture;
 use http::{Request, Response, StatusCode};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Body as _;
 use savorylane_platform::header as platform;
 use savorylane_wire::{Verdict, header};
 use tokio::net::TcpListener;
@@ -55,11 +55,7 @@
     })
 }
 
-async fn handle(
-    context: Arc<Context>,
-    request: Request<Incoming>,
-    peer: SocketAddr,
-) -> Response<Body> {
+async fn handle(context: Arc<Context>, request: Request<Body>, peer: SocketAddr) -> Response<Body> {
     let adapted = context.settings.adapter.is_some();
     let start = Instant::now();
     let id = platform::id(request.headers()).map(str::to_owned);
@@ -109,7 +105,7 @@
 
 async fn accept(
     context: &Arc<Context>,
-    request: Request<Incoming>,
+    request: Request<Body>,
     peer: SocketAddr,
 ) -> Result<Response<Body>, Refusal> {
     let adapted = context.settings.adapter.is_some();
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -6,8 +6,6 @@
 
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use savorylane_wire::{Hop, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -48,11 +46,7 @@
     })
 }
 
-async fn handle(
-    context: Arc<Context>,
-    request: Request<Incoming>,
-    peer: SocketAddr,
-) -> Response<Body> {
+async fn handle(context: Arc<Context>, request: Request<Body>, peer: SocketAddr) -> Response<Body> {
     if context.settings.adapter.is_some() {
         keyed_store::on_request(&context, peer.ip());
     }
@@ -73,10 +67,7 @@
     answer
 }
 
-async fn accept(
-    context: &Arc<Context>,
-    request: Request<Incoming>,
-) -> Result<Response<Body>, Refusal> {
+async fn accept(context: &Arc<Context>, request: Request<Body>) -> Result<Response<Body>, Refusal> {
     let (head, body) = request.into_parts();
     if let Some(hop) = call::text(&head.headers, header::HOP)? {
         return accept_hop(context, &head, body, &hop).await;
@@ -132,7 +123,6 @@
             "this host runs another service",
         ));
     }
-    let body = body.map_err(Into::into).boxed_unsync();
     context.gatekeeper.run(context, &call, body).await
 }
 
@@ -140,7 +130,7 @@
 async fn accept_hop(
     context: &Arc<Context>,
     head: &http::request::Parts,
-    body: Incoming,
+    body: Body,
     hop: &str,
 ) -> Result<Response<Body>, Refusal> {
     let Ok(hop) = serde_json::from_str::<Hop>(hop) else {
@@ -150,6 +140,5 @@
     let caller: IpAddr =
         call::number(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
     let call = Call::sent_on(head, hop, caller, Instant::now())?;
-    let body = body.map_err(Into::into).boxed_unsync();
     context.gatekeeper.run(context, &call, body).await
 }
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::body::Body;
 use crate::edge::rpc;
 use crate::kernel::{Context, Plugin, Port};
 use crate::{peers, summary};
@@ -33,7 +34,7 @@
     Box::pin(async move {
         let Some(listener) = listener else { return };
         let methods = Handler(Arc::clone(&context)).into_rpc();
-        let page = move |request: &http::Request<hyper::body::Incoming>| {
+        let page = move |request: &http::Request<Body>| {
             let asked = request.method() == http::Method::GET && request.uri().path() == "/metrics";
             asked.then(|| {
                 let version = context.config.version().map_or(0, |version| version.number);
--- a/crates/daemon/src/edge/ready/mod.rs
+++ b/crates/daemon/src/edge/ready/mod.rs
@@ -5,7 +5,6 @@
 
 use futures::future::BoxFuture;
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
 use savorylane_platform::READY_PATH;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -34,7 +33,7 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
-        let answer = move |request: Request<Incoming>, _peer: SocketAddr| {
+        let answer = move |request: Request<Body>, _peer: SocketAddr| {
             let status = status(&context, request.uri().path());
             async move { answer(status) }
         };
--- a/crates/daemon/src/edge/rpc/mod.rs
+++ b/crates/daemon/src/edge/rpc/mod.rs
@@ -4,7 +4,6 @@
 
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use jsonrpsee::Methods;
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle, stop_channel};
 use tokio::net::TcpListener;
@@ -27,7 +26,7 @@
     methods: impl Into<Methods>,
     page: P,
 ) where
-    P: Fn(&Request<Incoming>) -> Option<Response<Body>> + Clone + Send + 'static,
+    P: Fn(&Request<Body>) -> Option<Response<Body>> + Clone + Send + 'static,
 {
     let config = ServerConfig::builder()
         .max_request_body_size(MESSAGE_BYTES)
@@ -41,7 +40,7 @@
         .set_config(config)
         .to_service_builder()
         .build(methods, stopped);
-    let answer = move |request: Request<Incoming>, _peer: SocketAddr| {
+    let answer = move |request: Request<Body>, _peer: SocketAddr| {
         let own = page(&request);
         let mut service = service.clone();
         async move {
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -13,6 +13,7 @@
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -24,6 +25,9 @@
 
 use crate::body::Body;
 use crate::kernel::Context;
+use rest::Drained;
+
+mod rest;
 
 /// Time in which a caller must send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -153,7 +157,7 @@
 pub async fn serve<L, H, F>(listener: TcpListener, limits: L, stop: CancellationToken, handle: H)
 where
     L: Fn() -> Limits + Send,
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Clone + Send + 'static,
+    H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
@@ -224,7 +228,7 @@
     stop: CancellationToken,
     handle: H,
 ) where
-    H: Fn(Request<Incoming>, SocketAddr) -> F + Send + 'static,
+    H: Fn(Request<Body>, SocketAddr) -> F + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let begun = Arc::new(AtomicBool::new(false));
@@ -236,6 +240,13 @@
         begin.store(true, Ordering::Relaxed);
         let version = request.version();
         multiplex.store(version == Version::HTTP_2, Ordering::Relaxed);
+        let request = request.map(|body| {
+            let body = body.map_err(Into::into).boxed_unsync();
+            match version {
+                Version::HTTP_2 => body,
+                _ => Drained::wrap(body),
+            }
+        });
         let answer = handle(request, peer);
         let stop = stopped.clone();
         async move {
--- /dev/null
+++ b/crates/daemon/src/edge/server/rest.rs
@@ -0,0 +1,66 @@
+//! Reads what is left of a request's body after its answer.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+
+use crate::body::{self, Body, Cut};
+
+/// Time for which the rest of a body is read. A caller that was answered early
+/// and goes on for longer is cut.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Body whose rest is read when it is dropped. A connection that is closed with
+/// unread bytes is reset, and the reset can overtake an early answer.
+pub(super) struct Drained {
+    inner: Body,
+    ended: bool,
+}
+
+impl Drained {
+    /// Wraps the body of a request that came over HTTP/1.1.
+    pub(super) fn wrap(inner: Body) -> Body {
+        let ended = inner.is_end_stream();
+        Self { inner, ended }.boxed_unsync()
+    }
+}
+
+impl http_body::Body for Drained {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        self.ended |= matches!(&polled, Poll::Ready(None | Some(Err(_))));
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+impl Drop for Drained {
+    fn drop(&mut self) {
+        if self.ended || self.inner.is_end_stream() {
+            return;
+        }
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else {
+            return;
+        };
+        let mut rest = std::mem::replace(&mut self.inner, body::empty());
+        let read = async move { while let Some(Ok(_)) = rest.frame().await {} };
+        runtime.spawn(tokio::time::timeout(LINGER, read));
+    }
+}
--- a/crates/daemon/tests/server.rs
+++ b/crates/daemon/tests/server.rs
@@ -8,8 +8,7 @@
 use std::time::Duration;
 
 use http::{Request, Response};
-use hyper::body::Incoming;
-use savorylane_daemon::body;
+use savorylane_daemon::body::{self, Body};
 use savorylane_daemon::edge::server::{self, Limits};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -17,6 +16,10 @@
 
 /// Time until a server without requests must have ended.
 const END: Duration = Duration::from_secs(2);
+/// Bytes of a body, of one part of it, and the time between two parts.
+const BODY_BYTES: usize = 400_000;
+const PART_BYTES: usize = 20_000;
+const PART_GAP: Duration = Duration::from_millis(10);
 const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
 
 struct Server {
@@ -29,8 +32,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let stop = CancellationToken::new();
-    let answer =
-        |_: Request<Incoming>, _: SocketAddr| async { Response::new(body::full("answered")) };
+    let answer = |_: Request<Body>, _: SocketAddr| async { Response::new(body::full("answered")) };
     let task = tokio::spawn(server::serve(
         listener,
         move || limits,
@@ -131,3 +133,33 @@
         assert_eq!(answer(&kept).await, "");
     }
 }
+
+/// Guards against an answer that is lost since the server closes a connection
+/// on which a body is still arriving: the close resets the connection, and the
+/// caller reads an error in place of the answer.
+#[tokio::test]
+async fn an_answer_before_the_end_of_a_body_is_delivered() {
+    for limits in LIMITS {
+        let server = server(limits()).await;
+        let stream = TcpStream::connect(server.address).unwrap();
+        let mut sender = stream.try_clone().unwrap();
+        let sent = tokio::task::spawn_blocking(move || {
+            let head =
+                format!("POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: {BODY_BYTES}\r\n\r\n");
+            sender.write_all(head.as_bytes()).unwrap();
+            for _ in 0..BODY_BYTES / PART_BYTES {
+                sender.write_all(&[7; PART_BYTES]).unwrap();
+                std::thread::sleep(PART_GAP);
+            }
+        });
+        sent.await.expect("the server takes the body");
+        let text = answer(&stream).await;
+        assert!(text.starts_with("HTTP/1.1 200"), "{text:?}");
+        server.stop.cancel();
+        drop(stream);
+        tokio::time::timeout(END, server.task)
+            .await
+            .unwrap()
+            .unwrap();
+    }
+}
