kernel: answer requests that outlast a stop

A request that was still waiting when the drain limit of a stopping host was reached lost its connection without an answer.

The last 0.2 s of the drain limit are now left for answers: requests that still run are cancelled and answered 504, may have run.

a_stop_answers_what_it_cuts failed before (no answer when the stop returned) and passes.

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -59,7 +59,14 @@
     let adapted = context.settings.adapter.is_some();
     let start = Instant::now();
     let id = platform::id(request.headers()).map(str::to_owned);
-    match accept(&context, request, peer).await {
+    let accepted = tokio::select! {
+        accepted = accept(&context, request, peer) => accepted,
+        () = context.cut.cancelled() => {
+            let reason = "the host stops before the answer came";
+            Err(Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, reason))
+        }
+    };
+    match accepted {
         Ok(mut answer) => {
             if adapted {
                 answer.headers_mut().remove(header::VERDICT);
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -41,6 +41,9 @@
 /// are taken, and sends none after two refusals.
 const UNREADY_NOTICE: Duration = Duration::from_millis(2_300);
 
+/// Part of the drain limit that is left for the answers to what is cut.
+const CUT_NOTICE: Duration = Duration::from_millis(200);
+
 /// State that the edges share.
 #[derive(Debug)]
 pub struct Context {
@@ -86,6 +89,9 @@
     pub leaving: CancellationToken,
     /// Cancelled when the edges end.
     pub stop: CancellationToken,
+    /// Cancelled shortly before the drain limit; requests that still run are
+    /// answered then, since their connections are closed with the process.
+    pub cut: CancellationToken,
 }
 
 impl Context {
@@ -245,6 +251,7 @@
         turn: AtomicU64::new(0),
         leaving: CancellationToken::new(),
         stop: CancellationToken::new(),
+        cut: CancellationToken::new(),
         settings,
     });
     let edges = bound
@@ -291,12 +298,19 @@
         let mut cut = Vec::new();
         for mut edge in self.edges.into_iter().rev() {
             edge.stop.cancel();
-            if tokio::time::timeout_at(limit, &mut edge.task)
-                .await
-                .is_err()
-            {
+            let until = match cut.is_empty() {
+                true => limit - CUT_NOTICE,
+                false => limit,
+            };
+            let drained = tokio::time::timeout_at(until, &mut edge.task).await;
+            if drained.is_ok() {
+                continue;
+            }
+            cut.push(edge.name);
+            self.context.cut.cancel();
+            let answered = tokio::time::timeout_at(limit, &mut edge.task).await;
+            if answered.is_err() {
                 edge.task.abort();
-                cut.push(edge.name);
             }
         }
         cut
