body: cut answers without end also when ready or unread

Callers saw answers of an upstream that sends without end go on past their deadline, and such an answer kept its slot and its connection to the upstream for as long as the caller did not read.

Cause: Watched looked at its deadline only while it waited for a frame. A body that is always ready never waits, and the server does not poll a body while a slow caller leaves its buffer full. No answer had a bound of its size.

The deadline now has a task of its own, which takes the body away and ends its slot; each frame looks at the clock as well. An answer is cut beyond the largest body (--body-mb), before its deadline if that is far.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -2,15 +2,15 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, Waker};
 use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
-use tokio::time::Sleep;
+use tokio::task::AbortHandle;
 
 use crate::edge::server::STREAM_WINDOW;
 
@@ -116,30 +116,71 @@
     fn end(self, whole: bool);
 }
 
-/// Body that ends at a deadline and tells an observer how it ended.
+/// Body that is cut at a deadline or a limit and tells an observer how it
+/// ended.
+///
+/// The deadline has a task of its own, since a server that waits for a slow
+/// caller does not poll a body. A reader of a body that is always ready can keep
+/// that task from running, so the deadline is also looked at with each frame.
 pub struct Watched<O: Observer> {
-    inner: Body,
-    deadline: Pin<Box<Sleep>>,
+    shared: Arc<Mutex<Source<O>>>,
+    deadline: Instant,
+    timer: AbortHandle,
+}
+
+/// What the reader of a body and its timer share.
+struct Source<O: Observer> {
+    /// None once the body was cut.
+    inner: Option<Body>,
     observer: Option<O>,
+    /// Bytes that may still be passed on.
+    left: u64,
+    /// Reader that waits for a frame.
+    reader: Option<Waker>,
 }
 
-impl<O: Observer + Unpin> Watched<O> {
-    /// Wraps `inner`; it is cut at `deadline`.
-    pub fn wrap(inner: Body, deadline: Instant, observer: O) -> Body {
-        let mut watched = Self {
-            inner,
-            deadline: Box::pin(tokio::time::sleep_until(deadline.into())),
+impl<O: Observer> Watched<O> {
+    /// Wraps `inner`; it is cut at `deadline`, and before the frame that takes
+    /// it beyond `limit` bytes.
+    pub fn wrap(inner: Body, deadline: Instant, limit: u64, observer: O) -> Body {
+        if inner.is_end_stream() {
+            observer.end(true);
+            return inner;
+        }
+        let shared = Arc::new(Mutex::new(Source {
+            inner: Some(inner),
             observer: Some(observer),
-        };
-        if watched.inner.is_end_stream() {
-            watched.end(true);
-            return watched.inner_only();
+            left: limit,
+            reader: None,
+        }));
+        let timed = Arc::clone(&shared);
+        let timer = tokio::spawn(async move {
+            tokio::time::sleep_until(deadline.into()).await;
+            let (cut, reader) = {
+                let mut source = lock(&timed);
+                (source.cut(), source.reader.take())
+            };
+            drop(cut);
+            if let Some(reader) = reader {
+                reader.wake();
+            }
+        });
+        let timer = timer.abort_handle();
+        Self {
+            shared,
+            deadline,
+            timer,
         }
-        watched.boxed_unsync()
+        .boxed_unsync()
     }
+}
 
-    fn inner_only(mut self) -> Body {
-        std::mem::replace(&mut self.inner, empty())
+impl<O: Observer> Source<O> {
+    /// Takes the body away, which closes its connection or stream once it is
+    /// dropped.
+    fn cut(&mut self) -> Option<Body> {
+        self.end(false);
+        self.inner.take()
     }
 
     fn end(&mut self, whole: bool) {
@@ -149,56 +190,80 @@
     }
 }
 
-impl<O: Observer + Unpin> http_body::Body for Watched<O> {
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<O: Observer> http_body::Body for Watched<O> {
     type Data = Bytes;
     type Error = Cut;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match Pin::new(&mut self.inner).poll_frame(cx) {
+        let mut source = lock(&self.shared);
+        if Instant::now() >= self.deadline {
+            source.cut();
+        }
+        let Some(inner) = &mut source.inner else {
+            return Poll::Ready(Some(Err("the deadline passed within the body".into())));
+        };
+        let polled = Pin::new(&mut *inner).poll_frame(cx);
+        let last = inner.is_end_stream();
+        match polled {
             Poll::Ready(Some(Ok(frame))) => {
-                if self.inner.is_end_stream() {
-                    self.end(true);
+                let bytes = frame.data_ref().map_or(0, |bytes| bytes.len() as u64);
+                let Some(left) = source.left.checked_sub(bytes) else {
+                    source.cut();
+                    return Poll::Ready(Some(Err("the answer is larger than the limit".into())));
+                };
+                source.left = left;
+                if last {
+                    self.timer.abort();
+                    source.end(true);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(cut))) => {
-                if let Some(observer) = &mut self.observer {
+                if let Some(observer) = &mut source.observer {
                     observer.broke();
                 }
-                self.end(false);
+                source.end(false);
                 Poll::Ready(Some(Err(cut)))
             }
             Poll::Ready(None) => {
-                self.end(true);
+                self.timer.abort();
+                source.end(true);
                 Poll::Ready(None)
             }
             Poll::Pending => {
-                if self.deadline.as_mut().poll(cx).is_ready() {
-                    self.end(false);
-                    return Poll::Ready(Some(Err("the deadline passed within the body".into())));
-                }
+                source.reader = Some(cx.waker().clone());
                 Poll::Pending
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
+        let source = lock(&self.shared);
+        source.inner.as_ref().is_some_and(Body::is_end_stream)
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
+        let source = lock(&self.shared);
+        source
+            .inner
+            .as_ref()
+            .map_or_else(SizeHint::default, Body::size_hint)
     }
 }
 
 impl<O: Observer> Drop for Watched<O> {
     fn drop(&mut self) {
-        if let Some(observer) = self.observer.take() {
-            observer.end(false);
-        }
+        self.timer.abort();
+        // The timer's task can outlive this by a moment; nothing waits for it.
+        let cut = lock(&self.shared).cut();
+        drop(cut);
     }
 }
 
@@ -321,8 +386,8 @@
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Shared> {
-        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        lock(&self.shared)
     }
 }
 
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -175,7 +175,8 @@
             record.success = !answer.status().is_server_error();
             record.status = Some(answer.status());
             record.verdict = Verdict::Ran;
-            Ok(answer.map(|body| Watched::wrap(body, call.deadline, record)))
+            let limit = context.settings.body_bytes;
+            Ok(answer.map(|body| Watched::wrap(body, call.deadline, limit, record)))
         }
         Err(mut refusal) => {
             blame(&mut refusal, body.fault(), limit);
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -218,7 +218,7 @@
             header::VERDICT,
             HeaderValue::from_static(Verdict::Ran.as_str()),
         );
-        let body = Watched::wrap(body, call.deadline, slot);
+        let body = Watched::wrap(body, call.deadline, context.settings.body_bytes, slot);
         Ok(Response::from_parts(head, body))
     }
 
@@ -263,7 +263,7 @@
                 Ok(Response::from_parts(head, body))
             }
             Ok(Ok((_, false, body))) => {
-                let body = Watched::wrap(body, call.deadline, slot);
+                let body = Watched::wrap(body, call.deadline, context.settings.body_bytes, slot);
                 Ok(Response::from_parts(head, body))
             }
             Ok(Err(cut)) => {
--- a/crates/daemon/src/settings/arguments.rs
+++ b/crates/daemon/src/settings/arguments.rs
@@ -191,7 +191,7 @@
         "body-mb",
         "SAVORYLANE_BODY_MB",
         "MEGABYTES",
-        "Largest request body",
+        "Largest body of a request or an answer",
         "64",
     );
     let caller_connections = optional(
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -50,7 +50,8 @@
     pub first_start: bool,
     /// Time that a shutdown waits for requests in flight.
     pub drain_limit: Duration,
-    /// Largest request body, bytes.
+    /// Largest body of a request or an answer, bytes. A longer answer is cut,
+    /// since an upstream can send one without end and a deadline can be far.
     pub body_bytes: u64,
     /// Connections that one caller may open.
     pub caller_connections: usize,
--- /dev/null
+++ b/crates/daemon/tests/watched.rs
@@ -0,0 +1,94 @@
+//! Answers that go on without end, as the daemon passes them on.
+
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::stream;
+use http_body::{Body as _, Frame};
+use http_body_util::{BodyExt, StreamBody};
+use savorylane_daemon::body::{Body, Cut, Observer, Watched, full};
+
+/// Time after which an answer is cut.
+const DEADLINE: Duration = Duration::from_millis(200);
+/// Time that a loaded machine may take beyond that.
+const SLACK: Duration = Duration::from_millis(500);
+/// Bytes of an answer, at most, where a test has a bound to meet.
+const LIMIT: u64 = 1 << 20;
+/// Bytes of each frame.
+const FRAME: usize = 4_096;
+
+/// Tells a test how a body ended.
+struct Told(Sender<bool>);
+
+impl Observer for Told {
+    fn end(self, whole: bool) {
+        let _ = self.0.send(whole);
+    }
+}
+
+/// Returns a body whose next frame is always ready.
+fn endless() -> Body {
+    let frames = || Ok::<_, Cut>(Frame::data(Bytes::from_static(&[b'x'; FRAME])));
+    StreamBody::new(stream::repeat_with(frames)).boxed_unsync()
+}
+
+fn watch(inner: Body, limit: u64) -> (Body, Receiver<bool>) {
+    let (sender, told) = channel();
+    let deadline = Instant::now() + DEADLINE;
+    (Watched::wrap(inner, deadline, limit, Told(sender)), told)
+}
+
+/// Guards against an answer that goes on past its deadline because more of it
+/// is always ready.
+#[tokio::test]
+async fn a_body_that_is_always_ready_is_cut_at_its_deadline() {
+    let (mut body, told) = watch(endless(), u64::MAX);
+    let start = Instant::now();
+    while body.frame().await.expect("the end is no cut").is_ok() {
+        assert!(start.elapsed() < DEADLINE + SLACK, "the body goes on");
+    }
+    assert!(start.elapsed() >= DEADLINE, "the body was cut early");
+    assert!(!body.is_end_stream(), "a cut body looks complete");
+    assert_eq!(told.try_recv(), Ok(false));
+}
+
+/// Guards against an answer that holds its slot and its connection for as long
+/// as a caller that does not read keeps the rest of it waiting.
+#[tokio::test]
+async fn a_body_that_nobody_reads_ends_at_its_deadline() {
+    let (mut body, told) = watch(endless(), u64::MAX);
+    body.frame().await.unwrap().unwrap();
+    tokio::time::sleep(DEADLINE + SLACK).await;
+    assert_eq!(told.try_recv(), Ok(false));
+    assert!(!body.is_end_stream(), "a cut body looks complete");
+    assert!(body.frame().await.unwrap().is_err());
+}
+
+/// Guards against an answer of any size that is passed on while its deadline
+/// is far.
+#[tokio::test]
+async fn a_body_is_cut_at_its_limit() {
+    let (mut body, told) = watch(endless(), LIMIT);
+    let mut passed = 0;
+    while let Ok(frame) = body.frame().await.expect("the end is no cut") {
+        passed += frame.data_ref().unwrap().len() as u64;
+        assert!(passed <= LIMIT, "the body goes on");
+    }
+    assert_eq!(passed, LIMIT, "the body was cut early");
+    assert_eq!(told.try_recv(), Ok(false));
+}
+
+/// Guards against whole answers that are cut: at the limit, without content, or
+/// read to the end in time and kept for longer.
+#[tokio::test]
+async fn a_whole_body_is_not_cut() {
+    for length in [0, 1, LIMIT as usize] {
+        let (body, told) = watch(full(vec![b'x'; length]), LIMIT);
+        let read = body.collect().await.unwrap().to_bytes();
+        assert_eq!(read.len(), length);
+        assert_eq!(told.try_recv(), Ok(true));
+        tokio::time::sleep(DEADLINE + SLACK).await;
+        assert!(told.try_recv().is_err(), "the end is told once");
+    }
+}
