gatekeeper: do not take malformed answers for a dead upstream

Callers got 503 for sound requests after an upstream had answered all requests of a moment with bytes that are no answer.

Cause: the daemon closes such a connection itself, but counted it as broken by the upstream. When that happened to all of two or more requests in flight, the upstream was taken for dead: its gate closed and its requests became suspects.

Connections that end because of what came on them (a head, chunk or trailer that cannot be read) no longer count for that rule. An upstream that also refuses connections is still taken for dead.

The suites of the daemon and of the adapter were not run whole at this commit.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -109,8 +109,8 @@
 
 /// Something that is told how a body ended.
 pub trait Observer: Send + 'static {
-    /// Called before the end if the source of the body failed.
-    fn broke(&mut self) {}
+    /// Called before the end if the source of the body failed with `_cut`.
+    fn broke(&mut self, _cut: &Cut) {}
 
     /// Called once; `whole` says whether the last frame was passed on.
     fn end(self, whole: bool);
@@ -227,7 +227,7 @@
             }
             Poll::Ready(Some(Err(cut))) => {
                 if let Some(observer) = &mut source.observer {
-                    observer.broke();
+                    observer.broke(&cut);
                 }
                 source.end(false);
                 Poll::Ready(Some(Err(cut)))
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -1,5 +1,7 @@
 //! Edge towards the host's upstream.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -36,6 +38,29 @@
     Connect,
     /// The connection broke after the request may have been sent.
     Broken,
+    /// The upstream sent bytes that are no answer to a request that may have
+    /// been sent.
+    Malformed,
+}
+
+/// Says whether an answer or its body failed because of the bytes that came,
+/// on a connection that the upstream had not closed.
+pub fn malformed(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let head = error.downcast_ref::<hyper::Error>();
+        let body = error.downcast_ref::<io::Error>().map(io::Error::kind);
+        if head.is_some_and(hyper::Error::is_parse)
+            || matches!(
+                body,
+                Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)
+            )
+        {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
 }
 
 /// Client of the host's upstream.
@@ -94,7 +119,10 @@
             Err(error) if error.is_connect() => Err(Failure::Connect),
             Err(error) => {
                 log::debug!("request to the upstream failed: {error}");
-                Err(Failure::Broken)
+                match malformed(&error) {
+                    true => Err(Failure::Malformed),
+                    false => Err(Failure::Broken),
+                }
             }
         }
     }
--- a/crates/daemon/src/gatekeeper/deaths.rs
+++ b/crates/daemon/src/gatekeeper/deaths.rs
@@ -63,16 +63,29 @@
     }
 }
 
+/// How work at the upstream ended without an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum End {
+    /// The upstream broke the connection.
+    Broken,
+    /// The daemon closed the connection, since what came is no answer.
+    Malformed,
+}
+
 /// Takes a broken connection, and says whether the upstream died. If it did,
 /// all reachable gatekeepers of the service have heard of the suspicion when
 /// this returns, or the time for that is over.
-pub(super) async fn broke(context: &Arc<Context>, id: u64, fingerprint: Hash) -> bool {
+pub(super) async fn broke(context: &Arc<Context>, id: u64, fingerprint: Hash, end: End) -> bool {
     let mut result = {
         let mut inner = context.gatekeeper.deaths.lock();
         if inner.counted.contains(&id) && inner.check.is_none() {
             return true;
         }
-        inner.broken.insert(id, fingerprint);
+        // An upstream that sends what is no answer to all requests is alive
+        // unless it refuses connections.
+        if end == End::Broken {
+            inner.broken.insert(id, fingerprint);
+        }
         match &inner.check {
             Some(result) => result.clone(),
             None => {
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Observer, Watched, peek};
+use crate::body::{Body, Cut, Observer, Watched, peek};
 use crate::call::{Call, Cause, Refusal};
 use crate::decisions::{self, Kind};
 use crate::dispatch::table::hash;
@@ -24,7 +24,7 @@
 
 mod deaths;
 
-use deaths::Deaths;
+use deaths::{Deaths, End};
 
 /// Share of a target's latency that an upstream of the adapted platform is
 /// expected to need before it was measured. Daemons start there under full load.
@@ -89,11 +89,11 @@
 }
 
 impl Observer for Slot {
-    fn broke(&mut self) {
+    fn broke(&mut self, cut: &Cut) {
         // The caller gets a cut answer at once, so nothing waits for this.
         let (context, id) = (Arc::clone(&self.context), self.id);
-        let fingerprint = self.fingerprint;
-        tokio::spawn(async move { deaths::broke(&context, id, fingerprint).await });
+        let (fingerprint, end) = (self.fingerprint, end_by(cut));
+        tokio::spawn(async move { deaths::broke(&context, id, fingerprint, end).await });
     }
 
     fn end(mut self, whole: bool) {
@@ -186,8 +186,14 @@
                 self.changed.notify_one();
                 return Err(refuse(Reason::Closed, CLOSED_RETRY.as_millis() as u32));
             }
-            Ok(Err(upstream::Failure::Broken)) => {
-                if deaths::broke(context, slot.id, fingerprint).await {
+            Ok(Err(failure)) => {
+                let (end, reason) = match failure {
+                    upstream::Failure::Malformed => {
+                        (End::Malformed, "the upstream sent what is no answer")
+                    }
+                    _ => (End::Broken, "the connection to the upstream broke"),
+                };
+                if deaths::broke(context, slot.id, fingerprint, end).await {
                     slot.finish = Finish::Died;
                     return Err(Refusal {
                         cause: Cause::Suspect,
@@ -197,10 +203,7 @@
                         )
                     });
                 }
-                return Err(Refusal::unknown(
-                    StatusCode::BAD_GATEWAY,
-                    "the connection to the upstream broke",
-                ));
+                return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
             }
             Err(_) => {
                 return Err(Refusal::unknown(
@@ -269,7 +272,7 @@
             Ok(Err(cut)) => {
                 log::debug!("an answer was cut: {cut}");
                 let (id, fingerprint) = (slot.id, slot.fingerprint);
-                deaths::broke(context, id, fingerprint).await;
+                deaths::broke(context, id, fingerprint, end_by(&cut)).await;
                 let reason = "the upstream broke off its answer";
                 Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason))
             }
@@ -468,6 +471,14 @@
     }
 }
 
+/// Returns how the connection of an answer that was cut ended.
+fn end_by(cut: &Cut) -> End {
+    match upstream::malformed(cut.as_ref()) {
+        true => End::Malformed,
+        false => End::Broken,
+    }
+}
+
 fn refuse(reason: Reason, wait_ms: u32) -> Refusal {
     let (text, cause) = match reason {
         Reason::Closed => ("the upstream is away", Cause::Away),
