body: join small chunks before they become frames of HTTP/2

A caller or an upstream that sends a body in tiny chunks cut the requests of others: each chunk became a frame on the shared connection between two daemons, and the library of the other end closes a connection on which too many small frames wait ("detected excessive load generating behavior", too_many_data_frames). One side ended a connection on which the other still expected answers, as with late pings.

Chunks that come within 5 ms are joined once 16 small frames came in a row; ordinary streams are not held up.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -14,6 +14,10 @@
 
 use crate::edge::server::STREAM_WINDOW;
 
+mod packed;
+
+pub(crate) use packed::Packed;
+
 /// Why a body ended early. The connection or stream is then reset, so that a
 /// cut body is never taken for a complete one.
 pub type Cut = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -23,7 +23,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::body::Body;
+use crate::body::{Body, Packed};
 use crate::kernel::Context;
 use rest::Drained;
 
@@ -244,7 +244,7 @@
             let body = body.map_err(Into::into).boxed_unsync();
             match version {
                 Version::HTTP_2 => body,
-                _ => Drained::wrap(body),
+                _ => Packed::wrap(Drained::wrap(body)),
             }
         });
         let answer = handle(request, peer);
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{self, Body};
+use crate::body::{self, Body, Packed};
 use crate::call::Call;
 use crate::kernel::{Context, Plugin};
 
@@ -114,7 +114,7 @@
         match self.client.request(request).await {
             Ok(mut answer) => {
                 answer.extensions_mut().insert(connection);
-                Ok(answer.map(|body| body.map_err(Into::into).boxed_unsync()))
+                Ok(answer.map(|body| Packed::wrap(body.map_err(Into::into).boxed_unsync())))
             }
             Err(error) if error.is_connect() => Err(Failure::Connect),
             Err(error) => {
