test: take the start of a body before its deadline is set

a_body_that_is_always_ready_is_cut_at_its_deadline failed once in a full run beside load with "cut early": it took its start after the deadline was reckoned, so that a thread that was not run in between measured less than the deadline. The start is taken before now; the upper bound is stricter by the same time.

--- a/crates/daemon/tests/watched.rs
+++ b/crates/daemon/tests/watched.rs
@@ -43,8 +43,8 @@
 /// is always ready.
 #[tokio::test]
 async fn a_body_that_is_always_ready_is_cut_at_its_deadline() {
-    let (mut body, told) = watch(endless(), u64::MAX);
     let start = Instant::now();
+    let (mut body, told) = watch(endless(), u64::MAX);
     while body.frame().await.expect("the end is no cut").is_ok() {
         assert!(start.elapsed() < DEADLINE + SLACK, "the body goes on");
     }
