server: send 16 KiB of a body before a request is admitted

Callers of a host whose link was full waited until their deadlines: bodies of requests that its gatekeeper was going to refuse took the link.

A gatekeeper refused about 140 uploads a second and host there, after up to a window of each was on its way: 64 KiB of each are 9 MB/s on a link of 3.7 MB/s.

What is kept of a body for another attempt stays at 320 KiB, since an upstream that refuses may have read all of it.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -12,8 +12,6 @@
 use http_body_util::{BodyExt, Empty, Full};
 use tokio::task::AbortHandle;
 
-use crate::edge::server::STREAM_WINDOW;
-
 mod packed;
 
 pub(crate) use packed::Packed;
@@ -25,10 +23,9 @@
 /// Body of a request or an answer.
 pub type Body = UnsyncBoxBody<Bytes, Cut>;
 
-/// Bytes of a request body that are kept for another attempt: one HTTP/2
-/// stream window and what the client reads ahead, so that a gatekeeper that
-/// refuses a request before it reads the body leaves another attempt possible.
-const KEPT_BYTES: usize = STREAM_WINDOW as usize + 65_536;
+/// Bytes of a request body that are kept for another attempt. A gatekeeper
+/// refuses after less; an upstream that refuses may have read all of a body.
+const KEPT_BYTES: usize = 320 << 10;
 
 /// Returns a body without content.
 pub fn empty() -> Body {
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -43,10 +43,11 @@
 pub const PING_TIMEOUT: Duration = Duration::from_secs(20);
 /// Size of all headers of a request, bytes.
 const HEADER_BYTES: u32 = 16_384;
-/// Window of one HTTP/2 stream, bytes. A gatekeeper that refuses a request has
-/// been sent at most this much of its body, which the entry keeps for another
-/// attempt.
-pub const STREAM_WINDOW: u32 = 262_144;
+/// Window of one HTTP/2 stream, bytes. This much of a body is on the way before
+/// the gatekeeper admits or refuses its request; under overload refused bodies
+/// fill the link of a host otherwise. A body passes at one window a round trip:
+/// 400 KB a second to another region.
+pub const STREAM_WINDOW: u32 = 16_384;
 /// Window of one HTTP/2 connection, bytes: 64 uploads can wait for a slot
 /// before they hold up those that have one.
 const CONNECTION_WINDOW: u32 = 64 * STREAM_WINDOW;
