server: let daemons reset more streams before a connection is closed

A caller's running request ended with 502 because other callers went away: after a stall of the link the resets of their streams arrive at once, and the library closes a connection on which more than 20 streams were reset before they were looked at.

Ports that only daemons use allow 16,384 such resets; ports of callers keep 20.

--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -39,7 +39,7 @@
         let Some(listener) = listener else { return };
         let limits = {
             let context = Arc::clone(&context);
-            move || Limits::in_force(&context, Limits::DAEMONS, CONNECTIONS_MAX)
+            move || Limits::in_force(&context, Limits::DAEMONS, CONNECTIONS_MAX).of_daemons()
         };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
         server::serve(listener, limits, stop, handle).await;
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -38,8 +38,8 @@
 pub const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// Time in which a ping must be answered before the connection is closed, which
 /// cuts the requests on it. The answer waits behind the bodies on a slow link:
-/// a full [`CONNECTION_WINDOW`] takes 19 s on 7 Mbit/s. Entries stop using a
-/// silent connection much sooner.
+/// 16 connections that each fill their window take 19 s on 7 Mbit/s. Entries
+/// stop using a silent connection much sooner.
 pub const PING_TIMEOUT: Duration = Duration::from_secs(20);
 /// Size of all headers of a request, bytes.
 const HEADER_BYTES: u32 = 16_384;
@@ -56,6 +56,12 @@
 const HEADERS_MAX: usize = 90;
 /// Streams of one HTTP/2 connection.
 const STREAMS_MAX: u32 = 1024;
+/// Streams that a peer of no trust may reset before they are looked at.
+const RESETS_MAX: usize = 20;
+/// The same for daemons. What waits on a full link arrives at once, with the
+/// resets of all callers that went away meanwhile; beyond the limit the library
+/// closes the connection, with all requests on it.
+const DAEMON_RESETS_MAX: usize = 16 * STREAMS_MAX as usize;
 
 /// Time after the stop in which requests that are on their way are still taken.
 /// The library closes a connection between two requests without a look at what
@@ -75,6 +81,8 @@
     pub headers: usize,
     /// Protocols that are spoken.
     pub protocol: Protocol,
+    /// Streams of HTTP/2 that may be reset before they are looked at.
+    pub resets: usize,
 }
 
 /// Protocols of a server.
@@ -95,6 +103,7 @@
         header_bytes: 4 * HEADER_BYTES,
         headers: 4 * HEADERS_MAX,
         protocol: Protocol::Any,
+        resets: DAEMON_RESETS_MAX,
     };
 
     /// Limits towards callers of the adapted platform. Headers take up to
@@ -147,6 +156,15 @@
             header_bytes: HEADER_BYTES,
             headers: HEADERS_MAX,
             protocol: Protocol::Any,
+            resets: RESETS_MAX,
+        }
+    }
+
+    /// Returns these limits for a port that only daemons use.
+    pub fn of_daemons(self) -> Self {
+        Self {
+            resets: DAEMON_RESETS_MAX,
+            ..self
         }
     }
 }
@@ -325,6 +343,8 @@
         .initial_stream_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_header_list_size(limits.header_bytes)
+        .max_pending_accept_reset_streams(limits.resets)
+        .max_local_error_reset_streams(limits.resets)
         .max_concurrent_streams(STREAMS_MAX);
     builder
 }
