dispatch: close silent idle connections, and count what was written

A connection on which no request waits is closed once it is silent. Silence begins later while bytes that were written may still be passing, at an eighth of a link of 7 Mbit/s. A pause of the process is no silence: a connection is looked at twice.

--- a/crates/daemon/src/dispatch/link.rs
+++ b/crates/daemon/src/dispatch/link.rs
@@ -5,9 +5,10 @@
 //! requests, and those on it go on.
 
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
@@ -24,6 +25,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Sleep;
 use tower::Service;
 
 use crate::edge::server::PING_INTERVAL;
@@ -33,6 +35,10 @@
 /// Time without a byte from the peer after which a connection is silent. A peer
 /// that answers pings is heard once in [`PING_INTERVAL`] at least.
 pub const SILENT: Duration = PING_INTERVAL.saturating_add(PING_PATIENCE);
+/// Rate at which the bytes that were written since a peer was heard are taken
+/// to pass, bytes a second: an eighth of a link of 7 Mbit/s. The answer to a
+/// ping is not late before they have.
+const LEAST_RATE: u64 = 109_000;
 /// Time between two looks at a silent connection.
 const RECHECK: Duration = Duration::from_millis(100);
 
@@ -46,6 +52,10 @@
     start: Instant,
     /// When the peer was heard last, microseconds since `start`.
     heard_us: AtomicU64,
+    /// Bytes that were written since then.
+    written: AtomicU64,
+    /// Requests that wait for the head of their answer.
+    waiting: AtomicUsize,
     /// Set once the silence was reported.
     reported: AtomicBool,
     /// When the newest of the peer's connections that was heard was opened.
@@ -61,9 +71,23 @@
     fn hear(&self, opened_us: u64) {
         let now_us = self.0.start.elapsed().as_micros() as u64;
         self.0.heard_us.store(now_us, Ordering::Relaxed);
+        self.0.written.store(0, Ordering::Relaxed);
         self.0.newest.fetch_max(opened_us, Ordering::Relaxed);
     }
 
+    fn write(&self, bytes: usize) {
+        self.0.written.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Returns the time after which the connection will be silent if the peer is
+    /// not heard; none if it is.
+    fn patience(&self) -> Option<Duration> {
+        let written = self.0.written.load(Ordering::Relaxed);
+        let passing = Duration::from_millis(written * 1_000 / LEAST_RATE);
+        let left = (SILENT + passing).saturating_sub(self.silence());
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Returns the time since the peer was heard.
     fn silence(&self) -> Duration {
         let heard = Duration::from_micros(self.0.heard_us.load(Ordering::Relaxed));
@@ -109,14 +133,18 @@
         let Some(line) = line else {
             return std::future::pending().await;
         };
-        let mut silent = false;
+        let _waiting = Waiting::begin(&line);
+        let (mut looks, mut silent) = (0, false);
         loop {
-            let silence = line.silence();
-            if silence < SILENT {
-                tokio::time::sleep(SILENT - silence).await;
+            if let Some(patience) = line.patience() {
+                looks = 0;
+                tokio::time::sleep(patience).await;
                 continue;
             }
-            if !silent {
+            looks += 1;
+            // After a pause of this process, timers can run before what came
+            // meanwhile is read.
+            if looks == 2 && !silent {
                 silent = true;
                 line.report();
                 if let Some(connected) = connection.connection_metadata().as_ref() {
@@ -124,7 +152,7 @@
                 }
                 self.silent.notify_one();
             }
-            if self.ends && line.superseded() {
+            if silent && self.ends && line.superseded() {
                 return;
             }
             tokio::time::sleep(RECHECK).await;
@@ -132,6 +160,22 @@
     }
 }
 
+/// Counts a request on a connection until it is dropped.
+struct Waiting(Line);
+
+impl Waiting {
+    fn begin(line: &Line) -> Self {
+        line.0.waiting.fetch_add(1, Ordering::Relaxed);
+        Self(line.clone())
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.0.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 fn line(connected: &Connected) -> Option<Line> {
     let mut extensions = Extensions::new();
     connected.get_extras(&mut extensions);
@@ -165,6 +209,8 @@
             peer,
             start: self.start,
             heard_us: AtomicU64::new(opened_us),
+            written: AtomicU64::new(0),
+            waiting: AtomicUsize::new(0),
             reported: AtomicBool::new(false),
             newest,
         }))
@@ -190,6 +236,7 @@
                 stream,
                 opened_us,
                 line: connector.line(peer, opened_us),
+                look: Box::pin(tokio::time::sleep(SILENT)),
             })
         })
     }
@@ -201,6 +248,26 @@
     stream: TokioIo<TcpStream>,
     opened_us: u64,
     line: Line,
+    /// When the connection is looked at next.
+    look: Pin<Box<Sleep>>,
+}
+
+impl Link {
+    /// Ends a silent connection on which no request waits, so that the next one
+    /// does not meet it.
+    fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.look.as_mut().poll(cx));
+        let patience = self.line.patience();
+        if patience.is_none() && self.line.0.waiting.load(Ordering::Relaxed) == 0 {
+            self.line.report();
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        let next = Instant::now() + patience.unwrap_or(PING_INTERVAL);
+        self.look.as_mut().reset(next.into());
+        // The reset timer must know whom to wake.
+        let _ = self.look.as_mut().poll(cx);
+        Poll::Pending
+    }
 }
 
 impl Connection for Link {
@@ -215,7 +282,12 @@
         cx: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        if Pin::new(&mut self.stream)
+            .poll_read(cx, buffer)?
+            .is_pending()
+        {
+            return self.poll_silence(cx);
+        }
         self.line.hear(self.opened_us);
         Poll::Ready(Ok(()))
     }
@@ -227,7 +299,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
+        self.line.write(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -247,6 +321,8 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, parts))?;
+        self.line.write(written);
+        Poll::Ready(Ok(written))
     }
 }
