dispatch, body: keep the bound of upstreams with hedges, and no cut after the end

By reading, found by the review: a hedge did not count against the attempts of a route or of the calling service, and a body whose last frame was passed on could be cut by a late timer.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -138,6 +138,8 @@
     left: u64,
     /// Reader that waits for a frame.
     reader: Option<Waker>,
+    /// Set once the last frame was passed on; nothing is cut then.
+    ended: bool,
 }
 
 impl<O: Observer> Watched<O> {
@@ -153,6 +155,7 @@
             observer: Some(observer),
             left: limit,
             reader: None,
+            ended: false,
         }));
         let timed = Arc::clone(&shared);
         let timer = tokio::spawn(async move {
@@ -180,11 +183,15 @@
     /// Takes the body away, which closes its connection or stream once it is
     /// dropped.
     fn cut(&mut self) -> Option<Body> {
+        if self.ended {
+            return None;
+        }
         self.end(false);
         self.inner.take()
     }
 
     fn end(&mut self, whole: bool) {
+        self.ended |= whole;
         if let Some(observer) = self.observer.take() {
             observer.end(whole);
         }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -60,7 +60,8 @@
 struct Plan {
     host: usize,
     hedge: Option<Hedge>,
-    /// Whether the call may be handed to one more upstream beside this one.
+    /// Whether the call may be handed to one more upstream beside this one, and
+    /// a further attempt made.
     spare: bool,
 }
 
@@ -129,7 +130,7 @@
             break;
         };
         let before = tried.len();
-        plan.spare = handed + 1 < handed_most;
+        plan.spare = handed + 1 < handed_most && before + 1 < most;
         last = match one(context, snapshot, call, &class, body, plan, &mut tried).await {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
@@ -220,7 +221,7 @@
     };
     let host = match (silent, &plan.hedge) {
         (true, _) => retry_beside(context, snapshot, call, class, body, &plan, tried),
-        (false, Some(hedge)) if class.hedge.take() => hedge
+        (false, Some(hedge)) if plan.spare && class.hedge.take() => hedge
             .host
             .or_else(|| Some(choose(context, snapshot, call, class, tried, false)?.index)),
         (false, _) => None,
@@ -263,7 +264,8 @@
     plan: &Plan,
     tried: &[usize],
 ) -> Option<usize> {
-    if !call.class.idempotent || !plan.spare || !body.complete() {
+    let over = call.remaining(Instant::now()).is_zero();
+    if over || !call.class.idempotent || !plan.spare || !body.complete() {
         return None;
     }
     let other = choose(context, snapshot, call, class, tried, false);
