body: deliver an answer that is ready just after its deadline

Since answers without end are cut, a frame was not even looked at after the deadline.

A body may now end 0.2 s after its deadline, below the quarter of a second that the users allow beyond a route's time.

a_body_that_is_ready_just_after_its_deadline_is_whole failed before and passes.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body::{Body as _, Frame, SizeHint};
@@ -108,6 +108,10 @@
     }
 }
 
+/// Time after the deadline in which a body may still end. An answer whose head
+/// came in time is delivered whole rather than cut.
+const LATE: Duration = Duration::from_millis(200);
+
 /// Something that is told how a body ended.
 pub trait Observer: Send + 'static {
     /// Called before the end if the source of the body failed with `_cut`.
@@ -143,9 +147,10 @@
 }
 
 impl<O: Observer> Watched<O> {
-    /// Wraps `inner`; it is cut at `deadline`, and before the frame that takes
-    /// it beyond `limit` bytes.
+    /// Wraps `inner`; it is cut [`LATE`] after `deadline`, and before the frame
+    /// that takes it beyond `limit` bytes.
     pub fn wrap(inner: Body, deadline: Instant, limit: u64, observer: O) -> Body {
+        let deadline = deadline + LATE;
         if inner.is_end_stream() {
             observer.end(true);
             return inner;
--- a/crates/daemon/tests/watched.rs
+++ b/crates/daemon/tests/watched.rs
@@ -92,3 +92,14 @@
         assert!(told.try_recv().is_err(), "the end is told once");
     }
 }
+
+/// Guards against an answer that is ready and cut because its deadline has just
+/// passed: its caller got the head and lost the rest.
+#[tokio::test]
+async fn a_body_that_is_ready_just_after_its_deadline_is_whole() {
+    let (body, told) = watch(full(vec![b'x'; FRAME]), LIMIT);
+    tokio::time::sleep(DEADLINE + Duration::from_millis(50)).await;
+    let read = body.collect().await.map(|body| body.to_bytes().len());
+    assert_eq!(read.ok(), Some(FRAME));
+    assert_eq!(told.try_recv(), Ok(true));
+}
