--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -147,7 +147,7 @@
 }
 
 impl<O: Observer> Watched<O> {
-    /// Wraps `inner`; it is cut [`LATE`] after `deadline`, and before the frame
+    /// Wraps `inner`; it is cut 0.2 s after `deadline`, and before the frame
     /// that takes it beyond `limit` bytes.
     pub fn wrap(inner: Body, deadline: Instant, limit: u64, observer: O) -> Body {
         let deadline = deadline + LATE;
