--- a/crates/daemon/src/dispatch/link.rs
+++ b/crates/daemon/src/dispatch/link.rs
@@ -1,6 +1,6 @@
-//! Connections to other daemons, and when each was heard last.
+//! Connections to other daemons, and when each last received bytes.
 //!
-//! A connection that is not heard is silent, not broken: on a slow link the
+//! A connection that receives nothing is silent, not broken: on a slow link the
 //! answers to its pings wait behind the bodies of requests. It gets no new
 //! requests, and those on it go on.
 
@@ -31,34 +31,34 @@
 use crate::edge::server::PING_INTERVAL;
 
 /// Time for the answer to a ping before the connection counts as silent.
-const PING_PATIENCE: Duration = Duration::from_secs(1);
+const PING_ALLOWANCE: Duration = Duration::from_secs(1);
 /// Time without a byte from the peer after which a connection is silent. A peer
-/// that answers pings is heard once in [`PING_INTERVAL`] at least.
-pub const SILENT: Duration = PING_INTERVAL.saturating_add(PING_PATIENCE);
-/// Rate at which the bytes that were written since a peer was heard are taken
+/// that answers pings sends something once in [`PING_INTERVAL`] at least.
+pub const SILENT: Duration = PING_INTERVAL.saturating_add(PING_ALLOWANCE);
+/// Rate at which the bytes that were written since the last ones came are taken
 /// to pass, bytes a second: an eighth of a link of 7 Mbit/s. The answer to a
 /// ping is not late before they have.
 const LEAST_RATE: u64 = 109_000;
 /// Time between two looks at a silent connection.
 const RECHECK: Duration = Duration::from_millis(100);
 
-/// Evidence of one connection.
+/// What was sent and received on one connection.
 #[derive(Clone, Debug)]
-struct Line(Arc<Inner>);
+struct Activity(Arc<Inner>);
 
 #[derive(Debug)]
 struct Inner {
     peer: Uri,
     start: Instant,
-    /// When the peer was heard last, microseconds since `start`.
-    heard_us: AtomicU64,
+    /// When bytes last came from the peer, microseconds since `start`.
+    read_us: AtomicU64,
     /// Bytes that were written since then.
     written: AtomicU64,
     /// Requests that wait for the head of their answer.
     waiting: AtomicUsize,
     /// Set once the silence was reported.
     reported: AtomicBool,
-    /// When the newest of the peer's connections that was heard was opened.
+    /// When the newest of the peer's connections that received bytes was opened.
     newest: Newest,
 }
 
@@ -66,38 +66,38 @@
 /// [`Connector`].
 type Newest = Arc<AtomicU64>;
 
-impl Line {
+impl Activity {
     /// Notes that bytes came in over a connection that was opened at `opened_us`.
-    fn hear(&self, opened_us: u64) {
+    fn record_read(&self, opened_us: u64) {
         let now_us = self.0.start.elapsed().as_micros() as u64;
-        self.0.heard_us.store(now_us, Ordering::Relaxed);
+        self.0.read_us.store(now_us, Ordering::Relaxed);
         self.0.written.store(0, Ordering::Relaxed);
         self.0.newest.fetch_max(opened_us, Ordering::Relaxed);
     }
 
-    fn write(&self, bytes: usize) {
+    fn record_write(&self, bytes: usize) {
         self.0.written.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    /// Returns the time after which the connection will be silent if the peer is
-    /// not heard; none if it is.
-    fn patience(&self) -> Option<Duration> {
+    /// Returns the time after which the connection counts as silent if no bytes
+    /// come; none if it is silent already.
+    fn time_left(&self) -> Option<Duration> {
         let written = self.0.written.load(Ordering::Relaxed);
         let passing = Duration::from_millis(written * 1_000 / LEAST_RATE);
         let left = (SILENT + passing).saturating_sub(self.silence());
         (!left.is_zero()).then_some(left)
     }
 
-    /// Returns the time since the peer was heard.
+    /// Returns the time since bytes came from the peer.
     fn silence(&self) -> Duration {
-        let heard = Duration::from_micros(self.0.heard_us.load(Ordering::Relaxed));
-        self.0.start.elapsed().saturating_sub(heard)
+        let read = Duration::from_micros(self.0.read_us.load(Ordering::Relaxed));
+        self.0.start.elapsed().saturating_sub(read)
     }
 
-    /// Says whether the peer was heard over a connection that was opened after
-    /// it was heard last over this one.
+    /// Says whether bytes came over a connection that was opened after the last
+    /// ones came over this one.
     fn superseded(&self) -> bool {
-        self.0.newest.load(Ordering::Relaxed) > self.0.heard_us.load(Ordering::Relaxed)
+        self.0.newest.load(Ordering::Relaxed) > self.0.read_us.load(Ordering::Relaxed)
     }
 
     fn report(&self) {
@@ -106,7 +106,7 @@
             log::warn!(
                 target: "dependency", dependency = "peer", outcome = "silent",
                 peer:display = self.0.peer, silent_ms = silent_ms;
-                "the peer is not heard; new requests take another connection"
+                "nothing was received from the peer; new requests use another connection"
             );
         }
     }
@@ -126,19 +126,19 @@
 impl Watch {
     /// Follows the connection of a request; returns when the request is to end.
     pub(super) async fn follow(&self, mut connection: CaptureConnection) {
-        let line = {
+        let activity = {
             let connected = connection.wait_for_connection_metadata().await;
-            connected.as_ref().and_then(line)
+            connected.as_ref().and_then(activity)
         };
-        let Some(line) = line else {
+        let Some(activity) = activity else {
             return std::future::pending().await;
         };
-        let _waiting = Waiting::begin(&line);
+        let _waiting = Waiting::begin(&activity);
         let (mut looks, mut silent) = (0, false);
         loop {
-            if let Some(patience) = line.patience() {
+            if let Some(time_left) = activity.time_left() {
                 looks = 0;
-                tokio::time::sleep(patience).await;
+                tokio::time::sleep(time_left).await;
                 continue;
             }
             looks += 1;
@@ -146,13 +146,13 @@
             // meanwhile is read.
             if looks == 2 && !silent {
                 silent = true;
-                line.report();
+                activity.report();
                 if let Some(connected) = connection.connection_metadata().as_ref() {
                     connected.poison();
                 }
                 self.silent.notify_one();
             }
-            if silent && self.ends && line.superseded() {
+            if silent && self.ends && activity.superseded() {
                 return;
             }
             tokio::time::sleep(RECHECK).await;
@@ -161,12 +161,12 @@
 }
 
 /// Counts a request on a connection until it is dropped.
-struct Waiting(Line);
+struct Waiting(Activity);
 
 impl Waiting {
-    fn begin(line: &Line) -> Self {
-        line.0.waiting.fetch_add(1, Ordering::Relaxed);
-        Self(line.clone())
+    fn begin(activity: &Activity) -> Self {
+        activity.0.waiting.fetch_add(1, Ordering::Relaxed);
+        Self(activity.clone())
     }
 }
 
@@ -176,13 +176,13 @@
     }
 }
 
-fn line(connected: &Connected) -> Option<Line> {
+fn activity(connected: &Connected) -> Option<Activity> {
     let mut extensions = Extensions::new();
     connected.get_extras(&mut extensions);
-    extensions.remove::<Line>()
+    extensions.remove::<Activity>()
 }
 
-/// Opens connections and keeps what is heard on them.
+/// Opens connections and records what is received on them.
 #[derive(Clone, Debug)]
 pub(super) struct Connector {
     inner: HttpConnector,
@@ -200,15 +200,15 @@
     }
 
     /// Returns the evidence of a connection to `peer` that was just opened.
-    fn line(&self, peer: Uri, opened_us: u64) -> Line {
+    fn activity(&self, peer: Uri, opened_us: u64) -> Activity {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         // What is known of a peer is held by its connections.
         peers.retain(|_, newest| Arc::strong_count(newest) > 1);
         let newest = Arc::clone(peers.entry(peer.clone()).or_default());
-        Line(Arc::new(Inner {
+        Activity(Arc::new(Inner {
             peer,
             start: self.start,
-            heard_us: AtomicU64::new(opened_us),
+            read_us: AtomicU64::new(opened_us),
             written: AtomicU64::new(0),
             waiting: AtomicUsize::new(0),
             reported: AtomicBool::new(false),
@@ -235,7 +235,7 @@
             Ok(Link {
                 stream,
                 opened_us,
-                line: connector.line(peer, opened_us),
+                activity: connector.activity(peer, opened_us),
                 look: Box::pin(tokio::time::sleep(SILENT)),
             })
         })
@@ -247,7 +247,7 @@
 pub(super) struct Link {
     stream: TokioIo<TcpStream>,
     opened_us: u64,
-    line: Line,
+    activity: Activity,
     /// When the connection is looked at next.
     look: Pin<Box<Sleep>>,
 }
@@ -257,12 +257,12 @@
     /// does not meet it.
     fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.look.as_mut().poll(cx));
-        let patience = self.line.patience();
-        if patience.is_none() && self.line.0.waiting.load(Ordering::Relaxed) == 0 {
-            self.line.report();
+        let time_left = self.activity.time_left();
+        if time_left.is_none() && self.activity.0.waiting.load(Ordering::Relaxed) == 0 {
+            self.activity.report();
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        let next = Instant::now() + patience.unwrap_or(PING_INTERVAL);
+        let next = Instant::now() + time_left.unwrap_or(PING_INTERVAL);
         self.look.as_mut().reset(next.into());
         // The reset timer must know whom to wake.
         let _ = self.look.as_mut().poll(cx);
@@ -272,7 +272,7 @@
 
 impl Connection for Link {
     fn connected(&self) -> Connected {
-        self.stream.connected().extra(self.line.clone())
+        self.stream.connected().extra(self.activity.clone())
     }
 }
 
@@ -288,7 +288,7 @@
         {
             return self.poll_silence(cx);
         }
-        self.line.hear(self.opened_us);
+        self.activity.record_read(self.opened_us);
         Poll::Ready(Ok(()))
     }
 }
@@ -300,7 +300,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))?;
-        self.line.write(written);
+        self.activity.record_write(written);
         Poll::Ready(Ok(written))
     }
 
@@ -322,7 +322,7 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, parts))?;
-        self.line.write(written);
+        self.activity.record_write(written);
         Poll::Ready(Ok(written))
     }
 }
