--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -187,6 +187,7 @@
 
     /// Applies changes, and puts what they lead to in force.
     fn apply(&mut self, batch: Batch) {
+        log_read(&batch);
         let now = self.context.now();
         let mut document = None;
         for change in batch.changes {
@@ -259,6 +260,25 @@
     }
 }
 
+/// Writes the line of an answer of the store that tells of changes.
+fn log_read(batch: &Batch) {
+    if batch.changes.is_empty() {
+        return;
+    }
+    let config = |change: &&Change| matches!(change.what, What::Config(_));
+    let versions = batch.changes.iter().filter(config).count();
+    let millis = |time: Duration| time.as_millis() as u64;
+    let transfer = &batch.transfer;
+    log::info!(
+        target: "store",
+        event = "read", revision = batch.at, versions = versions as u64,
+        entries = (batch.changes.len() - versions) as u64, bytes = transfer.bytes as u64,
+        waited_ms = millis(transfer.waited), passed_ms = millis(transfer.passed),
+        decoded_ms = millis(transfer.decoded);
+        "the store told of changes"
+    );
+}
+
 /// Returns the time between a batch and the next watch. `kept` says whether
 /// entries of an outage are about to expire, and `hosts` how many are listed.
 fn pause(batch: &Batch, kept: bool, hosts: usize) -> Duration {
