intent: differences of host lists; less work to adopt a version

The version of a document was hashed three times, every route was entered once for each method, and unchanged classes were formatted to compare them.

Host lists get differences as documents have them, checked by hash, and a registry can begin with hosts that are known from elsewhere. Both are for daemons that learn from others; nothing uses them yet.

--- a/crates/intent/src/adopt/mod.rs
+++ b/crates/intent/src/adopt/mod.rs
@@ -185,8 +185,8 @@
                 base: delta.base,
             };
         };
-        match delta.edit(&base.document) {
-            Ok(document) => self.offer_document(document),
+        match delta.edit(&base.document, base.version) {
+            Ok(document) => self.offer_versioned(document, offered),
             Err(fault) => refused(Some(offered), &fault),
         }
     }
@@ -196,6 +196,11 @@
     pub fn offer_document(&mut self, mut document: Document) -> Outcome {
         document.sort();
         let offered = document.version();
+        self.offer_versioned(document, offered)
+    }
+
+    /// Offers a sorted document whose version is known.
+    fn offer_versioned(&mut self, document: Document, offered: Version) -> Outcome {
         if let Some(in_force) = self.version()
             && offered <= in_force
         {
@@ -236,14 +241,14 @@
         let Some(base) = base.and_then(|hash| self.held(hash)) else {
             return Some(whole);
         };
-        let delta = Delta::between(&base.document, &current.document);
-        let size = serde_json::to_vec(&delta)
-            .expect("a delta is always expressible in JSON")
-            .len();
-        if size >= current.document.canonical().len() {
-            return Some(whole);
+        let delta = Delta::of(
+            (&base.document, base.version),
+            (&current.document, current.version),
+        );
+        match delta.classes() < current.document.classes.len() {
+            true => Some(Content::Delta(Box::new(delta))),
+            false => Some(whole),
         }
-        Some(Content::Delta(Box::new(delta)))
     }
 
     /// Returns the held document with hash `hash`.
--- a/crates/intent/src/delta/mod.rs
+++ b/crates/intent/src/delta/mod.rs
@@ -1,6 +1,7 @@
 //! Differences between documents: deltas that turn one into another, and
 //! changes as operators and the audit log read them.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
@@ -37,9 +38,18 @@
 impl Delta {
     /// Returns the delta from `base` to `next`.
     pub fn between(base: &Document, next: &Document) -> Self {
+        Self::of((base, base.version()), (next, next.version()))
+    }
+
+    /// Returns the delta between documents whose versions are known; a version
+    /// takes a hash of the whole document.
+    pub(crate) fn of(
+        (base, base_version): (&Document, Version),
+        (next, next_version): (&Document, Version),
+    ) -> Self {
         let mut delta = Self {
-            base: base.version(),
-            version: next.version(),
+            base: base_version,
+            version: next_version,
             deployment: next.deployment.clone(),
             added_services: Vec::new(),
             removed_services: Vec::new(),
@@ -67,6 +77,11 @@
         delta
     }
 
+    /// Returns the number of classes that the delta names.
+    pub fn classes(&self) -> usize {
+        self.added_classes.len() + self.changed_classes.len() + self.removed_classes.len()
+    }
+
     /// Applies the delta to `base` and returns the checked result.
     ///
     /// # Errors
@@ -76,15 +91,15 @@
     /// edit that does not fit the base, or the fault that
     /// [`Document::check`] finds.
     pub fn apply(&self, base: &Document) -> Result<Document, Fault> {
-        let document = self.edit(base)?;
+        let document = self.edit(base, base.version())?;
         document.check()?;
         Ok(document)
     }
 
     /// Returns the result of the delta, whose version is as the delta states,
-    /// but whose fields are not checked yet.
-    pub(crate) fn edit(&self, base: &Document) -> Result<Document, Fault> {
-        matches("base", self.base, base.version())?;
+    /// but whose fields are not checked yet. `version` is that of `base`.
+    pub(crate) fn edit(&self, base: &Document, version: Version) -> Result<Document, Fault> {
+        matches("base", self.base, version)?;
         let mut services: BTreeMap<&str, &Service> = BTreeMap::new();
         for service in &base.services {
             services.insert(&service.name, service);
@@ -178,14 +193,26 @@
     new: &'a [Item],
     name: impl Fn(&Item) -> &str,
 ) -> Vec<(Option<&'a Item>, Option<&'a Item>)> {
-    let mut pairs: BTreeMap<&str, (Option<&Item>, Option<&Item>)> = BTreeMap::new();
-    for item in old {
-        pairs.entry(name(item)).or_default().0 = Some(item);
-    }
-    for item in new {
-        pairs.entry(name(item)).or_default().1 = Some(item);
+    let by_name = |items: &'a [Item]| {
+        let mut items: Vec<&Item> = items.iter().collect();
+        items.sort_by(|a, b| name(a).cmp(name(b)));
+        items.into_iter().peekable()
+    };
+    let (mut old, mut new) = (by_name(old), by_name(new));
+    let mut pairs = Vec::with_capacity(new.len());
+    loop {
+        let order = match (old.peek(), new.peek()) {
+            (None, None) => return pairs,
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (Some(old), Some(new)) => name(old).cmp(name(new)),
+        };
+        pairs.push(match order {
+            Ordering::Less => (old.next(), None),
+            Ordering::Equal => (old.next(), new.next()),
+            Ordering::Greater => (None, new.next()),
+        });
     }
-    pairs.into_values().collect()
 }
 
 /// One change from a document to the next.
@@ -287,6 +314,9 @@
 }
 
 fn changed(changes: &mut Vec<Change>, old: &Class, new: &Class) {
+    if old == new {
+        return;
+    }
     if old.target != new.target {
         changes.push(Change::TargetChanged {
             class: new.name.clone(),
--- a/crates/intent/src/document/mod.rs
+++ b/crates/intent/src/document/mod.rs
@@ -1,6 +1,6 @@
 //! The intent document that operators publish.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
@@ -180,10 +180,10 @@
                 });
             }
         }
-        let mut names = BTreeSet::new();
-        let mut routes = BTreeMap::new();
+        let mut names = HashSet::with_capacity(self.classes.len());
+        let mut routes: HashMap<_, Vec<&Class>> = HashMap::with_capacity(self.classes.len());
         for (at, class) in self.classes.iter().enumerate() {
-            class.check(&format!("classes[{at}]"))?;
+            class.check_fields(format_args!("classes[{at}]"))?;
             if !names.insert(class.name.as_str()) {
                 return Err(Fault::Duplicate {
                     field: "classes".into(),
@@ -204,20 +204,17 @@
                     });
                 }
             }
-            let all = bound::METHODS.iter().filter(|_| class.methods.is_empty());
-            let methods = class.methods.iter().map(String::as_str);
-            for method in methods.chain(all.copied()) {
-                let authority = class.authority.as_deref();
-                let route = (authority, class.path_prefix.as_str(), method);
-                if let Some(other) = routes.insert(route, class.name.as_str()) {
-                    return Err(Fault::Ambiguous {
-                        class: class.name.clone(),
-                        other: other.into(),
-                        prefix: class.path_prefix.clone(),
-                        method: method.to_owned(),
-                    });
-                }
+            let route = (class.authority.as_deref(), class.path_prefix.as_str());
+            let others = routes.entry(route).or_default();
+            if let Some((other, method)) = class.shared_method(others) {
+                return Err(Fault::Ambiguous {
+                    class: class.name.clone(),
+                    other: other.name.clone(),
+                    prefix: class.path_prefix.clone(),
+                    method: method.to_owned(),
+                });
             }
+            others.push(class);
         }
         Ok(())
     }
@@ -230,6 +227,26 @@
     ///
     /// Returns the first [`Fault`] found.
     pub fn check(&self, field: &str) -> Result<(), Fault> {
+        self.check_fields(format_args!("{field}"))
+    }
+
+    /// Returns the first method of the class that one of `others` takes too,
+    /// with that one.
+    fn shared_method<'a>(&'a self, others: &[&'a Self]) -> Option<(&'a Self, &'a str)> {
+        if others.is_empty() {
+            return None;
+        }
+        let all = bound::METHODS.iter().filter(|_| self.methods.is_empty());
+        let methods = self.methods.iter().map(String::as_str);
+        let mut methods = methods.chain(all.copied());
+        methods.find_map(|method| {
+            let other = others.iter().find(|other| other.takes(method))?;
+            Some((*other, method))
+        })
+    }
+
+    /// As [`Class::check`], without a text for the path of a sound class.
+    fn check_fields(&self, field: fmt::Arguments<'_>) -> Result<(), Fault> {
         bound::name(format_args!("{field}.name"), &self.name)?;
         bound::name(format_args!("{field}.service"), &self.service)?;
         if !bound::is_prefix(&self.path_prefix) {
@@ -239,30 +256,30 @@
                 bound::PREFIX_FORM,
             ));
         }
-        let field_methods = format!("{field}.methods");
+        let field_methods = || format!("{field}.methods");
         let accepted = || {
             let methods = bound::METHODS.join(", ");
             format!("accepted are one or more of {methods}, each once")
         };
         if self.methods.is_empty() && self.authority.is_none() {
-            return Err(Fault::value(&field_methods, "an empty list", accepted()));
+            return Err(Fault::value(field_methods(), "an empty list", accepted()));
         }
         let mut methods = BTreeSet::new();
         for method in &self.methods {
             if !bound::METHODS.contains(&method.as_str()) || !methods.insert(method) {
                 return Err(Fault::value(
-                    &field_methods,
+                    field_methods(),
                     bound::quote(method),
                     accepted(),
                 ));
             }
         }
         self.check_routing(field)?;
-        self.target.check(&format!("{field}.target"))
+        self.target.check(format_args!("{field}.target"))
     }
 
     /// Checks the optional fields that say where and how long a request goes.
-    fn check_routing(&self, field: &str) -> Result<(), Fault> {
+    fn check_routing(&self, field: fmt::Arguments<'_>) -> Result<(), Fault> {
         if let Some(authority) = &self.authority {
             bound::name(format_args!("{field}.authority"), authority)?;
         }
@@ -316,7 +333,7 @@
     /// # Errors
     ///
     /// Returns the first [`Fault`] found.
-    pub fn check(&self, field: &str) -> Result<(), Fault> {
+    pub fn check(&self, field: fmt::Arguments<'_>) -> Result<(), Fault> {
         bound::range(
             format_args!("{field}.latency_ms"),
             self.latency_ms,
--- /dev/null
+++ b/crates/intent/src/hosts/delta.rs
@@ -0,0 +1,160 @@
+//! Host lists between daemons: whole, or as the difference from a list that
+//! the receiver has.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::{Deserialize, Serialize};
+
+use super::{Host, LIST_BYTES, List, check_all};
+use crate::fault::Fault;
+use crate::version::Hash;
+
+/// What turns one list into another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Delta {
+    /// Hash of the list that the delta applies to.
+    pub base: Hash,
+    /// Hash of the result.
+    pub hash: Hash,
+    /// Number of the result.
+    pub number: u64,
+    /// Hosts that are new or differ.
+    pub changed: Vec<Host>,
+    /// Names of the hosts that only the base holds.
+    pub removed: Vec<String>,
+}
+
+/// A list, or a difference, on its way.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Content {
+    /// A whole list.
+    List(List),
+    /// A difference.
+    Delta(Delta),
+}
+
+/// Returns the hash of a list, whose hosts are in the order of their names.
+///
+/// # Panics
+///
+/// Never: a list is expressible in JSON.
+pub fn hash(list: &List) -> Hash {
+    Hash::of(&serde_json::to_vec(list).expect("a list is expressible in JSON"))
+}
+
+impl Delta {
+    /// Returns the delta from `base` to `next`.
+    pub fn between(base: &List, next: &List) -> Self {
+        let by_name = |list: &'_ List| -> BTreeMap<String, Host> {
+            let hosts = list.hosts.iter().cloned();
+            hosts.map(|host| (host.name.clone(), host)).collect()
+        };
+        let (old, new) = (by_name(base), by_name(next));
+        let removed = old.keys().filter(|name| !new.contains_key(*name));
+        Self {
+            base: hash(base),
+            hash: hash(next),
+            number: next.number,
+            removed: removed.cloned().collect(),
+            changed: new
+                .into_values()
+                .filter(|host| old.get(&host.name) != Some(host))
+                .collect(),
+        }
+    }
+
+    /// Applies the delta to `base` and returns the checked result.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Fault::Mismatch`] if `base` or the result has another hash
+    /// than the delta states, and the first [`Fault`] of the result.
+    pub fn apply(&self, base: &List) -> Result<List, Fault> {
+        matches("base list", self.base, hash(base))?;
+        let mut hosts: BTreeMap<&str, &Host> = BTreeMap::new();
+        for host in base.hosts.iter().chain(&self.changed) {
+            hosts.insert(&host.name, host);
+        }
+        for name in &self.removed {
+            hosts.remove(name.as_str());
+        }
+        let list = List {
+            number: self.number,
+            hosts: hosts.into_values().cloned().collect(),
+        };
+        matches("host list", self.hash, hash(&list))?;
+        check_all(list)
+    }
+}
+
+fn matches(what: &str, expected: Hash, found: Hash) -> Result<(), Fault> {
+    if expected == found {
+        return Ok(());
+    }
+    Err(Fault::Mismatch {
+        what: what.into(),
+        expected,
+        found,
+    })
+}
+
+/// Returns what brings a daemon that has `base` to `next`: the difference, or
+/// the whole list where that is smaller or there is no base.
+pub fn content(base: Option<&List>, next: &List) -> Content {
+    let Some(base) = base else {
+        return Content::List(next.clone());
+    };
+    let delta = Delta::between(base, next);
+    match delta.changed.len() + delta.removed.len() < next.hosts.len() {
+        true => Content::Delta(delta),
+        false => Content::List(next.clone()),
+    }
+}
+
+/// Compresses content for a peer.
+///
+/// # Panics
+///
+/// Never: content is expressible in JSON, and memory takes what is written.
+pub fn encode(content: &Content) -> Vec<u8> {
+    let json = serde_json::to_vec(content).expect("content is expressible in JSON");
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+    encoder
+        .write_all(&json)
+        .expect("memory takes what is written");
+    encoder.finish().expect("memory takes what is written")
+}
+
+/// Inflates content of a peer.
+///
+/// # Errors
+///
+/// Returns [`Fault::Malformed`] for content that is torn or inflates to more
+/// than [`LIST_BYTES`], and the first [`Fault`] of a whole list.
+pub fn decode(bytes: &[u8]) -> Result<Content, Fault> {
+    let mut json = Vec::new();
+    let mut decoder = DeflateDecoder::new(bytes).take(LIST_BYTES as u64 + 1);
+    let read = decoder.read_to_end(&mut json);
+    read.map_err(|error| malformed(&error))?;
+    if json.len() > LIST_BYTES {
+        return Err(Fault::Malformed {
+            reason: format!("the list inflates to more than {LIST_BYTES} bytes"),
+        });
+    }
+    match serde_json::from_slice(&json).map_err(|error| malformed(&error))? {
+        Content::List(list) => Ok(Content::List(check_all(list)?)),
+        delta => Ok(delta),
+    }
+}
+
+fn malformed(error: &dyn std::error::Error) -> Fault {
+    Fault::Malformed {
+        reason: error.to_string(),
+    }
+}
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -11,6 +11,8 @@
 use crate::fault::Fault;
 use crate::manifest::VALUE_BYTES;
 
+pub mod delta;
+
 /// The host list. It lags behind what the hosts do.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -124,7 +126,11 @@
 /// Returns the first [`Fault`] found.
 pub fn parse(bytes: &[u8]) -> Result<List, Fault> {
     bound::size("hosts", bytes.len(), VALUE_BYTES)?;
-    let mut list: List = bound::parse(bytes)?;
+    check_all(bound::parse(bytes)?)
+}
+
+/// Checks a list, and sorts it by name.
+fn check_all(mut list: List) -> Result<List, Fault> {
     bound::range("number", list.number, &bound::LIST_NUMBERS)?;
     bound::count("hosts", list.hosts.len(), bound::HOSTS)?;
     let mut regions = BTreeMap::new();
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -61,6 +61,24 @@
 }
 
 impl Registry {
+    /// Returns a registry of upstreams that are known from elsewhere. A
+    /// complete reading at any revision removes those that it does not name.
+    pub fn seeded(instances: Vec<Instance>) -> Self {
+        let entry = |instance: Instance| {
+            let id = instance.id.clone();
+            let entry = Entry {
+                revision: 0,
+                instance: Some(instance),
+                until: None,
+            };
+            (id, entry)
+        };
+        Self {
+            entries: instances.into_iter().map(entry).collect(),
+            ..Self::default()
+        }
+    }
+
     /// Takes the end of an outage of the store.
     pub fn on_return(&mut self, now: Duration) {
         self.returning = now + RETURN;
--- /dev/null
+++ b/crates/intent/tests/suite/lists.rs
@@ -0,0 +1,72 @@
+//! Differences between host lists.
+
+use proptest::collection::btree_map;
+use proptest::prelude::*;
+use savorylane_intent::hosts::delta::{self, Content, Delta};
+use savorylane_intent::hosts::{Host, List, State};
+
+fn host(number: u8, slots: u32) -> Host {
+    let port = |port: u16| {
+        format!("10.0.0.{number}:{port}")
+            .parse()
+            .expect("an address")
+    };
+    Host {
+        name: format!("10.0.0.{number}"),
+        region: "r".into(),
+        data_centre: "a".into(),
+        service: "s".into(),
+        entry: port(1),
+        data: port(2),
+        control: port(3),
+        operator: port(4),
+        state: if slots % 2 == 0 {
+            State::Live
+        } else {
+            State::Leaving
+        },
+        instance: Some(format!("i-{number}")),
+        slots: Some(slots),
+    }
+}
+
+/// Returns a list as a daemon holds it: its hosts in the order of their names.
+fn list() -> impl Strategy<Value = List> {
+    let hosts = btree_map(1..20_u8, 1..4_u32, 0..12);
+    (1..1_000_u64, hosts).prop_map(|(number, hosts)| {
+        let hosts = hosts.into_iter().map(|(number, slots)| host(number, slots));
+        let mut hosts: Vec<Host> = hosts.collect();
+        hosts.sort_by(|a, b| a.name.cmp(&b.name));
+        List { number, hosts }
+    })
+}
+
+proptest! {
+    /// Guards against a difference that leads to another list than the
+    /// sender's, over the wire and back.
+    #[test]
+    fn a_difference_leads_to_the_list(base in list(), next in list()) {
+        let sent = delta::encode(&delta::content(Some(&base), &next));
+        let taken = match delta::decode(&sent).expect("whole content") {
+            Content::List(list) => list,
+            Content::Delta(delta) => delta.apply(&base).expect("the base fits"),
+        };
+        prop_assert_eq!(taken, next);
+    }
+
+    /// Guards against a difference that is applied to another list.
+    #[test]
+    fn a_difference_fits_its_base_only(base in list(), other in list(), next in list()) {
+        prop_assume!(base != other);
+        let delta = Delta::between(&base, &next);
+        prop_assert!(delta.apply(&other).is_err());
+    }
+
+    /// Guards against a cut transfer that is taken for a list.
+    #[test]
+    fn a_cut_transfer_is_refused(next in list(), share in 0.0..1.0_f64) {
+        let sent = delta::encode(&delta::content(None, &next));
+        let cut = (sent.len() as f64 * share) as usize;
+        prop_assert!(delta::decode(&sent[..cut]).is_err());
+    }
+}
--- a/crates/intent/tests/suite/registry.rs
+++ b/crates/intent/tests/suite/registry.rs
@@ -98,3 +98,27 @@
     let numbers = [2, 2, 3, 3, 7].map(|revision| registry.settle(SECOND, revision));
     assert!(numbers.is_sorted_by(|a, b| a < b), "{numbers:?}");
 }
+
+/// Guards against a new reader that drops hosts at once which lapsed in the
+/// outage that ended as it took over, and against one that keeps others.
+#[test]
+fn a_seeded_registry_follows_the_first_reading() {
+    let known = || {
+        Registry::seeded(vec![
+            instance("a", "10.0.0.1:80", 0),
+            instance("b", "10.0.0.2:80", 0),
+        ])
+    };
+    let mut registry = known();
+    registry.retain(SECOND, 7, &["b"]);
+    registry.put(6, "b", Some(instance("b", "10.0.0.2:80", 1)));
+    registry.settle(SECOND, 7);
+    assert_eq!(ids(&registry), ["b"]);
+    let mut registry = known();
+    registry.on_return(SECOND);
+    registry.retain(SECOND, 7, &["b"]);
+    registry.settle(SECOND, 7);
+    assert_eq!(ids(&registry), ["a", "b"]);
+    registry.settle(SECOND + RETURN, 7);
+    assert_eq!(ids(&registry), ["b"]);
+}
