--- /dev/null
+++ b/crates/distribution/src/source/mod.rs
@@ -0,0 +1,655 @@
+//! Whom a daemon learns the configuration and the host list from.
+//!
+//! A daemon is a *reader*, which reads the store, or a *follower*, which polls
+//! a reader of its data centre. No agreement is needed: a daemon becomes a
+//! reader when another one needs it, and a reader that learns of a better one
+//! sends its followers there and becomes a follower once none needs it. A wrong
+//! belief costs only a further reader.
+//!
+//! Readers find each other at the *rendezvous*, the host of the data centre
+//! with the first name, which knows whom it follows. Of two readers the one on
+//! the faster link is better, since a store tells large values whole. A reader
+//! that the store turns away learns from readers of other data centres and
+//! goes on answering.
+
+mod backoff;
+mod role;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use backoff::Outages;
+pub use role::Rank;
+use role::{Follower, Reader, Role, Trust};
+
+/// Time for which a poll waits for news.
+const WAIT: Duration = Duration::from_millis(600);
+/// Time beyond the wait after which a poll of a reader has failed.
+const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// Time after which a poll that asks only whether a host is a reader has
+/// failed: several round trips to another region. Hosts that are away do not
+/// refuse connections.
+const LOOK_LIMIT: Duration = Duration::from_millis(300);
+/// Time between two looks of a reader for a better one.
+const CHECK: Duration = Duration::from_secs(2);
+/// Age up to which the knowledge of a reader is worth following.
+const FRESH: Duration = Duration::from_secs(3);
+/// Time without the store after which a reader asks other readers.
+const LOST: Duration = Duration::from_millis(300);
+/// Greatest age with which a new reader goes on from the revision that it
+/// knows. One that takes over after a loss would read all versions that came
+/// since, and reads the newest instead.
+pub const GAP_MAX: Duration = Duration::from_secs(1);
+/// Time without a poll after which nobody needs a reader; a follower polls
+/// again within [`WAIT`].
+const UNNEEDED: Duration = Duration::from_millis(1_600);
+/// Time after which a host that was asked to read may be asked again.
+const PROMOTE_AGAIN: Duration = Duration::from_secs(10);
+/// Time without a poll after which a follower is forgotten.
+const FORGOTTEN: Duration = Duration::from_secs(3);
+/// Followers that are named as the next readers.
+const CANDIDATES: usize = 3;
+/// Hosts of a data centre that are tried as the rendezvous.
+const RENDEZVOUS: usize = 3;
+/// Polls of a host that has just started before another one is tried.
+const STARTS: u8 = 6;
+/// Time between two of them.
+const START_PAUSE: Duration = Duration::from_millis(100);
+/// Times in a row that a follower is sent elsewhere before it leaves the named
+/// host alone: two hosts may name each other.
+const REDIRECTS: u8 = 4;
+
+/// A host by its name, with the rate of its link in megabits a second; 0 if
+/// the rate is not known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Rate of its link.
+    pub rate: u32,
+}
+
+/// Where a host stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// Data centre that holds it.
+    pub data_centre: Arc<str>,
+    /// Region of the data centre.
+    pub region: Arc<str>,
+}
+
+/// What a poll tells of its sender.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Poll {
+    /// The sender.
+    pub from: Candidate,
+    /// Data centre of the sender.
+    pub data_centre: Arc<str>,
+    /// Whether the sender relies on the receiver for news.
+    pub needs: bool,
+    /// Time for which the sender has read the store without a gap; `None` if
+    /// it does not read it or the store does not answer.
+    pub reading: Option<Duration>,
+}
+
+/// What the answer to a poll tells of its sender, besides the news.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Answer {
+    /// Whether the sender is a reader.
+    pub reader: bool,
+    /// Rate of the sender's link, megabits a second; 0 if it is not known.
+    pub rate: u32,
+    /// As in [`Poll::reading`].
+    pub reading: Option<Duration>,
+    /// Age of what the sender knows; `None` if it knows nothing.
+    pub age: Option<Duration>,
+    /// Whom the receiver is to poll instead.
+    pub source: Option<Arc<str>>,
+    /// Whether the receiver is to read the store, since its link is faster.
+    pub promote: bool,
+    /// Whether the sender is about to end.
+    pub leaving: bool,
+    /// Followers that become readers, in this order, when the sender is lost.
+    pub candidates: Vec<Candidate>,
+}
+
+/// What the driver of a [`Source`] does next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Polls a host.
+    Poll(Request),
+    /// Does nothing for this time, unless something changes.
+    Idle(Duration),
+}
+
+/// A poll to be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Request {
+    /// The host.
+    pub host: Arc<str>,
+    /// Whether this daemon relies on the host.
+    pub needs: bool,
+    /// Time for which the host may wait for news.
+    pub wait: Duration,
+    /// Time after which the poll has failed.
+    pub limit: Duration,
+}
+
+impl Request {
+    /// Returns a poll that waits for news of a reader.
+    fn news(host: Arc<str>) -> Self {
+        Self {
+            host,
+            needs: true,
+            wait: WAIT,
+            limit: WAIT + ANSWER_LIMIT,
+        }
+    }
+
+    /// Returns a poll that asks whether a host is a reader.
+    fn look(host: Arc<str>) -> Self {
+        Self {
+            host,
+            needs: false,
+            wait: Duration::ZERO,
+            limit: LOOK_LIMIT,
+        }
+    }
+
+    /// Returns the next poll of a host that is followed.
+    fn to(host: Arc<str>, trust: Trust) -> Self {
+        match trust {
+            Trust::Unknown => Self::look(host),
+            Trust::Needed => Self {
+                needs: true,
+                ..Self::look(host)
+            },
+            Trust::Proven => Self::news(host),
+        }
+    }
+}
+
+/// A follower as a reader knows it.
+#[derive(Clone, Debug)]
+struct Known {
+    rate: u32,
+    polled: Duration,
+    /// When it may be asked to read the store again.
+    promotable: Duration,
+}
+
+/// Whom a daemon learns from.
+#[derive(Clone, Debug)]
+pub struct Source {
+    own: Place,
+    rate: u32,
+    role: Role,
+    /// Hosts of the own data centre by name, without the own one.
+    near: Vec<Arc<str>>,
+    /// Hosts of each other data centre by name; those of the own region first.
+    far: Vec<Vec<Arc<str>>>,
+    outages: Outages,
+    /// Followers that become readers when the source is lost.
+    candidates: Vec<Candidate>,
+    /// Hosts of the own data centre that polled this one.
+    known: BTreeMap<Arc<str>, Known>,
+    leaving: bool,
+}
+
+impl Source {
+    /// Returns the source of the daemon at `own`, which reads the store until
+    /// it knows of other hosts; `rate` is that of its link in megabits a
+    /// second, 0 if it is not known.
+    pub fn new(own: Place, rate: u32) -> Self {
+        Self {
+            own,
+            rate,
+            role: Role::Starting,
+            near: Vec::new(),
+            far: Vec::new(),
+            outages: Outages::default(),
+            candidates: Vec::new(),
+            known: BTreeMap::new(),
+            leaving: false,
+        }
+    }
+
+    /// Returns whether this daemon reads the store.
+    pub fn reads(&self) -> bool {
+        matches!(self.role, Role::Reader(_))
+    }
+
+    /// Returns the host that this daemon polls for news.
+    pub fn followed(&self) -> Option<&Arc<str>> {
+        match &self.role {
+            Role::Starting => None,
+            Role::Follower(follower) => Some(&follower.of),
+            Role::Reader(reader) => reader.elsewhere.as_ref(),
+        }
+    }
+
+    /// Takes the listed hosts.
+    pub fn on_hosts(&mut self, hosts: &[Place]) {
+        let others = hosts.iter().filter(|host| host.name != self.own.name);
+        let mut centres: BTreeMap<(bool, &str), Vec<Arc<str>>> = BTreeMap::new();
+        self.near.clear();
+        for host in others {
+            if host.data_centre == self.own.data_centre {
+                self.near.push(Arc::clone(&host.name));
+                continue;
+            }
+            let key = (host.region != self.own.region, &*host.data_centre);
+            centres.entry(key).or_default().push(Arc::clone(&host.name));
+        }
+        self.near.sort();
+        self.far = centres.into_values().collect();
+        self.far.iter_mut().for_each(|hosts| hosts.sort());
+    }
+
+    /// Takes that the first reading of the host list is over, or has failed.
+    pub fn start(&mut self, now: Duration) {
+        if !matches!(self.role, Role::Starting) {
+            return;
+        }
+        match self.rendezvous(now) {
+            Some(host) if host < self.own.name => self.follow(host, Trust::Unknown),
+            _ => self.read(now),
+        }
+    }
+
+    /// Takes a host that is known to run, while no other one is.
+    pub fn on_peer(&mut self, name: &str) {
+        let alone = matches!(&self.role, Role::Starting) || self.near.is_empty();
+        if alone && *name != *self.own.name && self.followed().is_none() {
+            match &mut self.role {
+                Role::Reader(reader) => reader.elsewhere = Some(name.into()),
+                _ => self.follow(name.into(), Trust::Unknown),
+            }
+        }
+    }
+
+    /// Takes whether the store answers this reader.
+    pub fn on_contact(&mut self, now: Duration, answers: bool) {
+        let Role::Reader(reader) = &mut self.role else {
+            return;
+        };
+        match answers {
+            true => {
+                reader.reading_since.get_or_insert(now);
+                reader.lost_since = None;
+                reader.elsewhere = None;
+            }
+            false => {
+                reader.reading_since = None;
+                reader.lost_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Announces from now on that this daemon is about to end.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns the time for which this daemon has read the store without a
+    /// gap.
+    pub fn reading(&self, now: Duration) -> Option<Duration> {
+        match &self.role {
+            Role::Reader(reader) if !self.leaving => {
+                Some(now.saturating_sub(reader.reading_since?))
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns what to do next.
+    pub fn next(&mut self, now: Duration) -> Step {
+        self.give_way(now);
+        match &mut self.role {
+            Role::Starting => Step::Idle(CHECK),
+            Role::Follower(follower) if now < follower.not_before => {
+                Step::Idle(follower.not_before - now)
+            }
+            Role::Follower(follower) => {
+                Step::Poll(Request::to(Arc::clone(&follower.of), follower.trust))
+            }
+            Role::Reader(reader) => match reader.lost(now) {
+                Some(lost) if lost >= LOST => self.ask_elsewhere(now),
+                Some(lost) => Step::Idle(LOST - lost),
+                None => self.check(now),
+            },
+        }
+    }
+
+    /// Becomes a follower of a better reader once none needs this one.
+    fn give_way(&mut self, now: Duration) {
+        let Role::Reader(reader) = &self.role else {
+            return;
+        };
+        let Some(better) = reader.better.clone() else {
+            return;
+        };
+        if now.saturating_sub(reader.needed) >= UNNEEDED {
+            self.follow(better, Trust::Needed);
+        }
+    }
+
+    /// Looks for a better reader from time to time.
+    fn check(&mut self, now: Duration) -> Step {
+        let rendezvous = self.rendezvous(now);
+        let Role::Reader(reader) = &mut self.role else {
+            return Step::Idle(CHECK);
+        };
+        let told = reader.look.take();
+        let due = reader.checked + CHECK;
+        if told.is_none() && now < due {
+            let until_way = reader.better.as_ref().map(|_| reader.needed + UNNEEDED);
+            let until = until_way.map_or(due, |at| at.min(due));
+            let least = Duration::from_millis(1);
+            return Step::Idle(until.saturating_sub(now).max(least));
+        }
+        reader.checked = now;
+        match told.or(rendezvous) {
+            Some(host) => Step::Poll(Request::look(host)),
+            None => Step::Idle(CHECK),
+        }
+    }
+
+    /// Learns from another reader while the store does not answer.
+    fn ask_elsewhere(&mut self, now: Duration) -> Step {
+        let known = match &self.role {
+            Role::Reader(reader) => reader.elsewhere.clone(),
+            _ => None,
+        };
+        if let Some(host) = known.filter(|host| !self.outages.lasts(now, host)) {
+            let trust = match &self.role {
+                Role::Reader(reader) => reader.trust_elsewhere,
+                _ => Trust::Unknown,
+            };
+            return Step::Poll(Request::to(host, trust));
+        }
+        let centres = std::iter::once(&self.near).chain(&self.far);
+        let usable = |host: &&Arc<str>| !self.outages.lasts(now, host);
+        let next = centres
+            .filter_map(|hosts| hosts.iter().take(RENDEZVOUS).find(usable))
+            .next()
+            .cloned();
+        let Role::Reader(reader) = &mut self.role else {
+            return Step::Idle(CHECK);
+        };
+        reader.trust_elsewhere = Trust::Unknown;
+        reader.elsewhere.clone_from(&next);
+        match next {
+            Some(host) => Step::Poll(Request::look(host)),
+            None => Step::Idle(LOST),
+        }
+    }
+
+    /// Takes the answer to a poll of `host`.
+    pub fn on_answer(&mut self, now: Duration, host: &str, answer: &Answer) {
+        let fresh = answer.age.is_some_and(|age| age <= FRESH) && !answer.leaving;
+        if answer.leaving {
+            self.outages.begin(now, host);
+        } else if fresh {
+            self.outages.end(host);
+        }
+        match &self.role {
+            Role::Starting => {}
+            Role::Follower(follower) if *follower.of == *host => {
+                self.follower_answered(now, host, answer, fresh);
+            }
+            Role::Follower(_) => {}
+            Role::Reader(_) => self.reader_answered(now, host, answer, fresh),
+        }
+    }
+
+    fn follower_answered(&mut self, now: Duration, host: &str, answer: &Answer, fresh: bool) {
+        if answer.reader {
+            self.candidates.clone_from(&answer.candidates);
+        }
+        if answer.promote {
+            self.read(now);
+            if let Role::Reader(reader) = &mut self.role {
+                reader.look = Some(host.into());
+                reader.elsewhere = Some(host.into());
+                reader.trust_elsewhere = Trust::Proven;
+            }
+            return;
+        }
+        match &answer.source {
+            Some(source) if **source == *self.own.name => return self.read(now),
+            Some(source) if !self.outages.lasts(now, source) => {
+                return self.redirect(now, source);
+            }
+            _ => {}
+        }
+        if answer.reader && (fresh || !answer.leaving && !self.has_other(now, host)) {
+            if let Role::Follower(follower) = &mut self.role {
+                follower.trust = Trust::Proven;
+                follower.redirects = 0;
+            }
+            return;
+        }
+        if !answer.reader
+            && !answer.leaving
+            && answer.source.is_none()
+            && let Role::Follower(follower) = &mut self.role
+            && follower.redirects < STARTS
+        {
+            // It has just started as well, and may become the reader.
+            follower.redirects += 1;
+            follower.not_before = now + START_PAUSE;
+            return;
+        }
+        // One that is about to end, or knows nothing new.
+        self.on_failure(now, host);
+    }
+
+    /// Follows a named reader, unless hosts name each other.
+    fn redirect(&mut self, now: Duration, to: &Arc<str>) {
+        let Role::Follower(follower) = &mut self.role else {
+            return;
+        };
+        if follower.redirects >= REDIRECTS {
+            follower.redirects = 0;
+            self.outages.begin(now, to);
+            return;
+        }
+        follower.redirects += 1;
+        follower.of = Arc::clone(to);
+        follower.trust = Trust::Unknown;
+    }
+
+    fn reader_answered(&mut self, now: Duration, host: &str, answer: &Answer, fresh: bool) {
+        let near = self.is_near(host);
+        let rank = Rank::new(answer.rate, answer.reading, host);
+        let own = self.rank(now);
+        let Role::Reader(reader) = &mut self.role else {
+            return;
+        };
+        let elsewhere = reader.elsewhere.as_deref() == Some(host);
+        let redirect = answer.source.clone();
+        let redirect = redirect.filter(|source| *source != self.own.name);
+        if near && answer.reader && fresh && answer.reading.is_some() && rank > own {
+            reader.better = Some(host.into());
+            return;
+        }
+        if reader.better.as_deref() == Some(host) {
+            reader.better = None;
+        }
+        if elsewhere {
+            match (fresh && answer.reader, redirect) {
+                (true, _) => reader.trust_elsewhere = Trust::Proven,
+                (false, Some(source)) if !self.outages.lasts(now, &source) => {
+                    reader.trust_elsewhere = Trust::Unknown;
+                    reader.elsewhere = Some(source);
+                }
+                (false, _) => self.on_failure(now, host),
+            }
+        } else if near && let Some(source) = redirect {
+            reader.look = (*source != *host).then_some(source);
+        }
+    }
+
+    /// Takes that a poll of `host` failed.
+    pub fn on_failure(&mut self, now: Duration, host: &str) {
+        self.outages.begin(now, host);
+        match &mut self.role {
+            Role::Follower(follower) if *follower.of == *host => {}
+            Role::Reader(reader) => {
+                if reader.elsewhere.as_deref() == Some(host) {
+                    reader.elsewhere = None;
+                }
+                if reader.better.as_deref() == Some(host) {
+                    reader.better = None;
+                }
+                return;
+            }
+            _ => return,
+        }
+        let mut names = self.candidates.iter().map(|candidate| &candidate.name);
+        let usable = |name: &Arc<str>| *name == self.own.name || !self.outages.lasts(now, name);
+        let next = names.find(|name| usable(name)).cloned();
+        match next {
+            Some(name) if name == self.own.name => self.read(now),
+            Some(name) => self.follow(name, Trust::Needed),
+            None => match self.rendezvous(now) {
+                Some(name) => self.follow(name, Trust::Unknown),
+                None => self.read(now),
+            },
+        }
+    }
+
+    /// Takes a poll of another daemon, and returns the answer. Whether it may
+    /// wait for news is for the driver: only that of a reader does.
+    pub fn on_poll(&mut self, now: Duration, poll: &Poll, age: Option<Duration>) -> Answer {
+        let near = poll.data_centre == self.own.data_centre;
+        if near {
+            self.on_near_poll(now, poll);
+        }
+        let promote = near && self.promotes(now, &poll.from);
+        let reader = self.reads();
+        let source = match &self.role {
+            Role::Starting => None,
+            Role::Follower(follower) => Some(Arc::clone(&follower.of)),
+            Role::Reader(reader) => reader.better.clone(),
+        };
+        Answer {
+            reader,
+            rate: self.rate,
+            reading: self.reading(now),
+            age,
+            source: source.filter(|source| *source != poll.from.name || !reader),
+            promote,
+            leaving: self.leaving,
+            candidates: self.successors(now),
+        }
+    }
+
+    fn on_near_poll(&mut self, now: Duration, poll: &Poll) {
+        let rank = Rank::new(poll.from.rate, poll.reading, &poll.from.name);
+        let own = self.rank(now);
+        let known = self.known.entry(Arc::clone(&poll.from.name));
+        let known = known.or_insert(Known {
+            rate: poll.from.rate,
+            polled: now,
+            promotable: Duration::ZERO,
+        });
+        known.rate = poll.from.rate;
+        known.polled = now;
+        self.known
+            .retain(|_, known| now.saturating_sub(known.polled) < FORGOTTEN);
+        if poll.needs && !self.reads() && !self.leaving {
+            self.read(now);
+        }
+        let Role::Reader(reader) = &mut self.role else {
+            return;
+        };
+        if poll.needs {
+            reader.needed = now;
+        }
+        if poll.reading.is_some() && rank > own {
+            reader.better = Some(Arc::clone(&poll.from.name));
+        } else if reader.better.as_ref() == Some(&poll.from.name) {
+            reader.better = None;
+        }
+    }
+
+    /// Returns whether `from` is to read the store in place of this daemon,
+    /// which sends its followers there at once: the whole values that they
+    /// lack at a start fill a slow link.
+    fn promotes(&mut self, now: Duration, from: &Candidate) -> bool {
+        let Role::Reader(reader) = &mut self.role else {
+            return false;
+        };
+        if reader.better.is_some() || from.rate <= self.rate {
+            return false;
+        }
+        let Some(known) = self.known.get_mut(&from.name) else {
+            return false;
+        };
+        if now < known.promotable {
+            return false;
+        }
+        known.promotable = now + PROMOTE_AGAIN;
+        reader.better = Some(Arc::clone(&from.name));
+        true
+    }
+
+    /// Returns the followers that are to read the store when this daemon is
+    /// lost.
+    fn successors(&self, now: Duration) -> Vec<Candidate> {
+        let polls = |known: &Known| now.saturating_sub(known.polled) < FORGOTTEN;
+        let mut followers: Vec<Candidate> = self
+            .known
+            .iter()
+            .filter(|(_, known)| polls(known))
+            .map(|(name, known)| Candidate {
+                name: Arc::clone(name),
+                rate: known.rate,
+            })
+            .collect();
+        followers.sort_by(|a, b| b.rate.cmp(&a.rate).then_with(|| a.name.cmp(&b.name)));
+        followers.truncate(CANDIDATES);
+        followers
+    }
+
+    fn rank(&self, now: Duration) -> Rank {
+        Rank::new(self.rate, self.reading(now), &self.own.name)
+    }
+
+    fn is_near(&self, host: &str) -> bool {
+        self.near.iter().any(|name| **name == *host)
+    }
+
+    /// Returns whether a host beside `host` may be followed.
+    fn has_other(&self, now: Duration, host: &str) -> bool {
+        let mut names = self.candidates.iter().map(|candidate| &candidate.name);
+        names.any(|name| **name != *host && !self.outages.lasts(now, name))
+    }
+
+    /// Returns the host at which readers of the data centre find each other.
+    fn rendezvous(&self, now: Duration) -> Option<Arc<str>> {
+        let hosts = self.near.iter().take(RENDEZVOUS);
+        let mut usable = hosts.filter(|host| !self.outages.lasts(now, host));
+        usable.next().cloned()
+    }
+
+    fn follow(&mut self, of: Arc<str>, trust: Trust) {
+        self.role = Role::Follower(Follower {
+            of,
+            trust,
+            redirects: 0,
+            not_before: Duration::ZERO,
+        });
+    }
+
+    fn read(&mut self, now: Duration) {
+        if !self.reads() {
+            self.role = Role::Reader(Reader::new(now));
+        }
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/source/role.rs
@@ -0,0 +1,124 @@
+//! Roles of a daemon, and which of two readers is the better one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Difference of the times as readers within which two readers count as
+/// equally old.
+const EQUAL: Duration = Duration::from_secs(1);
+
+/// What a daemon does for its knowledge.
+#[derive(Clone, Debug)]
+pub(super) enum Role {
+    /// It knows no other host yet.
+    Starting,
+    /// It polls a reader.
+    Follower(Follower),
+    /// It reads the store.
+    Reader(Reader),
+}
+
+/// What a daemon knows of the host that it polls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Trust {
+    /// It may not be a reader.
+    Unknown,
+    /// It is to become a reader if it is none; it may be away.
+    Needed,
+    /// It answers as a reader.
+    Proven,
+}
+
+/// A daemon that polls a reader.
+#[derive(Clone, Debug)]
+pub(super) struct Follower {
+    /// The reader.
+    pub(super) of: Arc<str>,
+    /// What is known of it.
+    pub(super) trust: Trust,
+    /// Polls in a row that led to no reader.
+    pub(super) redirects: u8,
+    /// When the host is polled next, at the earliest.
+    pub(super) not_before: Duration,
+}
+
+/// A daemon that reads the store.
+#[derive(Clone, Debug)]
+pub(super) struct Reader {
+    /// When the store began to answer; `None` while it does not.
+    pub(super) reading_since: Option<Duration>,
+    /// Since when the store does not answer; `None` while it does.
+    pub(super) lost_since: Option<Duration>,
+    /// When a follower last needed this reader.
+    pub(super) needed: Duration,
+    /// When this reader last looked for a better one.
+    pub(super) checked: Duration,
+    /// Host at which it looks next.
+    pub(super) look: Option<Arc<str>>,
+    /// A better reader, to which followers are sent.
+    pub(super) better: Option<Arc<str>>,
+    /// Reader from which it learns while the store does not answer.
+    pub(super) elsewhere: Option<Arc<str>>,
+    /// What is known of that one.
+    pub(super) trust_elsewhere: Trust,
+}
+
+impl Reader {
+    pub(super) fn new(now: Duration) -> Self {
+        Self {
+            reading_since: None,
+            lost_since: Some(now),
+            needed: now,
+            checked: Duration::ZERO,
+            look: None,
+            better: None,
+            elsewhere: None,
+            trust_elsewhere: Trust::Unknown,
+        }
+    }
+
+    /// Returns the time for which the store has not answered.
+    pub(super) fn lost(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.lost_since?))
+    }
+}
+
+/// Order of readers; the greatest is the best.
+///
+/// One to which the store answers precedes one to which it does not, then the
+/// faster link, then the longer time as a reader, then the first name.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Rank {
+    reads: bool,
+    rate: u32,
+    /// Time as a reader, in steps of [`EQUAL`].
+    steps: u64,
+    name: std::cmp::Reverse<Box<str>>,
+}
+
+impl Rank {
+    /// Returns the rank of a reader.
+    pub fn new(rate: u32, reading: Option<Duration>, name: &str) -> Self {
+        Self {
+            reads: reading.is_some(),
+            rate,
+            steps: reading.map_or(0, |time| time.as_secs() / EQUAL.as_secs()),
+            name: std::cmp::Reverse(name.into()),
+        }
+    }
+}
+
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Rank {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        let key = |rank: &Self| (rank.reads, rank.rate, rank.steps);
+        key(self)
+            .cmp(&key(other))
+            .then_with(|| self.name.cmp(&other.name))
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/distribution.rs
@@ -0,0 +1,175 @@
+//! Versions at 79 and 1,105 hosts in virtual time, under faults.
+
+mod sim;
+
+use std::time::Duration;
+
+use sim::{Mode, Settings, Sim};
+
+/// Time within which a version must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
+/// Time between two versions of a fast series.
+const GAP: Duration = Duration::from_millis(170);
+/// When the series begins.
+const BEGIN: Duration = Duration::from_secs(14);
+/// Versions of the series, 5 s of them.
+const SERIES: u64 = 30;
+/// When a run ends.
+const END: Duration = Duration::from_secs(30);
+
+fn testata(mode: Mode) -> Settings {
+    Settings {
+        hosts: 79,
+        centres: 6,
+        regions: 3,
+        fast_every: 6,
+        mode,
+    }
+}
+
+fn series(sim: &mut Sim) {
+    for number in 0..SERIES {
+        sim.publish(BEGIN + GAP * number as u32, 10 + number * 3);
+    }
+}
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Load pattern: six versions a second of 1,100 routes, links of 7 Mbit/s.
+/// Guards against versions that are late where each host reads all of them.
+#[test]
+fn a_series_is_in_force_in_time_on_slow_links() {
+    let mut sim = Sim::new(testata(Mode::Readers));
+    series(&mut sim);
+    sim.run(END);
+    let (taken, version, host) = sim.slowest(|_, _| true);
+    println!("{taken:?} {version} {host} {:?}", sim.counts);
+    assert!(taken.is_some_and(|taken| taken < at(1_000)), "{taken:?}");
+    assert_eq!(sim.readers().len(), 6, "{:?}", sim.readers());
+    for reader in sim.readers() {
+        assert_eq!(sim.rate(reader), 140);
+    }
+    let mut all = Sim::new(testata(Mode::AllVersions));
+    series(&mut all);
+    all.run(END);
+    let (taken, ..) = all.slowest(|_, _| true);
+    println!("every host reads: {taken:?} {:?}", all.counts);
+    assert!(taken.is_none_or(|taken| taken > IN_FORCE), "{taken:?}");
+    assert!(sim.counts.region_bytes * 4 < all.counts.region_bytes);
+}
+
+/// Guards against versions that are late while their reader is replaced.
+#[test]
+fn a_lost_reader_is_replaced_in_time() {
+    for delay in (0..1_600).step_by(100) {
+        let mut sim = Sim::new(testata(Mode::Readers));
+        series(&mut sim);
+        sim.run(BEGIN + at(delay));
+        for reader in sim.readers() {
+            sim.kill(BEGIN + at(delay + 1), reader);
+        }
+        sim.run(END);
+        let (taken, version, host) = sim.slowest(|_, _| true);
+        println!("{delay} ms: {taken:?} {version} {host}");
+        assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
+    }
+}
+
+/// Guards against versions that are late where the store turns readers away.
+#[test]
+fn readers_that_the_store_turns_away_learn_elsewhere() {
+    let mut sim = Sim::new(testata(Mode::Readers));
+    series(&mut sim);
+    sim.run(BEGIN - at(500));
+    let readers = sim.readers();
+    for &reader in &readers[..4] {
+        sim.refuse(BEGIN, reader, true);
+    }
+    sim.run(END);
+    let (taken, version, host) = sim.slowest(|_, _| true);
+    println!("{taken:?} {version} {host} {:?}", sim.counts);
+    assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
+}
+
+/// Guards against a fleet that does not find its readers after most daemons
+/// were killed at once.
+#[test]
+fn a_fleet_that_starts_again_finds_its_readers() {
+    let mut sim = Sim::new(testata(Mode::Readers));
+    series(&mut sim);
+    for host in (0..79).filter(|host| host % 9 < 5) {
+        sim.kill(BEGIN + at(700), host);
+        sim.start(BEGIN + at(2_700), host);
+    }
+    sim.run(END);
+    let back = BEGIN + at(2_700);
+    let (taken, version, host) = sim.slowest(|_, published| published > back);
+    println!("{taken:?} {version} {host} {:?}", sim.readers());
+    assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
+    let steady = |host: usize, _| host % 9 >= 5;
+    let (taken, ..) = sim.slowest(steady);
+    assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
+    assert_eq!(sim.readers().len(), 6, "{:?}", sim.readers());
+}
+
+/// Guards against store calls or bytes between regions that grow with the
+/// hosts.
+#[test]
+fn the_store_is_read_as_often_for_1105_hosts() {
+    let mut small = Sim::new(testata(Mode::Readers));
+    let mut large = Sim::new(Settings {
+        hosts: 1_105,
+        ..testata(Mode::Readers)
+    });
+    for sim in [&mut small, &mut large] {
+        sim.run(at(10_000));
+        let before = sim.counts;
+        series(sim);
+        sim.run(END);
+        sim.counts.store_calls -= before.store_calls;
+        sim.counts.region_bytes -= before.region_bytes;
+        let (taken, version, host) = sim.slowest(|_, _| true);
+        println!("{taken:?} {version} {host} {:?}", sim.counts);
+        assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
+        assert_eq!(sim.readers().len(), 6, "{:?}", sim.readers());
+        for centre in 0..6 {
+            let readers = sim.readers();
+            let near = readers.iter().filter(|host| sim.centre(**host) == centre);
+            assert_eq!(near.count(), 1);
+        }
+    }
+    assert!(large.counts.store_calls < small.counts.store_calls * 2);
+}
+
+/// Prints the figures of the design note.
+#[test]
+#[ignore = "prints a table; checks nothing"]
+fn ways_of_distribution() {
+    let modes = [
+        Mode::AllVersions,
+        Mode::AllNewest,
+        Mode::ReadersWhole,
+        Mode::Readers,
+    ];
+    for hosts in [79, 1_105] {
+        for mode in modes {
+            let mut sim = Sim::new(Settings {
+                hosts,
+                ..testata(mode)
+            });
+            sim.run(at(10_000));
+            let before = sim.counts;
+            series(&mut sim);
+            sim.run(END);
+            let (taken, ..) = sim.slowest(|_, _| true);
+            println!(
+                "{hosts} {mode:?}: last host {taken:?}, {} store calls, {:.1} MB between regions, {} polls",
+                sim.counts.store_calls - before.store_calls,
+                (sim.counts.region_bytes - before.region_bytes) as f64 / 1e6,
+                sim.counts.polls - before.polls,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/roles.rs
@@ -0,0 +1,181 @@
+//! Steps of one daemon's source.
+
+use std::time::Duration;
+
+use savorylane_distribution::Source;
+use savorylane_distribution::source::{Answer, Candidate, Place, Poll, Step};
+
+const fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn place(name: &str, data_centre: &str) -> Place {
+    Place {
+        name: name.into(),
+        data_centre: data_centre.into(),
+        region: "r".into(),
+    }
+}
+
+/// Returns a daemon on host `b` that knows the hosts `a` to `d`, and `x` of
+/// another data centre.
+fn started(rate: u32) -> Source {
+    let mut source = Source::new(place("b", "here"), rate);
+    let near = ["a", "b", "c", "d"].map(|name| place(name, "here"));
+    let hosts: Vec<Place> = near.into_iter().chain([place("x", "there")]).collect();
+    source.on_hosts(&hosts);
+    source.start(at(0));
+    source
+}
+
+/// Returns the host that is polled next and whether it is relied on.
+fn polled(source: &mut Source, now: Duration) -> Option<(String, bool)> {
+    match source.next(now) {
+        Step::Poll(request) => Some((request.host.to_string(), request.needs)),
+        Step::Idle(_) => None,
+    }
+}
+
+fn reader(rate: u32, candidates: &[&str]) -> Answer {
+    let candidate = |name: &&str| Candidate {
+        name: (*name).into(),
+        rate: 7,
+    };
+    Answer {
+        reader: true,
+        rate,
+        reading: Some(at(5_000)),
+        age: Some(at(100)),
+        candidates: candidates.iter().map(candidate).collect(),
+        ..Answer::default()
+    }
+}
+
+fn poll(from: &str, rate: u32, needs: bool, reading: Option<Duration>) -> Poll {
+    Poll {
+        from: Candidate {
+            name: from.into(),
+            rate,
+        },
+        data_centre: "here".into(),
+        needs,
+        reading,
+    }
+}
+
+fn told(name: &str) -> Option<(String, bool)> {
+    Some((name.into(), true))
+}
+
+/// Guards against a follower that asks a host to read although another one
+/// does, and against one that does not follow where it is sent.
+#[test]
+fn a_follower_goes_where_the_rendezvous_sends_it() {
+    let mut source = started(7);
+    assert_eq!(polled(&mut source, at(0)), Some(("a".into(), false)));
+    let redirect = Answer {
+        source: Some("d".into()),
+        age: Some(at(0)),
+        ..Answer::default()
+    };
+    source.on_answer(at(10), "a", &redirect);
+    assert_eq!(polled(&mut source, at(10)), Some(("d".into(), false)));
+    source.on_answer(at(20), "d", &reader(140, &["c", "b"]));
+    assert_eq!(polled(&mut source, at(20)), told("d"));
+    assert!(!source.reads());
+}
+
+/// Guards against followers of a lost reader that go to different hosts, and
+/// against one that waits for hosts which are away too.
+#[test]
+fn the_named_followers_read_when_the_reader_is_lost() {
+    let mut source = started(7);
+    source.on_answer(at(10), "a", &reader(140, &["c", "b"]));
+    source.on_failure(at(1_000), "a");
+    assert_eq!(polled(&mut source, at(1_000)), told("c"));
+    source.on_failure(at(1_300), "c");
+    assert!(source.reads(), "this daemon is the next one");
+    assert_eq!(
+        polled(&mut source, at(1_300)),
+        None,
+        "the store answers first"
+    );
+}
+
+/// Guards against hosts that name each other as the reader and a follower that
+/// goes back and forth for ever.
+#[test]
+fn two_hosts_that_name_each_other_hold_no_follower() {
+    let mut source = started(7);
+    let mut now = at(0);
+    while now < at(1_000) {
+        now += at(5);
+        match polled(&mut source, now) {
+            Some((host, false)) => {
+                let redirect = Answer {
+                    source: Some(if host == "a" { "c" } else { "a" }.into()),
+                    age: Some(at(0)),
+                    ..Answer::default()
+                };
+                source.on_answer(now, &host, &redirect);
+            }
+            Some((_, true)) => return,
+            None if source.reads() => return,
+            None => {}
+        }
+    }
+    panic!("it goes back and forth");
+}
+
+/// Guards against a reader on a slow link that keeps followers although one of
+/// them has a fast link, and against one that gives way while it is needed.
+#[test]
+fn a_reader_on_a_slow_link_gives_way_to_a_fast_follower() {
+    let mut source = Source::new(place("a", "here"), 7);
+    source.on_hosts(&["a", "b", "c"].map(|name| place(name, "here")));
+    source.start(at(0));
+    source.on_contact(at(10), true);
+    assert!(source.reads());
+    let answer = source.on_poll(at(20), &poll("b", 140, true, None), Some(at(0)));
+    assert!(answer.promote);
+    let answer = source.on_poll(at(30), &poll("c", 7, true, None), Some(at(0)));
+    assert!(!answer.promote);
+    assert_eq!(answer.source.as_deref(), Some("b"));
+    source.on_poll(at(900), &poll("b", 140, false, Some(at(500))), Some(at(0)));
+    source.on_poll(at(1_500), &poll("c", 7, true, None), Some(at(0)));
+    source.next(at(2_000));
+    assert!(source.reads(), "one still needs it");
+    source.next(at(3_200));
+    assert!(!source.reads());
+    assert_eq!(polled(&mut source, at(3_200)), told("b"));
+}
+
+/// Guards against a reader that learns nothing because the store turns it away.
+#[test]
+fn a_reader_without_the_store_asks_other_readers() {
+    let mut source = Source::new(place("a", "here"), 140);
+    source.on_hosts(&[place("a", "here"), place("x", "there")]);
+    source.start(at(0));
+    source.on_contact(at(10), true);
+    source.on_contact(at(1_000), false);
+    assert_eq!(polled(&mut source, at(1_100)), None, "it may be short");
+    assert_eq!(polled(&mut source, at(1_400)), Some(("x".into(), false)));
+    source.on_answer(at(1_440), "x", &reader(140, &[]));
+    assert_eq!(polled(&mut source, at(1_440)), told("x"));
+    assert!(source.reads(), "its followers stay");
+    source.on_contact(at(1_500), true);
+    assert_eq!(source.followed(), None);
+}
+
+/// Guards against followers that stay with a daemon until it is gone.
+#[test]
+fn a_daemon_that_leaves_sends_its_followers_away() {
+    let mut source = started(7);
+    source.on_answer(at(10), "a", &reader(140, &["c"]));
+    let leaving = Answer {
+        leaving: true,
+        ..reader(140, &["c"])
+    };
+    source.on_answer(at(600), "a", &leaving);
+    assert_eq!(polled(&mut source, at(600)), told("c"));
+}
