--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -6,6 +6,7 @@
 
 use http::header::{HeaderMap, HeaderName, HeaderValue};
 use http::{Method, Response, StatusCode, Uri};
+use savorylane_distribution::age::Numbers;
 use savorylane_intent::bound;
 use savorylane_intent::document::{Class, Target, Work};
 use savorylane_platform::header as platform;
@@ -62,7 +63,7 @@
 }
 
 /// Beginning and end of a request's way.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Path {
     /// Service of the host where the request began.
     pub origin: String,
@@ -71,6 +72,8 @@
     pub instance: String,
     /// Requests that the upstream runs at once; 0 until a host is chosen.
     pub slots: u32,
+    /// Numbers of what the entry chose by.
+    pub basis: Numbers,
 }
 
 /// What stood in the way of a request. Entries decide by it whether another
@@ -82,6 +85,8 @@
     Away,
     /// The host is loaded, or did not answer in time.
     Busy,
+    /// The entry chose by a configuration that no longer holds.
+    Outdated,
     /// The request itself is refused.
     Request,
     /// The request may crash the upstream, or was in flight when one died.
@@ -259,7 +264,7 @@
         class: &Class,
         caller: IpAddr,
         now: Instant,
-        origin: &str,
+        path: Path,
         turn: u64,
     ) -> Self {
         let mut headers = passed_on(&head.headers);
@@ -276,11 +281,7 @@
         Self {
             id: platform::id(&headers).map(str::to_owned),
             service: class.service_of(turn).to_owned(),
-            path: Some(Path {
-                origin: origin.to_owned(),
-                instance: String::new(),
-                slots: 0,
-            }),
+            path: Some(path),
             deadline: now + time.map_or(longest, |time| time.min(longest)),
             ..Self::plain(head, class.clone(), headers, caller, now)
         }
@@ -324,6 +325,10 @@
                 origin: hop.origin,
                 instance: hop.instance,
                 slots: hop.slots,
+                basis: Numbers {
+                    version: hop.version,
+                    list: hop.list,
+                },
             }),
             deadline: now + Duration::from_millis(ms),
             ..Self::plain(head, class, headers, caller, now)
@@ -369,6 +374,8 @@
             idempotent: self.class.idempotent,
             shed_order: self.class.shed_order,
             slack_ms: self.slack(now).as_millis() as u32,
+            version: path.basis.version,
+            list: path.basis.list,
         })
     }
 
--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -1,10 +1,13 @@
 //! Configuration in force. Requests load one snapshot; a single writer
 //! replaces it.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
 use savorylane_intent::adopt::{self, Outcome};
+use savorylane_intent::hosts::delta;
 use savorylane_intent::transfer::Content;
 use savorylane_intent::{Hash, Manifest, Snapshot, Version, hosts};
 use tokio::sync::watch;
@@ -26,6 +29,20 @@
 /// Source of what is read at the platform, as the audit trail names it.
 pub const PLATFORM: &str = "platform";
 
+/// Host lists that are kept as bases of differences.
+const LISTS: usize = 8;
+/// Versions whose time of adoption is kept.
+const ADOPTIONS: usize = 32;
+
+/// A host list with its hash.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Hash of the list.
+    pub hash: Hash,
+    /// The list; its hosts are in the order of their names.
+    pub list: Arc<hosts::List>,
+}
+
 /// Holder of the snapshot in force.
 ///
 /// Invariant: neither the version nor the number of the host list ever goes
@@ -35,6 +52,11 @@
     snapshot: ArcSwapOption<Snapshot>,
     list: ArcSwapOption<hosts::List>,
     latest: Mutex<adopt::Store>,
+    /// Lists in force, the latest first.
+    lists: Mutex<VecDeque<Listed>>,
+    /// Numbers of the versions in force with the moments of their adoption, the
+    /// latest first.
+    adoptions: Mutex<VecDeque<(Instant, u64)>>,
     current: watch::Sender<Current>,
 }
 
@@ -44,6 +66,8 @@
             snapshot: ArcSwapOption::empty(),
             list: ArcSwapOption::empty(),
             latest: Mutex::default(),
+            lists: Mutex::default(),
+            adoptions: Mutex::default(),
             current: watch::Sender::default(),
         }
     }
@@ -60,6 +84,26 @@
         self.list.load_full()
     }
 
+    /// Returns the host list in force with its hash.
+    pub fn listed(&self) -> Option<Listed> {
+        lock(&self.lists).front().cloned()
+    }
+
+    /// Returns the host list with a hash, if it was in force lately.
+    pub fn held_list(&self, hash: Hash) -> Option<Arc<hosts::List>> {
+        let lists = lock(&self.lists);
+        let held = lists.iter().find(|listed| listed.hash == hash);
+        held.map(|listed| Arc::clone(&listed.list))
+    }
+
+    /// Returns the number of the version that was in force at `moment`; 0 for
+    /// none, or one that is long past.
+    pub fn number_at(&self, moment: Instant) -> u64 {
+        let adoptions = lock(&self.adoptions);
+        let earlier = adoptions.iter().find(|(at, _)| *at <= moment);
+        earlier.map_or(0, |(_, number)| *number)
+    }
+
     /// Returns the version in force.
     pub fn version(&self) -> Option<Version> {
         self.current.borrow().version
@@ -96,6 +140,10 @@
         let outcome = offer(&mut latest);
         if let Outcome::Adopted { to, .. } = &outcome {
             logs::set_version(to.number);
+            let mut adoptions = lock(&self.adoptions);
+            adoptions.push_front((Instant::now(), to.number));
+            adoptions.truncate(ADOPTIONS);
+            drop(adoptions);
             self.publish(&latest, source == PLATFORM);
         }
         if !matches!(outcome, Outcome::Ignored { .. }) {
@@ -108,7 +156,8 @@
     }
 
     /// Offers a host list, and says whether it is newer than the one in force.
-    pub fn offer_hosts(&self, trail: &Trail, list: hosts::List, source: &str) -> bool {
+    pub fn offer_hosts(&self, trail: &Trail, mut list: hosts::List, source: &str) -> bool {
+        list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
         let latest = self.lock();
         let known = self.current.borrow().hosts;
         if list.number <= known {
@@ -119,7 +168,13 @@
             source: source.into(),
             count: list.hosts.len(),
         });
-        self.list.store(Some(Arc::new(list)));
+        let list = Arc::new(list);
+        let hash = delta::hash(&list);
+        self.list.store(Some(Arc::clone(&list)));
+        let mut lists = lock(&self.lists);
+        lists.push_front(Listed { hash, list });
+        lists.truncate(LISTS);
+        drop(lists);
         let read = self.current.borrow().read;
         self.publish(&latest, read);
         true
@@ -150,6 +205,10 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, adopt::Store> {
-        self.latest.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.latest)
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -274,6 +274,7 @@
         Cause::Away => "away",
         Cause::Busy => "busy",
         Cause::Request => "request",
+        Cause::Outdated => "outdated",
         Cause::Suspect => "suspect",
     }
 }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Response, StatusCode};
+use savorylane_distribution::age::Numbers;
 use savorylane_intent::Snapshot;
 use savorylane_intent::hosts::Host;
 use savorylane_policy::retry::{self, attempts, may_hedge, may_retry};
@@ -22,7 +23,7 @@
 use crate::body::{Body, Replay};
 use crate::call::{Call, Cause, Path, Refusal};
 use crate::decisions::{self, Kind};
-use crate::edge::keyed_store;
+use crate::distribution::hint;
 use crate::kernel::Context;
 use crate::peers;
 use choice::{choose, estimate};
@@ -168,6 +169,10 @@
     if !may_retry(call.class.idempotent, last.verdict) || !body.repeatable() {
         return false;
     }
+    // All hosts of the service know the newer version.
+    if last.cause == Cause::Outdated {
+        return false;
+    }
     if call.remaining(Instant::now()).is_zero() {
         return false;
     }
@@ -460,9 +465,9 @@
         return call;
     };
     let path = Path {
-        origin: path.origin.clone(),
         instance: instance.clone(),
         slots: host.slots.unwrap_or(0),
+        ..path.clone()
     };
     let mut copy = Call::clone(&call);
     copy.path = Some(path);
@@ -472,7 +477,11 @@
 /// Takes the load that came with an answer.
 fn answered(context: &Arc<Context>, host: &Host, load: &Load) {
     if context.settings.adapter.is_some() {
-        keyed_store::on_load(context, host, load);
+        let told = Numbers {
+            version: load.version,
+            list: load.list,
+        };
+        hint::on_numbers(context, host.control, told);
     } else {
         peers::answered(context, &host.name);
     }
--- /dev/null
+++ b/crates/daemon/src/distribution/follow.rs
@@ -0,0 +1,123 @@
+//! Polls other daemons for news, and tells the parts of this daemon of new host
+//! lists.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use savorylane_distribution::source::{Place, Request, Step};
+use savorylane_wire::rpc::ControlClient;
+use tokio_util::sync::CancellationToken;
+
+use super::news::Arrival;
+use super::{control_of, news, place};
+use crate::edge::control::client;
+use crate::kernel::Context;
+
+/// Time for which an answer is awaited after its poll has failed. Over a full
+/// link it still brings news.
+const LATE_LIMIT: Duration = Duration::from_secs(3);
+/// Shortest time between two polls, so that no answer leads to a busy loop.
+const GAP: Duration = Duration::from_millis(2);
+
+/// Carries out the steps of the source until `stop`.
+pub async fn run(context: Arc<Context>, stop: CancellationToken) {
+    let work = async { tokio::join!(steps(&context), lists(&context), leave(&context)) };
+    tokio::select! {
+        _ = work => {}
+        () = stop.cancelled() => {}
+    }
+}
+
+async fn steps(context: &Arc<Context>) {
+    let distribution = &context.distribution;
+    loop {
+        let step = distribution.update(|source| source.next(context.now()));
+        match step {
+            Step::Idle(wait) => {
+                let _ = tokio::time::timeout(wait, distribution.changed.notified()).await;
+            }
+            Step::Poll(request) => {
+                poll(context, &request).await;
+                tokio::time::sleep(GAP).await;
+            }
+        }
+    }
+}
+
+/// Polls a host once.
+async fn poll(context: &Arc<Context>, request: &Request) {
+    let host = &*request.host;
+    let failed = |reason: &str| {
+        log::info!(
+            target: "distribution", event = "poll", of = host, outcome = "failed",
+            needs = request.needs;
+            "{reason}"
+        );
+        let now = context.now();
+        context
+            .distribution
+            .update(|source| source.on_failure(now, host));
+    };
+    let Some(address) = control_of(context, host) else {
+        return failed("the host has no address");
+    };
+    let sent = context.now();
+    let message = news::ask(context, request);
+    let client = client(context, address);
+    let mut polled = Box::pin(async move { client.poll(message).await });
+    match tokio::time::timeout(request.limit, &mut polled).await {
+        Ok(Ok(answer)) => news::take(context, host, answer, sent, Arrival::InTime).await,
+        Ok(Err(error)) => failed(&error.to_string()),
+        Err(_) => {
+            failed("no answer in time");
+            let (context, host) = (Arc::clone(context), Arc::clone(&request.host));
+            tokio::spawn(async move {
+                if let Ok(Ok(answer)) = tokio::time::timeout(LATE_LIMIT, polled).await {
+                    news::take(&context, &host, answer, sent, Arrival::Late).await;
+                }
+            });
+        }
+    }
+}
+
+/// Tells the parts of this daemon of each list.
+async fn lists(context: &Arc<Context>) {
+    let mut current = context.config.watch();
+    let mut known = 0;
+    loop {
+        let number = current.borrow_and_update().hosts;
+        if number != known {
+            known = number;
+            on_list(context);
+        }
+        if current.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Tells the source, the gatekeeper and the table of estimates of the list in
+/// force.
+pub fn on_list(context: &Context) {
+    let Some(list) = context.config.list() else {
+        return;
+    };
+    let places: Vec<Place> = list.hosts.iter().map(place).collect();
+    context
+        .distribution
+        .update(|source| source.on_hosts(&places));
+    context.distribution.changed.notify_one();
+    let mut hosts = list.hosts.iter();
+    let own = hosts.find(|host| host.name == context.settings.host);
+    context.gatekeeper.departures.on_list(context.now(), own);
+    let listed = |name: &str| {
+        let mut instances = list.hosts.iter().map(|host| host.instance.as_deref());
+        instances.any(|instance| instance == Some(name))
+    };
+    context.dispatcher.table.retain(listed, |_| true);
+}
+
+async fn leave(context: &Arc<Context>) {
+    context.leaving.cancelled().await;
+    context.distribution.update(|source| source.leave());
+}
--- /dev/null
+++ b/crates/daemon/src/distribution/mod.rs
@@ -0,0 +1,194 @@
+//! How versions and host lists reach this daemon, and how old they are.
+//!
+//! The state that the edges share stands here; [`follow`] polls other daemons,
+//! [`news`] makes and takes the answers, and [`hint`] acts on the numbers that
+//! requests and answers between daemons carry.
+
+pub mod follow;
+pub mod hint;
+pub mod news;
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use savorylane_distribution::age::Numbers;
+use savorylane_distribution::source::Place;
+use savorylane_distribution::{Age, Source, pace};
+use savorylane_intent::hosts::Host;
+use tokio::sync::{Notify, watch};
+
+use crate::kernel::Context;
+use crate::peers;
+use crate::settings::Settings;
+
+/// Whom this daemon learns from, and how old its knowledge is.
+#[derive(Debug)]
+pub struct Distribution {
+    /// Age of the knowledge.
+    pub age: Age,
+    source: Mutex<Source>,
+    /// Whether this daemon reads the store.
+    reads: watch::Sender<bool>,
+    /// Wakes [`follow::run`] when the next step may be another one.
+    changed: Notify,
+    /// Revision of the store up to which all versions are known; 0 for none.
+    revision: AtomicU64,
+    /// Time since when the store gives no answers, milliseconds of
+    /// [`Context::now`]; 0 while it does, and while it is not read.
+    lost_ms: AtomicU64,
+    /// When the next version is wanted, milliseconds of [`Context::now`].
+    adopt_after_ms: AtomicU64,
+    /// Whether another daemon is being asked because of a hint.
+    asking: AtomicBool,
+    encoded: news::Cache,
+}
+
+impl Distribution {
+    /// Returns the state of a daemon that knows nothing yet.
+    pub fn open(settings: &Settings) -> Self {
+        let own = Place {
+            name: settings.host.as_str().into(),
+            data_centre: settings.data_centre.as_str().into(),
+            region: settings.region.as_str().into(),
+        };
+        Self {
+            age: Age::default(),
+            source: Mutex::new(Source::new(own, settings.link_mbps)),
+            reads: watch::Sender::new(false),
+            changed: Notify::new(),
+            revision: AtomicU64::new(0),
+            lost_ms: AtomicU64::new(0),
+            adopt_after_ms: AtomicU64::new(0),
+            asking: AtomicBool::new(false),
+            encoded: news::Cache::default(),
+        }
+    }
+
+    /// Calls `change` on the source, and tells of a new role.
+    pub fn update<T>(&self, change: impl FnOnce(&mut Source) -> T) -> T {
+        let mut source = self.lock();
+        let followed = source.followed().cloned();
+        let result = change(&mut source);
+        let reads = source.reads();
+        let now_followed = source.followed().cloned();
+        drop(source);
+        if !reads {
+            self.lost_ms.store(0, Ordering::Relaxed);
+        }
+        let turned = self.reads.send_if_modified(|known| {
+            let turned = *known != reads;
+            *known = reads;
+            turned
+        });
+        if turned || followed != now_followed {
+            log::info!(
+                target: "distribution",
+                event = "source", reads = reads, of = now_followed.as_deref().unwrap_or_default();
+                "this daemon {}", if reads { "reads the store" } else { "learns from another one" }
+            );
+            self.changed.notify_one();
+        }
+        result
+    }
+
+    /// Returns a receiver that is told whether this daemon reads the store.
+    pub fn reads(&self) -> watch::Receiver<bool> {
+        self.reads.subscribe()
+    }
+
+    /// Returns the revision of the store up to which all versions are known.
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Relaxed)
+    }
+
+    /// Takes a revision up to which all versions are known.
+    pub fn on_revision(&self, revision: u64) {
+        self.revision.fetch_max(revision, Ordering::Relaxed);
+    }
+
+    /// Takes that a version was adopted at `now`, which took the time `taken`.
+    pub fn on_adoption(&self, now: Duration, taken: Duration) {
+        let pause = pace::adoption_pause(taken);
+        self.adopt_after_ms
+            .store(millis(now + pause), Ordering::Relaxed);
+    }
+
+    /// Returns the time from `now` until the next version is wanted.
+    pub fn adoption_pause(&self, now: Duration) -> Duration {
+        let after = Duration::from_millis(self.adopt_after_ms.load(Ordering::Relaxed));
+        after.saturating_sub(now)
+    }
+
+    /// Takes that the store gives no answers at `now`; says whether it did
+    /// before.
+    pub fn on_lost(&self, now: Duration) -> bool {
+        let lost = self.lost_ms.compare_exchange(
+            0,
+            millis(now).max(1),
+            Ordering::Relaxed,
+            Ordering::Relaxed,
+        );
+        self.update(|source| source.on_contact(now, false));
+        lost.is_ok()
+    }
+
+    /// Takes that the store answers at `now`; returns the time for which it did
+    /// not, milliseconds, if it was lost.
+    pub fn on_answered(&self, now: Duration) -> Option<u64> {
+        let since = self.lost_ms.swap(0, Ordering::Relaxed);
+        self.update(|source| source.on_contact(now, true));
+        (since != 0).then(|| millis(now).saturating_sub(since))
+    }
+
+    /// Returns the time at `now` for which the store gives no answers,
+    /// milliseconds; 0 while it does.
+    pub fn lost_ms(&self, now: Duration) -> u64 {
+        match self.lost_ms.load(Ordering::Relaxed) {
+            0 => 0,
+            since => millis(now).saturating_sub(since).max(1),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Source> {
+        self.source.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Returns the numbers of what is in force.
+pub fn numbers(context: &Context) -> Numbers {
+    let current = context.config.current();
+    Numbers {
+        version: current.version.map_or(0, |version| version.number),
+        list: current.hosts,
+    }
+}
+
+/// Returns whether a route that is not known here may exist.
+pub fn is_stale(context: &Context) -> bool {
+    let own = numbers(context).version;
+    context.distribution.age.is_stale(context.now(), own)
+}
+
+/// Returns the control address of a host; daemons of the adapted platform have
+/// the same ports on all hosts, which are named by their IP numbers.
+fn control_of(context: &Context, host: &str) -> Option<SocketAddr> {
+    peers::address(context, host).or_else(|| {
+        let ip: IpAddr = host.parse().ok()?;
+        Some(SocketAddr::new(ip, context.settings.control.port()))
+    })
+}
+
+/// Returns where a host stands.
+fn place(host: &Host) -> Place {
+    Place {
+        name: Arc::from(host.name.as_str()),
+        data_centre: Arc::from(host.data_centre.as_str()),
+        region: Arc::from(host.region.as_str()),
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- /dev/null
+++ b/crates/daemon/src/distribution/news.rs
@@ -0,0 +1,308 @@
+//! Polls and their answers.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use savorylane_distribution::age::Numbers;
+use savorylane_distribution::source::{self, Answer, Request};
+use savorylane_intent::hosts::delta as lists;
+use savorylane_intent::{Hash, Version, transfer};
+use savorylane_wire::control::{Candidate, News, Poll};
+use savorylane_wire::rpc::Transfer;
+
+use super::{millis, numbers};
+use crate::audit::Event;
+use crate::kernel::Context;
+
+/// Longest time for which a poll is held, whatever it asks for.
+const HOLD_MAX: Duration = Duration::from_secs(5);
+/// Encoded differences that are kept; most followers have the same base.
+const ENCODED: usize = 8;
+
+/// Differences in the form that is sent, by base and result.
+#[derive(Debug, Default)]
+pub(super) struct Cache(Mutex<VecDeque<(Key, Arc<str>)>>);
+
+type Key = (Option<Hash>, Hash);
+
+impl Cache {
+    /// Returns the text of a difference, which `encode` makes if it is not
+    /// kept.
+    fn get<F>(&self, key: Key, encode: F) -> Option<Arc<str>>
+    where
+        F: FnOnce() -> Option<Vec<u8>>,
+    {
+        let mut kept = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some((_, text)) = kept.iter().find(|(known, _)| *known == key) {
+            return Some(Arc::clone(text));
+        }
+        let text: Arc<str> = STANDARD.encode(encode()?).into();
+        kept.push_front((key, Arc::clone(&text)));
+        kept.truncate(ENCODED);
+        Some(text)
+    }
+}
+
+/// Returns the message of a poll.
+pub(super) fn ask(context: &Context, request: &Request) -> Poll {
+    let now = context.now();
+    let listed = context.config.listed();
+    let reading = context.distribution.lock().reading(now);
+    Poll {
+        from: context.sender(),
+        data_centre: context.settings.data_centre.clone(),
+        rate: context.settings.link_mbps,
+        needs: request.needs,
+        reading_ms: reading.map(millis),
+        version: context.config.version(),
+        list: listed.as_ref().map_or(0, |listed| listed.list.number),
+        list_hash: listed.map(|listed| listed.hash),
+        wait_ms: millis(request.wait),
+        version_after_ms: match request.wait.is_zero() {
+            true => 0,
+            false => millis(context.distribution.adoption_pause(now)),
+        },
+    }
+}
+
+/// Answers a poll: at once if there is news or this daemon is no reader, and
+/// otherwise when there is news or the time is over.
+pub async fn answer(context: &Arc<Context>, message: Poll) -> News {
+    let asked = context.now();
+    let mut current = context.config.watch();
+    current.borrow_and_update();
+    let told = Numbers {
+        version: message.version.map_or(0, |version| version.number),
+        list: message.list,
+    };
+    let mut roles = on_poll(context, &message);
+    let wait = Duration::from_millis(message.wait_ms).min(HOLD_MAX);
+    let holds = roles.reader && !roles.promote && !roles.leaving && roles.source.is_none();
+    let version_at = asked + Duration::from_millis(message.version_after_ms).min(wait);
+    if holds && !wait.is_zero() {
+        let news = async {
+            while !has_news(context, &told, version_at) {
+                let until_version = version_at.saturating_sub(context.now());
+                tokio::select! {
+                    changed = current.changed() => if changed.is_err() { return },
+                    () = tokio::time::sleep(until_version), if !until_version.is_zero() => {}
+                }
+            }
+        };
+        tokio::select! {
+            () = news => {}
+            () = context.leaving.cancelled() => {}
+            () = tokio::time::sleep(wait) => {}
+        }
+        roles = on_poll(context, &message);
+    }
+    compose(context, &message, &told, roles, asked)
+}
+
+/// Returns whether a follower that has `told` is answered now. It gets versions
+/// from `version_at` on, and lists at once.
+fn has_news(context: &Context, told: &Numbers, version_at: Duration) -> bool {
+    let own = numbers(context);
+    own.list > told.list || own.version > told.version && context.now() >= version_at
+}
+
+fn on_poll(context: &Context, message: &Poll) -> Answer {
+    let now = context.now();
+    let poll = source::Poll {
+        from: source::Candidate {
+            name: message.from.host.as_str().into(),
+            rate: message.rate,
+        },
+        data_centre: message.data_centre.as_str().into(),
+        needs: message.needs,
+        reading: message.reading_ms.map(Duration::from_millis),
+    };
+    let distribution = &context.distribution;
+    let age = distribution.age.of(now);
+    distribution.update(|source| source.on_poll(now, &poll, age))
+}
+
+fn compose(
+    context: &Context,
+    message: &Poll,
+    told: &Numbers,
+    roles: Answer,
+    asked: Duration,
+) -> News {
+    // The age first: what is read after it is at least as new.
+    let age = context.distribution.age.of(context.now());
+    let own = numbers(context);
+    let mut news = News {
+        reader: roles.reader,
+        rate: roles.rate,
+        reading_ms: roles.reading.map(millis),
+        age_ms: age.map(millis),
+        held_ms: millis(context.now().saturating_sub(asked)),
+        source: roles.source.map(|source| source.to_string()),
+        promote: roles.promote,
+        leaving: roles.leaving,
+        revision: context.distribution.revision(),
+        version: own.version,
+        ..News::default()
+    };
+    for candidate in roles.candidates {
+        news.candidates.push(Candidate {
+            host: candidate.name.to_string(),
+            rate: candidate.rate,
+        });
+    }
+    if own.version > told.version && news.held_ms >= message.version_after_ms {
+        news.document = document(context, message.version);
+    }
+    if own.list > told.list {
+        news.list = list(context, message.list_hash);
+    }
+    news
+}
+
+/// Returns what leads from the document of version `base` to that in force.
+fn document(context: &Context, base: Option<Version>) -> Option<Transfer> {
+    let version = context.config.version()?;
+    let base = base.map(|base| base.hash);
+    let cache = &context.distribution.encoded;
+    let text = cache.get((base, version.hash), || {
+        let (found, content) = context.config.content(base)?;
+        // Another version may be in force since; the next poll brings it.
+        (found == version).then(|| transfer::encode(&content))
+    })?;
+    Some(Transfer {
+        version: Some(version),
+        content: text.to_string(),
+    })
+}
+
+/// Returns what leads from the list with hash `base` to that in force.
+fn list(context: &Context, base: Option<Hash>) -> Option<Transfer> {
+    let listed = context.config.listed()?;
+    let cache = &context.distribution.encoded;
+    let text = cache.get((base, listed.hash), || {
+        let base = base.and_then(|hash| context.config.held_list(hash));
+        let content = lists::content(base.as_deref(), &listed.list);
+        Some(lists::encode(&content))
+    })?;
+    Some(Transfer {
+        version: None,
+        content: text.to_string(),
+    })
+}
+
+/// When an answer came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Arrival {
+    /// Before its poll had failed.
+    InTime,
+    /// After its poll had failed.
+    Late,
+}
+
+/// Takes the answer to a poll that was sent at the moment `sent`.
+pub(super) async fn take(
+    context: &Arc<Context>,
+    host: &str,
+    news: News,
+    sent: Duration,
+    arrival: Arrival,
+) {
+    let now = context.now();
+    let transit = now
+        .saturating_sub(sent)
+        .saturating_sub(Duration::from_millis(news.held_ms));
+    // The hosts first: the routes of a document name services that may be as
+    // new as the document.
+    let listed = news.list.as_ref();
+    let whole = listed.is_none_or(|list| take_list(context, host, list));
+    if let Some(document) = news.document {
+        take_document(context, host, document).await;
+    }
+    let whole = whole && numbers(context).version >= news.version;
+    let age = news.age_ms.map(Duration::from_millis);
+    if whole && let Some(age) = age {
+        let distribution = &context.distribution;
+        distribution.age.confirm(now.saturating_sub(age + transit));
+        distribution.on_revision(news.revision);
+    }
+    let candidate = |candidate: &Candidate| source::Candidate {
+        name: candidate.host.as_str().into(),
+        rate: candidate.rate,
+    };
+    let answer = Answer {
+        reader: news.reader,
+        rate: news.rate,
+        reading: news.reading_ms.map(Duration::from_millis),
+        age,
+        source: news.source.as_deref().map(Arc::from),
+        promote: news.promote,
+        leaving: news.leaving,
+        candidates: news.candidates.iter().map(candidate).collect(),
+    };
+    let now = context.now();
+    context.distribution.update(|source| match arrival {
+        Arrival::InTime => source.on_answer(now, host, &answer, transit),
+        Arrival::Late => source.on_late_answer(now, host, &answer, transit),
+    });
+}
+
+/// Takes a document or a difference, on a thread that requests do not wait for.
+async fn take_document(context: &Arc<Context>, host: &str, transfer: Transfer) {
+    let (own, source) = (Arc::clone(context), host.to_owned());
+    let start = context.now();
+    let taken = tokio::task::spawn_blocking(move || {
+        let Some(content) = decoded(&own, &source, &transfer) else {
+            return;
+        };
+        own.config
+            .offer(&own.trail, &source, |store| store.offer_transfer(&content));
+    });
+    // It ends with an error only if the runtime ends.
+    let _ = taken.await;
+    let now = context.now();
+    context
+        .distribution
+        .on_adoption(now, now.saturating_sub(start));
+}
+
+/// Takes a list or a difference; says whether it, or a newer one, is in force.
+fn take_list(context: &Context, host: &str, transfer: &Transfer) -> bool {
+    let Some(content) = decoded(context, host, transfer) else {
+        return false;
+    };
+    let list = lists::decode(&content).and_then(|content| match content {
+        lists::Content::List(list) => Ok(list),
+        lists::Content::Delta(delta) => {
+            let known = context.config.list().unwrap_or_default();
+            delta.apply(&known)
+        }
+    });
+    match list {
+        Ok(list) => {
+            context.config.offer_hosts(&context.trail, list, host);
+            true
+        }
+        Err(fault) => {
+            context.trail.record(Event::Refused {
+                source: host.into(),
+                reason: fault.to_string(),
+            });
+            false
+        }
+    }
+}
+
+fn decoded(context: &Context, host: &str, transfer: &Transfer) -> Option<Vec<u8>> {
+    let decoded = STANDARD.decode(&transfer.content);
+    if let Err(error) = &decoded {
+        context.trail.record(Event::Refused {
+            source: host.into(),
+            reason: error.to_string(),
+        });
+    }
+    decoded.ok()
+}
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -8,23 +8,26 @@
 use futures::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use hyper::body::Body as _;
+use savorylane_distribution::age::Numbers;
 use savorylane_platform::header as platform;
 use savorylane_wire::{Verdict, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, Body, Observer, Replay, Watched};
-use crate::call::{Call, Cause, Refusal};
+use crate::call::{Call, Cause, Path, Refusal};
 use crate::decisions::{self, Basis, Kind};
-use crate::dispatch;
 use crate::edge::server::{self, Limits};
 use crate::holder;
 use crate::kernel::{Context, Plugin, Port};
 use crate::peers;
+use crate::{dispatch, distribution};
 
 /// Wait of a caller that comes before the configuration. A daemon reads it
 /// within some milliseconds unless the platform is away.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(200);
+/// Wait of a caller whose route may be in a version that is on its way.
+const STALE_RETRY: Duration = Duration::from_millis(200);
 
 inventory::submit! {
     Plugin {
@@ -131,6 +134,15 @@
     let (head, body) = request.into_parts();
     let authority = authority(&head);
     let Some(class) = snapshot.class(authority, head.method.as_str(), head.uri.path()) else {
+        if adapted && distribution::is_stale(context) {
+            return Err(Refusal {
+                retry_after: Some(STALE_RETRY),
+                ..Refusal::not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "no class matches, and a newer configuration may have one",
+                )
+            });
+        }
         return Err(Refusal::not_run(
             StatusCode::NOT_FOUND,
             "no class matches the method and path",
@@ -146,8 +158,15 @@
     }
     let call = if adapted {
         let turn = context.turn.fetch_add(1, Ordering::Relaxed);
-        let origin = &context.settings.service;
-        Call::adapted(&head, class, peer.ip(), Instant::now(), origin, turn)
+        let path = Path {
+            origin: context.settings.service.clone(),
+            basis: Numbers {
+                version: snapshot.version.number,
+                list: snapshot.list.number,
+            },
+            ..Path::default()
+        };
+        Call::adapted(&head, class, peer.ip(), Instant::now(), path, turn)
     } else {
         Call::read(&head, class, peer.ip(), Instant::now())?
     };
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -12,12 +12,21 @@
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use savorylane_intent::{hosts, transfer};
 use savorylane_wire::Incarnation;
-use savorylane_wire::control::{Confirmation, Heartbeat, Notice, Question, Suspicion};
+use savorylane_wire::control::{
+    Confirmation,
+    Heartbeat,
+    News,
+    Notice,
+    Poll,
+    Question,
+    Suspicion, //
+};
 use savorylane_wire::operator::{Scope, Summary};
 use savorylane_wire::rpc::{Clock, ControlClient, ControlServer, Fetch, Transfer};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::distribution::news;
 use crate::edge::rpc;
 use crate::holder::rings;
 use crate::kernel::{Context, Plugin, Port};
@@ -107,6 +116,10 @@
         Ok(())
     }
 
+    async fn poll(&self, message: Poll) -> RpcResult<News> {
+        Ok(news::answer(&self.0, message).await)
+    }
+
     async fn fetch(&self, message: Fetch) -> RpcResult<Option<Transfer>> {
         let content = self.0.config.content(message.base);
         Ok(content.map(|(version, content)| Transfer {
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -6,17 +6,20 @@
 
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode};
+use savorylane_distribution::age::Numbers;
 use savorylane_wire::{Hop, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Replay};
 use crate::call::{self, Call, Cause, Refusal};
-use crate::edge::keyed_store;
+use crate::distribution::hint;
 use crate::edge::server::{self, Limits};
 use crate::holder::{self, Handoff};
 use crate::kernel::{Context, Plugin, Port};
 
+mod route;
+
 /// Connections that one peer may open.
 const CONNECTIONS_MAX: usize = 65_536;
 
@@ -47,10 +50,7 @@
 }
 
 async fn handle(context: Arc<Context>, request: Request<Body>, peer: SocketAddr) -> Response<Body> {
-    if context.settings.adapter.is_some() {
-        keyed_store::on_request(&context, peer.ip());
-    }
-    let mut answer = match accept(&context, request).await {
+    let mut answer = match accept(&context, request, peer).await {
         Ok(answer) => answer,
         Err(refusal) => {
             let mut answer = refusal.answer();
@@ -67,10 +67,14 @@
     answer
 }
 
-async fn accept(context: &Arc<Context>, request: Request<Body>) -> Result<Response<Body>, Refusal> {
+async fn accept(
+    context: &Arc<Context>,
+    request: Request<Body>,
+    peer: SocketAddr,
+) -> Result<Response<Body>, Refusal> {
     let (head, body) = request.into_parts();
     if let Some(hop) = call::text(&head.headers, header::HOP)? {
-        return accept_hop(context, &head, body, &hop).await;
+        return accept_hop(context, &head, body, &hop, peer).await;
     }
     let Some(snapshot) = context.config.snapshot() else {
         return Err(Refusal::not_run(
@@ -132,6 +136,7 @@
     head: &http::request::Parts,
     body: Body,
     hop: &str,
+    peer: SocketAddr,
 ) -> Result<Response<Body>, Refusal> {
     let Ok(hop) = serde_json::from_str::<Hop>(hop) else {
         let reason = "malformed header savorylane-hop";
@@ -139,6 +144,12 @@
     };
     let caller: IpAddr =
         call::number(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
+    let told = Numbers {
+        version: hop.version,
+        list: hop.list,
+    };
+    hint::on_request(context, peer, told);
+    route::check(context, head, told.version)?;
     let call = Call::sent_on(head, hop, caller, Instant::now())?;
     context.gatekeeper.run(context, &call, body).await
 }
--- /dev/null
+++ b/crates/daemon/src/edge/keyed_store/config.rs
@@ -0,0 +1,111 @@
+//! The configuration, as a reader follows it.
+
+use std::sync::Arc;
+
+use savorylane_distribution::pace::Pace;
+use savorylane_distribution::source::GAP_MAX;
+use savorylane_intent::Document;
+use savorylane_intent::adopt::{self, Outcome};
+use savorylane_membership::backoff::Delay;
+use savorylane_platform::store::{Batch, Fault, Part, What};
+
+use super::{Store, log_read};
+use crate::audit::Event;
+use crate::config::PLATFORM;
+
+/// Follows the configuration.
+pub(super) struct Follower<'a> {
+    store: &'a Store,
+    /// Revision up to which all versions are known; 0 for none.
+    revision: u64,
+    pace: Pace,
+    delay: Delay,
+}
+
+impl<'a> Follower<'a> {
+    /// Returns a follower that goes on from what is known of the store.
+    pub(super) fn open(store: &'a Store) -> Self {
+        let distribution = &store.context.distribution;
+        let age = distribution.age.of(store.context.now());
+        let goes_on = age.is_some_and(|age| age <= GAP_MAX);
+        Self {
+            store,
+            revision: if goes_on { distribution.revision() } else { 0 },
+            pace: Pace::default(),
+            delay: Delay::default(),
+        }
+    }
+
+    /// Follows the versions. Where the link is slow, those between two readings
+    /// are passed over.
+    pub(super) async fn follow(&mut self) {
+        let mut whole = self.revision == 0;
+        loop {
+            let client = &self.store.config;
+            let answer = match whole {
+                true => client.read(Part::Config).await,
+                false => {
+                    let wait = self.store.wait();
+                    client.watch(Part::Config, self.revision, wait).await
+                }
+            };
+            match answer {
+                Ok(batch) => whole = self.take(batch).await,
+                Err(Fault::Compacted) => {
+                    log::info!("the history of the configuration is gone; reading it again");
+                    whole = true;
+                }
+                Err(fault) => {
+                    let (store, delay) = (self.store, &mut self.delay);
+                    store.failed(Part::Config, &fault, delay).await;
+                }
+            }
+        }
+    }
+
+    /// Takes an answer, and waits as the link asks for. Returns whether the
+    /// newest version is read next, without those before it.
+    async fn take(&mut self, batch: Batch) -> bool {
+        self.delay.reset();
+        log_read(&batch);
+        let known = self.revision;
+        self.revision = known.max(batch.at);
+        let passed = batch.transfer.passed;
+        // A reading that brings nothing newer ends a series.
+        let changed = batch.changes.iter().any(|change| change.revision > known);
+        let newest = batch.changes.into_iter().rev();
+        let mut versions = newest.filter_map(|change| match change.what {
+            What::Config(version) => Some(version),
+            _ => None,
+        });
+        match versions.next() {
+            Some(Ok(document)) => self.offer(document).await,
+            Some(Err(fault)) => self.store.context.trail.record(Event::Refused {
+                source: PLATFORM.into(),
+                reason: fault.to_string(),
+            }),
+            None => {}
+        }
+        self.store.context.distribution.on_revision(self.revision);
+        self.store.answered(Part::Config);
+        if !changed {
+            return false;
+        }
+        self.pace.on_transfer(passed);
+        tokio::time::sleep(self.pace.pause()).await;
+        self.pace.is_slow()
+    }
+
+    /// Offers a version on a thread that requests do not wait for.
+    async fn offer(&self, document: Document) {
+        let context = Arc::clone(&self.store.context);
+        let offered = tokio::task::spawn_blocking(move || {
+            let offer = |store: &mut adopt::Store| store.offer_document(document);
+            context.config.offer(&context.trail, PLATFORM, offer)
+        });
+        // It ends with an error only if the runtime ends.
+        if let Ok(Outcome::Refused { reason, .. }) = offered.await {
+            log::error!("the configuration of the store is refused: {reason}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -0,0 +1,207 @@
+//! Entries of upstreams, as a reader follows them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use savorylane_distribution::age::STALE;
+use savorylane_intent::hosts::{Host, List};
+use savorylane_intent::registry::{Instance, Registry};
+use savorylane_membership::backoff::Delay;
+use savorylane_platform::store::{Batch, Fault, Part, What};
+
+use super::{Store, log_read};
+use crate::config::PLATFORM;
+use crate::kernel::Context;
+use crate::settings::Adapter;
+
+/// Time between the answer of a watch and the next one, so that a series of
+/// changes is read in batches.
+const BATCH: Duration = Duration::from_millis(100);
+/// Region of a data centre that the settings do not name.
+const UNKNOWN: &str = "unknown";
+
+/// Follows the entries.
+pub(super) struct Follower<'a> {
+    store: &'a Store,
+    adapter: &'a Adapter,
+    registry: Registry,
+    delay: Delay,
+    /// Whether hosts that the first reading does not name may have lapsed in
+    /// an outage of the store.
+    lapsed: bool,
+}
+
+impl<'a> Follower<'a> {
+    /// Returns a follower that knows the hosts of the list in force.
+    pub(super) fn open(store: &'a Store, adapter: &'a Adapter) -> Self {
+        let context = &store.context;
+        let age = context.distribution.age.of(context.now());
+        let list = context.config.list();
+        let hosts = list.iter().flat_map(|list| &list.hosts);
+        Self {
+            store,
+            adapter,
+            registry: Registry::seeded(hosts.filter_map(instance).collect()),
+            delay: Delay::default(),
+            lapsed: age.is_some_and(|age| age > STALE),
+        }
+    }
+
+    /// Reads everything, then follows the changes until the history is gone.
+    pub(super) async fn follow(&mut self) {
+        loop {
+            match self.store.entries.read(Part::Entries).await {
+                Ok(batch) => self.take_all(batch),
+                Err(fault) => {
+                    self.failed(&fault).await;
+                    continue;
+                }
+            }
+            while self.watch().await {}
+        }
+    }
+
+    /// Makes one watch, and says whether the history goes on.
+    async fn watch(&mut self) -> bool {
+        let now = self.store.context.now();
+        let expires = self.registry.expires();
+        let wait = self.store.wait();
+        let wait = expires.map_or(wait, |at| at.saturating_sub(now).min(wait));
+        let after = self.registry.revision();
+        match self.store.entries.watch(Part::Entries, after, wait).await {
+            Ok(batch) => {
+                let changed = !batch.changes.is_empty();
+                self.take(batch);
+                if changed || expires.is_some() {
+                    tokio::time::sleep(BATCH).await;
+                }
+            }
+            Err(Fault::Compacted) => {
+                log::info!("the history of the entries is gone; reading them again");
+                return false;
+            }
+            Err(fault) => self.failed(&fault).await,
+        }
+        true
+    }
+
+    async fn failed(&mut self, fault: &Fault) {
+        self.store
+            .failed(Part::Entries, fault, &mut self.delay)
+            .await;
+    }
+
+    /// Notes that the store answered, before what it said is taken.
+    fn answered(&mut self) {
+        self.delay.reset();
+        let regained = self.store.context.distribution.lost_ms(self.now()) > 0;
+        if regained || std::mem::take(&mut self.lapsed) {
+            self.registry.on_return(self.now());
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.store.context.now()
+    }
+
+    fn take_all(&mut self, batch: Batch) {
+        self.answered();
+        let ids: Vec<&str> = batch
+            .changes
+            .iter()
+            .filter_map(|change| match &change.what {
+                What::Entry(id, _) => Some(id.as_str()),
+                _ => None,
+            })
+            .collect();
+        self.registry.retain(self.now(), batch.at, &ids);
+        self.apply(batch);
+    }
+
+    fn take(&mut self, batch: Batch) {
+        self.answered();
+        self.apply(batch);
+    }
+
+    fn apply(&mut self, batch: Batch) {
+        log_read(&batch);
+        let now = self.now();
+        let at = batch.at;
+        enter(&mut self.registry, now, batch);
+        let number = self.registry.settle(now, at);
+        publish(&self.store.context, self.adapter, &self.registry, number);
+        self.store.answered(Part::Entries);
+    }
+}
+
+/// Enters the changes of a batch.
+fn enter(registry: &mut Registry, now: Duration, batch: Batch) {
+    for change in batch.changes {
+        match change.what {
+            What::Entry(id, instance) => registry.put(change.revision, &id, instance),
+            What::Gone(id) => registry.remove(now, change.revision, &id),
+            What::Config(_) => {}
+        }
+    }
+}
+
+/// Puts the entries of a first reading in force.
+pub(super) fn publish_first(context: &Context, adapter: &Adapter, batch: Batch) {
+    let (now, at) = (context.now(), batch.at);
+    let mut registry = Registry::default();
+    enter(&mut registry, now, batch);
+    let number = registry.settle(now, at);
+    publish(context, adapter, &registry, number);
+}
+
+/// Puts the entries in force as a host list, if they differ from it.
+fn publish(context: &Context, adapter: &Adapter, registry: &Registry, number: u64) {
+    let mut hosts: Vec<Host> = registry
+        .instances()
+        .into_iter()
+        .map(|instance| host(context, adapter, instance))
+        .collect();
+    hosts.sort_by(|a, b| a.name.cmp(&b.name));
+    let known = context.config.list();
+    if known.is_some_and(|known| known.hosts == hosts) {
+        return;
+    }
+    let list = List { number, hosts };
+    context.config.offer_hosts(&context.trail, list, PLATFORM);
+}
+
+/// Returns the host of an upstream. Daemons have the same ports on all hosts,
+/// and an upstream's address is that of its host.
+fn host(context: &Context, adapter: &Adapter, instance: &Instance) -> Host {
+    let settings = &context.settings;
+    let on_host = |own: SocketAddr| SocketAddr::new(instance.address.ip(), own.port());
+    let region = adapter.regions.get(&instance.data_centre);
+    Host {
+        name: instance.address.ip().to_string(),
+        region: region.cloned().unwrap_or_else(|| UNKNOWN.into()),
+        data_centre: instance.data_centre.clone(),
+        service: instance.service.clone(),
+        entry: on_host(settings.entry),
+        data: on_host(settings.data),
+        control: on_host(settings.control),
+        operator: on_host(settings.operator),
+        state: instance.state,
+        instance: Some(instance.id.clone()),
+        slots: Some(instance.slots),
+    }
+}
+
+/// Returns the upstream of a listed host.
+fn instance(host: &Host) -> Option<Instance> {
+    Some(Instance {
+        id: host.instance.clone()?,
+        // Only the IP number of the address is used of a known upstream.
+        address: host.data,
+        service: host.service.clone(),
+        data_centre: host.data_centre.clone(),
+        slots: host.slots?,
+        state: host.state,
+        warming: Duration::ZERO,
+        started_ms: 0,
+    })
+}
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -39,8 +39,11 @@
             asked.then(|| {
                 let version = context.config.version().map_or(0, |version| version.number);
                 let load = context.gatekeeper.load();
-                let lost_ms = context.store.lost_ms(context.now());
-                context.metrics.set_state(&context.decisions, lost_ms);
+                context.metrics.set_state(&context.decisions);
+                let distribution = &context.distribution;
+                context
+                    .metrics
+                    .set_distribution(distribution, context.now());
                 rpc::text(context.metrics.text(&load, version))
             })
         };
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -23,8 +23,10 @@
 use crate::suspects::{self, Trial};
 
 mod deaths;
+mod departure;
 
 use deaths::{Deaths, End};
+use departure::Departures;
 
 /// Share of a target's latency that an upstream of the adapted platform is
 /// expected to need before it was measured. Daemons start there under full load.
@@ -50,6 +52,8 @@
     changed: Notify,
     /// Set while the upstream says that it drains.
     draining: AtomicBool,
+    /// Instances of the upstream that leave.
+    pub departures: Departures,
     /// Work at the upstream, to tell when the upstream died with it.
     deaths: Deaths,
 }
@@ -103,6 +107,23 @@
     }
 }
 
+/// Checks that the instance that a call is for does not leave.
+///
+/// # Errors
+///
+/// Returns a refusal if it does.
+fn stays(gatekeeper: &Gatekeeper, context: &Context, call: &Call) -> Result<(), Refusal> {
+    let instance = call.path.as_ref().map(|path| path.instance.as_str());
+    let left = |instance| gatekeeper.departures.has_left(context.now(), instance);
+    if !instance.is_some_and(left) {
+        return Ok(());
+    }
+    Err(Refusal {
+        cause: Cause::Away,
+        ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream leaves")
+    })
+}
+
 impl Gatekeeper {
     /// Opens the gate of `upstream` with `slots` slots.
     pub fn open(slots: usize, upstream: Upstream, adapted: bool) -> Arc<Self> {
@@ -120,6 +141,7 @@
             upstream,
             changed: Notify::new(),
             draining: AtomicBool::new(false),
+            departures: Departures::default(),
             deaths: Deaths::default(),
         })
     }
@@ -156,6 +178,7 @@
         body: Body,
         admission: &mut Admission,
     ) -> Result<Response<Body>, Refusal> {
+        stays(self, context, call)?;
         // The start of the body is waited for before a slot is taken: the
         // fingerprint of a request must not depend on how its body arrives.
         let remaining = call.remaining(Instant::now());
@@ -176,6 +199,7 @@
         let admitted = self.admit(context, call, fingerprint, trial).await;
         admission.waited = asked.elapsed();
         let mut slot = admitted?;
+        stays(self, context, call)?;
         self.deaths.begin(slot.id, fingerprint);
         let remaining = call.remaining(Instant::now());
         let sent = self.upstream.send(call, body);
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -20,8 +20,8 @@
 use crate::config::Store;
 use crate::decisions::Decisions;
 use crate::dispatch::Dispatcher;
+use crate::distribution::Distribution;
 use crate::edge::control::Clients;
-use crate::edge::keyed_store::Contact;
 use crate::edge::upstream::Upstream;
 use crate::error::{BindSnafu, Error};
 use crate::gatekeeper::Gatekeeper;
@@ -81,8 +81,8 @@
     pub decisions: Decisions,
     /// Chooses hosts and sends requests to them.
     pub dispatcher: Dispatcher,
-    /// Contact with the store of the adapted platform.
-    pub store: Contact,
+    /// How versions and host lists reach this daemon on the adapted platform.
+    pub distribution: Distribution,
     /// Number of the next request, by which splits share requests.
     pub turn: AtomicU64,
     /// Cancelled when the host announces that it leaves.
@@ -247,7 +247,7 @@
         metrics: Metrics::open(),
         decisions: Decisions::default(),
         dispatcher: Dispatcher::open(settings.data.ip(), settings.budgets),
-        store: Contact::default(),
+        distribution: Distribution::open(&settings),
         turn: AtomicU64::new(0),
         leaving: CancellationToken::new(),
         stop: CancellationToken::new(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,7 @@
 //! The savorylane daemon: a kernel, and edges that register with it.
 //!
-//! Decisions are taken by the pure crates `intent`, `membership`, `policy` and
-//! `ledger`; this crate gives them time, events and sockets.
+//! Decisions are taken by the pure crates `intent`, `distribution`,
+//! `membership`, `policy` and `ledger`; this crate gives them time, events and sockets.
 
 pub mod audit;
 pub mod body;
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod decisions;
 pub mod dispatch;
+pub mod distribution;
 pub mod edge;
 pub mod error;
 pub mod gatekeeper;
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -1,6 +1,7 @@
 //! Metrics of the daemon, pulled over HTTP in the usual text format.
 
 use std::fmt;
+use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
@@ -9,6 +10,7 @@
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
+use crate::distribution::Distribution;
 use crate::logs;
 
 /// Instruments of one daemon.
@@ -27,6 +29,8 @@
     attempts: Counter<u64>,
     attempt_latency: Histogram<f64>,
     store_lost: Gauge<u64>,
+    age: Gauge<u64>,
+    reader: Gauge<u64>,
 }
 
 /// Boundaries of latency histograms, seconds.
@@ -93,6 +97,14 @@
                 .u64_gauge("savorylane_store_lost_milliseconds")
                 .with_description("Time for which the store gives no answers; 0 while it does")
                 .build(),
+            age: meter
+                .u64_gauge("savorylane_knowledge_age_milliseconds")
+                .with_description("Time since all versions and hosts were known")
+                .build(),
+            reader: meter
+                .u64_gauge("savorylane_reader")
+                .with_description("Whether this daemon reads the store; 1 or 0")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -122,15 +134,24 @@
         self.attempts.add(1, &[service, outcome, cause]);
     }
 
-    /// Sets what is known of log lines and of the store.
-    pub fn set_state(&self, decisions: &Decisions, store_lost_ms: u64) {
+    /// Sets how versions reach this daemon, at `now`.
+    pub fn set_distribution(&self, distribution: &Distribution, now: Duration) {
+        self.store_lost.record(distribution.lost_ms(now), &[]);
+        self.reader
+            .record(u64::from(*distribution.reads().borrow()), &[]);
+        if let Some(age) = distribution.age.of(now) {
+            self.age.record(age.as_millis() as u64, &[]);
+        }
+    }
+
+    /// Sets what is known of log lines.
+    pub fn set_state(&self, decisions: &Decisions) {
         for kind in Kind::ALL {
             let name = KeyValue::new("kind", kind.name());
             self.left_out.record(decisions.left_out(kind), &[name]);
         }
         let full = KeyValue::new("kind", "queue-full");
         self.left_out.record(logs::dropped(), &[full]);
-        self.store_lost.record(store_lost_ms, &[]);
     }
 
     /// Counts an answer that came after its attempt was abandoned.
--- a/crates/daemon/src/settings/arguments.rs
+++ b/crates/daemon/src/settings/arguments.rs
@@ -32,6 +32,7 @@
     pub(super) retry_percent: String,
     pub(super) retry_burst: String,
     pub(super) hedge_percent: String,
+    pub(super) link_mbps: String,
     pub(super) adapter: String,
     pub(super) ready: Option<String>,
     pub(super) regions: Option<String>,
@@ -236,6 +237,13 @@
         "Fresh requests per hundred that may be hedged; 0 for none",
         "5",
     );
+    let link_mbps = optional(
+        "link-mbps",
+        "SAVORYLANE_LINK_MBPS",
+        "RATE",
+        "Rate of the host's link in megabits a second; hosts on fast links read the store for others; 0 if it is not known",
+        "0",
+    );
     let adapter = optional(
         "adapter",
         "SAVORYLANE_ADAPTER",
@@ -290,6 +298,7 @@
         retry_percent,
         retry_burst,
         hedge_percent,
+        link_mbps,
         adapter,
         ready,
         regions,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -12,6 +12,9 @@
 use super::arguments::Raw;
 use super::{Adapter, Command, Fault, Readers, Settings};
 
+/// Greatest rate of a link that is accepted, megabits a second.
+const LINK_MBPS_MAX: f64 = 1_000_000.0;
+
 pub(super) fn check_all(raw: Raw) -> Result<Command, Fault> {
     let settings = Settings {
         host: name("host", &raw.host)?,
@@ -39,6 +42,7 @@
             retry_burst: number("retry-burst", &raw.retry_burst, 0, 1000)?,
             hedge_percent: number("hedge-percent", &raw.hedge_percent, 0, 100)?,
         },
+        link_mbps: link_mbps(&raw.link_mbps)?,
         adapter: adapter(&raw.adapter, raw.ready.as_deref(), raw.regions.as_deref())?,
         log_level: log_level(&raw.log_level)?,
     };
@@ -94,6 +98,18 @@
     }))
 }
 
+/// Platforms state the rate with a fraction. One below a whole megabit is not
+/// an unknown one.
+fn link_mbps(value: &str) -> Result<u32, Fault> {
+    match value.parse::<f64>() {
+        Ok(rate) if (0.0..=LINK_MBPS_MAX).contains(&rate) => Ok(rate.ceil() as u32),
+        _ => {
+            let accepted = format!("a number from 0 to {LINK_MBPS_MAX}");
+            Err(Fault::value("link-mbps", value, accepted))
+        }
+    }
+}
+
 fn health(value: &str) -> Result<String, Fault> {
     let accepted = "a path from `/`, without `?`, `#` and spaces";
     let visible = |c: char| c.is_ascii_graphic() && !"?#".contains(c);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -61,6 +61,8 @@
     pub policy: Policy,
     /// Bounds of retries and hedges.
     pub budgets: retry::Settings,
+    /// Rate of the host's link, megabits a second; 0 if it is not known.
+    pub link_mbps: u32,
     /// Platform that the daemon is adapted to; `None` for the product's own.
     pub adapter: Option<Adapter>,
     /// Log level.
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -239,6 +239,7 @@
         readers: Readers::Ranked,
         policy: Policy::Savorylane,
         budgets: Default::default(),
+        link_mbps: 0,
         adapter: None,
         log_level: log::LevelFilter::Off,
     }
--- a/crates/daemon/tests/in_process/mod.rs
+++ b/crates/daemon/tests/in_process/mod.rs
@@ -188,6 +188,7 @@
             readers: Readers::default(),
             policy: Policy::default(),
             budgets: Default::default(),
+            link_mbps: 0,
             adapter: None,
             log_level: log::LevelFilter::Warn,
         };
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -93,6 +93,7 @@
         readers: Readers::Ranked,
         policy: Policy::Savorylane,
         budgets: Default::default(),
+        link_mbps: 0,
         adapter: None,
         log_level: log::LevelFilter::Off,
     }
--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -27,6 +27,8 @@
 const WAIT: Duration = Duration::from_millis(600);
 /// Time beyond the wait after which a poll of a reader has failed.
 const ANSWER_LIMIT: Duration = Duration::from_millis(600);
+/// Longest time of an answer that limits are made from.
+const DELAY_MAX: Duration = Duration::from_secs(1);
 /// Time after which a poll that asks only whether a host is a reader has
 /// failed: several round trips to another region. Hosts that are away do not
 /// refuse connections.
@@ -41,9 +43,6 @@
 /// knows. One that takes over after a loss would read all versions that came
 /// since, and reads the newest instead.
 pub const GAP_MAX: Duration = Duration::from_secs(1);
-/// Time without a poll after which nobody needs a reader; a follower polls
-/// again within [`WAIT`].
-const UNNEEDED: Duration = Duration::from_millis(1_600);
 /// Time after which a host that was asked to read may be asked again.
 const PROMOTE_AGAIN: Duration = Duration::from_secs(10);
 /// Time without a poll after which a follower is forgotten.
@@ -138,36 +137,46 @@
     pub limit: Duration,
 }
 
-impl Request {
-    /// Returns a poll that waits for news of a reader.
-    fn news(host: Arc<str>) -> Self {
-        Self {
-            host,
-            needs: true,
-            wait: WAIT,
-            limit: WAIT + ANSWER_LIMIT,
-        }
+/// Time that answers take, as far as it was seen.
+#[derive(Clone, Copy, Debug, Default)]
+struct Delay(Duration);
+
+impl Delay {
+    /// Takes the time that an answer was on its way, both ways together.
+    fn observe(&mut self, taken: Duration) {
+        self.0 = taken.max(self.0 * 7 / 8).min(DELAY_MAX);
+    }
+
+    /// Returns a limit for an answer; where answers are slow the own link is
+    /// full, and other hosts would answer no sooner.
+    fn limit(&self, least: Duration) -> Duration {
+        least.max(self.0 * 2)
     }
 
     /// Returns a poll that asks whether a host is a reader.
-    fn look(host: Arc<str>) -> Self {
-        Self {
+    fn look(&self, host: Arc<str>) -> Request {
+        Request {
             host,
             needs: false,
             wait: Duration::ZERO,
-            limit: LOOK_LIMIT,
+            limit: self.limit(LOOK_LIMIT),
         }
     }
 
     /// Returns the next poll of a host that is followed.
-    fn to(host: Arc<str>, trust: Trust) -> Self {
+    fn poll(&self, host: Arc<str>, trust: Trust) -> Request {
         match trust {
-            Trust::Unknown => Self::look(host),
-            Trust::Needed => Self {
+            Trust::Unknown => self.look(host),
+            Trust::Needed => Request {
+                needs: true,
+                ..self.look(host)
+            },
+            Trust::Proven => Request {
+                host,
                 needs: true,
-                ..Self::look(host)
+                wait: WAIT,
+                limit: WAIT + self.limit(ANSWER_LIMIT),
             },
-            Trust::Proven => Self::news(host),
         }
     }
 }
@@ -192,6 +201,7 @@
     /// Hosts of each other data centre by name; those of the own region first.
     far: Vec<Vec<Arc<str>>>,
     outages: Outages,
+    delay: Delay,
     /// Followers that become readers when the source is lost.
     candidates: Vec<Candidate>,
     /// Hosts of the own data centre that polled this one.
@@ -211,6 +221,7 @@
             near: Vec::new(),
             far: Vec::new(),
             outages: Outages::default(),
+            delay: Delay::default(),
             candidates: Vec::new(),
             known: BTreeMap::new(),
             leaving: false,
@@ -233,6 +244,7 @@
 
     /// Takes the listed hosts.
     pub fn on_hosts(&mut self, hosts: &[Place]) {
+        let first = self.near.first().cloned();
         let others = hosts.iter().filter(|host| host.name != self.own.name);
         let mut centres: BTreeMap<(bool, &str), Vec<Arc<str>>> = BTreeMap::new();
         self.near.clear();
@@ -247,6 +259,11 @@
         self.near.sort();
         self.far = centres.into_values().collect();
         self.far.iter_mut().for_each(|hosts| hosts.sort());
+        if let Role::Reader(reader) = &mut self.role
+            && self.near.first() != first.as_ref()
+        {
+            reader.check_at = Duration::ZERO;
+        }
     }
 
     /// Takes that the first reading of the host list is over, or has failed.
@@ -314,7 +331,7 @@
                 Step::Idle(follower.not_before - now)
             }
             Role::Follower(follower) => {
-                Step::Poll(Request::to(Arc::clone(&follower.of), follower.trust))
+                Step::Poll(self.delay.poll(Arc::clone(&follower.of), follower.trust))
             }
             Role::Reader(reader) => match reader.lost(now) {
                 Some(lost) if lost >= LOST => self.ask_elsewhere(now),
@@ -332,7 +349,7 @@
         let Some(better) = reader.better.clone() else {
             return;
         };
-        if now.saturating_sub(reader.needed) >= UNNEEDED {
+        if now >= reader.needed_until() {
             self.follow(better, Trust::Needed);
         }
     }
@@ -344,16 +361,18 @@
             return Step::Idle(CHECK);
         };
         let told = reader.look.take();
-        let due = reader.checked + CHECK;
+        let due = reader.check_at;
         if told.is_none() && now < due {
-            let until_way = reader.better.as_ref().map(|_| reader.needed + UNNEEDED);
-            let until = until_way.map_or(due, |at| at.min(due));
+            let until = match reader.better {
+                Some(_) => reader.needed_until().min(due),
+                None => due,
+            };
             let least = Duration::from_millis(1);
             return Step::Idle(until.saturating_sub(now).max(least));
         }
-        reader.checked = now;
+        reader.check_at = now + CHECK;
         match told.or(rendezvous) {
-            Some(host) => Step::Poll(Request::look(host)),
+            Some(host) => Step::Poll(self.delay.look(host)),
             None => Step::Idle(CHECK),
         }
     }
@@ -369,7 +388,7 @@
                 Role::Reader(reader) => reader.trust_elsewhere,
                 _ => Trust::Unknown,
             };
-            return Step::Poll(Request::to(host, trust));
+            return Step::Poll(self.delay.poll(host, trust));
         }
         let centres = std::iter::once(&self.near).chain(&self.far);
         let usable = |host: &&Arc<str>| !self.outages.lasts(now, host);
@@ -383,13 +402,28 @@
         reader.trust_elsewhere = Trust::Unknown;
         reader.elsewhere.clone_from(&next);
         match next {
-            Some(host) => Step::Poll(Request::look(host)),
+            Some(host) => Step::Poll(self.delay.look(host)),
             None => Step::Idle(LOST),
         }
     }
 
-    /// Takes the answer to a poll of `host`.
-    pub fn on_answer(&mut self, now: Duration, host: &str, answer: &Answer) {
+    /// Takes an answer of `host` that came after the poll had failed and was
+    /// on its way for the time `taken`: the own link is slow, not the host.
+    pub fn on_late_answer(&mut self, now: Duration, host: &str, answer: &Answer, taken: Duration) {
+        if let Role::Follower(follower) = &self.role
+            && follower.trust != Trust::Proven
+            && answer.reader
+            && !answer.leaving
+        {
+            self.follow(host.into(), Trust::Proven);
+        }
+        self.on_answer(now, host, answer, taken);
+    }
+
+    /// Takes the answer to a poll of `host`, which was on its way for the time
+    /// `taken`.
+    pub fn on_answer(&mut self, now: Duration, host: &str, answer: &Answer, taken: Duration) {
+        self.delay.observe(taken);
         let fresh = answer.age.is_some_and(|age| age <= FRESH) && !answer.leaving;
         if answer.leaving {
             self.outages.begin(now, host);
@@ -569,7 +603,7 @@
             return;
         };
         if poll.needs {
-            reader.needed = now;
+            reader.needed = Some(now);
         }
         if poll.reading.is_some() && rank > own {
             reader.better = Some(Arc::clone(&poll.from.name));
--- a/crates/distribution/src/source/role.rs
+++ b/crates/distribution/src/source/role.rs
@@ -7,6 +7,10 @@
 /// equally old.
 const EQUAL: Duration = Duration::from_secs(1);
 
+/// Time without a poll after which nobody needs a reader; a follower polls
+/// again sooner.
+const UNNEEDED: Duration = Duration::from_millis(1_600);
+
 /// What a daemon does for its knowledge.
 #[derive(Clone, Debug)]
 pub(super) enum Role {
@@ -49,10 +53,10 @@
     pub(super) reading_since: Option<Duration>,
     /// Since when the store does not answer; `None` while it does.
     pub(super) lost_since: Option<Duration>,
-    /// When a follower last needed this reader.
-    pub(super) needed: Duration,
-    /// When this reader last looked for a better one.
-    pub(super) checked: Duration,
+    /// When a follower last needed this reader, if one did.
+    pub(super) needed: Option<Duration>,
+    /// When this reader looks for a better one.
+    pub(super) check_at: Duration,
     /// Host at which it looks next.
     pub(super) look: Option<Arc<str>>,
     /// A better reader, to which followers are sent.
@@ -68,8 +72,8 @@
         Self {
             reading_since: None,
             lost_since: Some(now),
-            needed: now,
-            checked: Duration::ZERO,
+            needed: None,
+            check_at: now,
             look: None,
             better: None,
             elsewhere: None,
@@ -77,6 +81,11 @@
         }
     }
 
+    /// Returns the moment from which on nobody needs this reader.
+    pub(super) fn needed_until(&self) -> Duration {
+        self.needed.map_or(Duration::ZERO, |at| at + UNNEEDED)
+    }
+
     /// Returns the time for which the store has not answered.
     pub(super) fn lost(&self, now: Duration) -> Option<Duration> {
         Some(now.saturating_sub(self.lost_since?))
--- a/crates/distribution/tests/roles.rs
+++ b/crates/distribution/tests/roles.rs
@@ -9,6 +9,9 @@
     Duration::from_millis(millis)
 }
 
+/// Time that an answer is on its way.
+const RTT: Duration = at(1);
+
 fn place(name: &str, data_centre: &str) -> Place {
     Place {
         name: name.into(),
@@ -78,9 +81,9 @@
         age: Some(at(0)),
         ..Answer::default()
     };
-    source.on_answer(at(10), "a", &redirect);
+    source.on_answer(at(10), "a", &redirect, RTT);
     assert_eq!(polled(&mut source, at(10)), Some(("d".into(), false)));
-    source.on_answer(at(20), "d", &reader(140, &["c", "b"]));
+    source.on_answer(at(20), "d", &reader(140, &["c", "b"]), RTT);
     assert_eq!(polled(&mut source, at(20)), told("d"));
     assert!(!source.reads());
 }
@@ -90,7 +93,7 @@
 #[test]
 fn the_named_followers_read_when_the_reader_is_lost() {
     let mut source = started(7);
-    source.on_answer(at(10), "a", &reader(140, &["c", "b"]));
+    source.on_answer(at(10), "a", &reader(140, &["c", "b"]), RTT);
     source.on_failure(at(1_000), "a");
     assert_eq!(polled(&mut source, at(1_000)), told("c"));
     source.on_failure(at(1_300), "c");
@@ -117,7 +120,7 @@
                     age: Some(at(0)),
                     ..Answer::default()
                 };
-                source.on_answer(now, &host, &redirect);
+                source.on_answer(now, &host, &redirect, RTT);
             }
             Some((_, true)) => return,
             None if source.reads() => return,
@@ -160,7 +163,7 @@
     source.on_contact(at(1_000), false);
     assert_eq!(polled(&mut source, at(1_100)), None, "it may be short");
     assert_eq!(polled(&mut source, at(1_400)), Some(("x".into(), false)));
-    source.on_answer(at(1_440), "x", &reader(140, &[]));
+    source.on_answer(at(1_440), "x", &reader(140, &[]), RTT);
     assert_eq!(polled(&mut source, at(1_440)), told("x"));
     assert!(source.reads(), "its followers stay");
     source.on_contact(at(1_500), true);
@@ -171,11 +174,32 @@
 #[test]
 fn a_daemon_that_leaves_sends_its_followers_away() {
     let mut source = started(7);
-    source.on_answer(at(10), "a", &reader(140, &["c"]));
+    source.on_answer(at(10), "a", &reader(140, &["c"]), RTT);
     let leaving = Answer {
         leaving: true,
         ..reader(140, &["c"])
     };
-    source.on_answer(at(600), "a", &leaving);
+    source.on_answer(at(600), "a", &leaving, RTT);
     assert_eq!(polled(&mut source, at(600)), told("c"));
 }
+
+/// Load pattern: bodies of requests fill the link of a host. Guards against a
+/// host on a full link that takes its reader for lost, and has one host after
+/// the other read the store.
+#[test]
+fn a_slow_answer_is_no_lost_reader() {
+    let mut source = started(7);
+    source.on_answer(at(10), "a", &reader(140, &["c", "d"]), RTT);
+    let limit = |source: &mut Source, now| match source.next(now) {
+        Step::Poll(request) => request.limit - request.wait,
+        Step::Idle(_) => panic!("a follower polls"),
+    };
+    assert_eq!(limit(&mut source, at(10)), at(600));
+    source.on_answer(at(700), "a", &reader(140, &["c", "d"]), at(500));
+    assert_eq!(limit(&mut source, at(700)), at(1_000));
+    source.on_failure(at(2_300), "a");
+    assert_eq!(polled(&mut source, at(2_300)), told("c"));
+    source.on_late_answer(at(2_500), "a", &reader(140, &["c", "d"]), at(1_200));
+    assert_eq!(polled(&mut source, at(2_500)), told("a"));
+    assert_eq!(limit(&mut source, at(2_500)), at(2_000));
+}
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -412,7 +412,9 @@
                     }
                     self.adopt(host, version);
                     let now = self.now;
-                    self.nodes[host].source.on_answer(now, &name, &answer);
+                    self.nodes[host]
+                        .source
+                        .on_answer(now, &name, &answer, transit);
                     self.after(host);
                 }
             }
--- a/crates/intent/tests/suite/lists.rs
+++ b/crates/intent/tests/suite/lists.rs
@@ -20,7 +20,7 @@
         data: port(2),
         control: port(3),
         operator: port(4),
-        state: if slots % 2 == 0 {
+        state: if slots.is_multiple_of(2) {
             State::Live
         } else {
             State::Leaving
--- a/crates/wire/src/control/mod.rs
+++ b/crates/wire/src/control/mod.rs
@@ -7,10 +7,12 @@
 
 use crate::Incarnation;
 
+pub mod poll;
 mod record;
 pub mod ring;
 pub mod suspicion;
 
+pub use poll::{Candidate, News, Poll};
 pub use record::{Malformed, Record, State};
 pub use ring::{Confirmation, Question, Ring, Scope};
 pub use suspicion::{Suspect, Suspected, Suspicion};
--- a/crates/wire/src/hop/mod.rs
+++ b/crates/wire/src/hop/mod.rs
@@ -23,4 +23,11 @@
     pub shed_order: u8,
     /// Time that remains until the class's target is missed, milliseconds.
     pub slack_ms: u32,
+    /// Number of the configuration that the entry chose by; 0 if it is not
+    /// known.
+    #[serde(default)]
+    pub version: u64,
+    /// Number of the host list that the entry chose by; 0 if it is not known.
+    #[serde(default)]
+    pub list: u64,
 }
--- a/crates/wire/src/rpc/mod.rs
+++ b/crates/wire/src/rpc/mod.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Incarnation;
-use crate::control::{Confirmation, Heartbeat, Notice, Question, Sender, Suspicion};
+use crate::control::{Confirmation, Heartbeat, News, Notice, Poll, Question, Sender, Suspicion};
 use crate::operator::{Scope, Summary};
 
 /// Asks a daemon for its document.
@@ -51,6 +51,10 @@
     #[method(name = "notice")]
     async fn notice(&self, message: Notice) -> RpcResult<()>;
 
+    /// Waits for what is newer than the sender's knowledge, and returns it.
+    #[method(name = "poll")]
+    async fn poll(&self, message: Poll) -> RpcResult<News>;
+
     /// Returns the document in force, as a delta where that is possible.
     #[method(name = "fetch")]
     async fn fetch(&self, message: Fetch) -> RpcResult<Option<Transfer>>;
