server: 4 KiB of a body before a request is admitted on slow links

Cause: on hosts of the upload service with 7 Mbit/s the start of each body, 16 KiB, is on its way before its request is admitted or refused, and a refused one goes on to up to three more hosts. Polls of such hosts took over a second to be answered, and the calls of confirmations, which those hosts serve too, passed their deadline.

Change: below 20 Mbit/s a stream has a window of 4 KiB, the start that a gatekeeper reads before it admits a request.

--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -42,7 +42,11 @@
         let Some(listener) = listener else { return };
         let limits = {
             let context = Arc::clone(&context);
-            move || Limits::in_force(&context, Limits::DAEMONS, CONNECTIONS_MAX).of_daemons()
+            let link_mbps = context.settings.link_mbps;
+            move || {
+                let limits = Limits::in_force(&context, Limits::DAEMONS, CONNECTIONS_MAX);
+                limits.of_daemons(link_mbps)
+            }
         };
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
         server::serve(listener, limits, stop, handle).await;
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -48,9 +48,15 @@
 /// fill the link of a host otherwise. A body passes at one window a round trip:
 /// 400 KB a second to another region.
 pub const STREAM_WINDOW: u32 = 16_384;
-/// Window of one HTTP/2 connection, bytes: 64 uploads can wait for a slot
-/// before they hold up those that have one.
-const CONNECTION_WINDOW: u32 = 64 * STREAM_WINDOW;
+/// The same on a slow link, which 50 refused bodies fill for a quarter of a
+/// second otherwise at 16 KiB each. It holds the start of a body that a
+/// gatekeeper reads before it admits a request.
+const SLOW_STREAM_WINDOW: u32 = 4_096;
+/// Rate of a link below which it is slow, megabits a second.
+const SLOW_LINK_MBPS: u32 = 20;
+/// Streams that fill the window of one HTTP/2 connection: 64 uploads can wait
+/// for a slot before they hold up those that have one.
+const WINDOWS: u32 = 64;
 /// Headers of a request. Upstreams commonly accept 100, and the daemon adds a
 /// few; a request at the upstream's bound would be refused there only.
 const HEADERS_MAX: usize = 90;
@@ -83,6 +89,8 @@
     pub protocol: Protocol,
     /// Streams of HTTP/2 that may be reset before they are looked at.
     pub resets: usize,
+    /// Window of one stream of HTTP/2, bytes.
+    pub stream_window: u32,
 }
 
 /// Protocols of a server.
@@ -104,6 +112,7 @@
         headers: 4 * HEADERS_MAX,
         protocol: Protocol::Any,
         resets: DAEMON_RESETS_MAX,
+        stream_window: STREAM_WINDOW,
     };
 
     /// Limits towards callers of the adapted platform. Headers take up to
@@ -157,13 +166,21 @@
             headers: HEADERS_MAX,
             protocol: Protocol::Any,
             resets: RESETS_MAX,
+            stream_window: STREAM_WINDOW,
         }
     }
 
-    /// Returns these limits for a port that only daemons use.
-    pub fn of_daemons(self) -> Self {
+    /// Returns these limits for a port that only daemons use, on a link of
+    /// `link_mbps` megabits a second; 0 if that is not known.
+    pub fn of_daemons(self, link_mbps: u32) -> Self {
+        let slow = (1..SLOW_LINK_MBPS).contains(&link_mbps);
         Self {
             resets: DAEMON_RESETS_MAX,
+            stream_window: if slow {
+                SLOW_STREAM_WINDOW
+            } else {
+                STREAM_WINDOW
+            },
             ..self
         }
     }
@@ -340,8 +357,8 @@
         .timer(TokioTimer::new())
         .keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
-        .initial_stream_window_size(STREAM_WINDOW)
-        .initial_connection_window_size(CONNECTION_WINDOW)
+        .initial_stream_window_size(limits.stream_window)
+        .initial_connection_window_size(WINDOWS * STREAM_WINDOW)
         .max_header_list_size(limits.header_bytes)
         .max_pending_accept_reset_streams(limits.resets)
         .max_local_error_reset_streams(limits.resets)
