upstream: cut the connection of an answer without end at once

The library reads on in its own loop while bytes are there.

Change: a request that is dropped before its answer has ended cuts its connection, whose next read fails. Short bodies are left to the library, which reads their rest and keeps the connection.

--- /dev/null
+++ b/crates/daemon/src/edge/upstream/cut.rs
@@ -0,0 +1,212 @@
+//! Connections to the upstream that can be cut from outside.
+//!
+//! The library reads on in its own loop while bytes are there, and sees late
+//! that nobody waits for them. An upstream that sends without end would keep
+//! its connection, and the processor, beyond the deadline of its request.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use futures::task::AtomicWaker;
+use http::{Extensions, Uri};
+use http_body::{Body as _, Frame, SizeHint};
+use http_body_util::BodyExt;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{
+    CaptureConnection,
+    Connected,
+    Connection,
+    HttpConnector, //
+};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tower::Service;
+
+use crate::body::{Body, Cut};
+
+/// Size up to which a body is short, bytes.
+const SHORT_BYTES: u64 = 64 << 10;
+
+/// Whether a connection was cut.
+#[derive(Clone, Debug, Default)]
+struct Switch(Arc<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    cut: AtomicBool,
+    reader: AtomicWaker,
+}
+
+impl Switch {
+    fn cut(&self) {
+        self.0.cut.store(true, Ordering::Release);
+        self.0.reader.wake();
+    }
+
+    fn is_cut(&self) -> bool {
+        self.0.cut.load(Ordering::Acquire)
+    }
+}
+
+/// Cuts the connection of a request when it is dropped before the answer has
+/// ended.
+#[derive(Debug)]
+pub(super) struct Guard {
+    connection: CaptureConnection,
+    ended: bool,
+}
+
+impl Guard {
+    /// Guards the connection that a request is sent on.
+    pub(super) fn new(connection: CaptureConnection) -> Self {
+        Self {
+            connection,
+            ended: false,
+        }
+    }
+
+    /// Returns the body of an answer, which keeps the guard until its end. The
+    /// library reads the rest of a short one and keeps its connection.
+    pub(super) fn watch(mut self, body: Body) -> Body {
+        let size = body.size_hint().exact();
+        if size.is_some_and(|size| size <= SHORT_BYTES) {
+            self.ended = true;
+            return body;
+        }
+        let inner = body;
+        Guarded { inner, guard: self }.boxed_unsync()
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let connected = self.connection.connection_metadata();
+        let Some(connected) = connected.as_ref() else {
+            return;
+        };
+        let mut extensions = Extensions::new();
+        connected.get_extras(&mut extensions);
+        if let Some(switch) = extensions.remove::<Switch>() {
+            switch.cut();
+        }
+    }
+}
+
+/// Body of an answer.
+struct Guarded {
+    inner: Body,
+    guard: Guard,
+}
+
+impl http_body::Body for Guarded {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let polled = Pin::new(&mut self.inner).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) || self.inner.is_end_stream() {
+            self.guard.ended = true;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
+/// Opens connections that can be cut.
+#[derive(Clone, Debug)]
+pub(super) struct Connector(pub(super) HttpConnector);
+
+impl Service<Uri> for Connector {
+    type Response = Stream;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = BoxFuture<'static, Result<Stream, Self::Error>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        Service::<Uri>::poll_ready(&mut self.0, cx)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let connecting = self.0.call(uri);
+        Box::pin(async move {
+            Ok(Stream {
+                stream: connecting.await?,
+                switch: Switch::default(),
+            })
+        })
+    }
+}
+
+/// A connection that fails once it was cut.
+#[derive(Debug)]
+pub(super) struct Stream {
+    stream: TokioIo<TcpStream>,
+    switch: Switch,
+}
+
+impl Connection for Stream {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.switch.clone())
+    }
+}
+
+impl Read for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.switch.0.reader.register(cx.waker());
+        if self.switch.is_cut() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+}
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -1,5 +1,7 @@
 //! Edge towards the host's upstream.
 
+mod cut;
+
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -20,6 +22,7 @@
 use crate::body::{self, Body, Packed};
 use crate::call::Call;
 use crate::kernel::{Context, Plugin};
+use cut::{Connector, Guard};
 
 /// Idle connections are not reused after this time: they may have gone silent,
 /// and a new one costs about 1 ms.
@@ -67,7 +70,7 @@
 #[derive(Clone, Debug)]
 pub struct Upstream {
     address: SocketAddr,
-    client: Client<HttpConnector, Body>,
+    client: Client<Connector, Body>,
 }
 
 impl Upstream {
@@ -80,7 +83,7 @@
             .pool_idle_timeout(IDLE)
             .pool_timer(TokioTimer::new())
             .http1_max_buf_size(READ_BYTES)
-            .build(connector);
+            .build(Connector(connector));
         Self { address, client }
     }
 
@@ -111,10 +114,12 @@
 
     async fn exchange(&self, mut request: Request<Body>) -> Result<Response<Body>, Failure> {
         let connection = capture_connection(&mut request);
+        let guard = Guard::new(connection.clone());
         match self.client.request(request).await {
             Ok(mut answer) => {
                 answer.extensions_mut().insert(connection);
-                Ok(answer.map(|body| Packed::wrap(body.map_err(Into::into).boxed_unsync())))
+                let whole = |body| Packed::wrap(guard.watch(body));
+                Ok(answer.map(|body| whole(body.map_err(Into::into).boxed_unsync())))
             }
             Err(error) if error.is_connect() => Err(Failure::Connect),
             Err(error) => {
