--- a/crates/daemon/src/dispatch/link.rs
+++ b/crates/daemon/src/dispatch/link.rs
@@ -28,7 +28,7 @@
 use tokio::time::Sleep;
 use tower::Service;
 
-use crate::edge::server::PING_INTERVAL;
+use crate::keepalive::PING_INTERVAL;
 
 /// Time for the answer to a ping before the connection counts as silent.
 const PING_ALLOWANCE: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -16,8 +16,8 @@
 use super::link::{Connector, Watch};
 use crate::body::Body;
 use crate::call::{Call, Cause, Explanation, Refusal};
-use crate::edge::server::{PING_INTERVAL, PING_TIMEOUT};
 use crate::edge::upstream::target;
+use crate::keepalive::{PING_INTERVAL, PING_TIMEOUT};
 
 /// Time for a connection to another daemon to be opened: six round trips to
 /// another region. A host that is cut off does not refuse connections, and each
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -24,6 +24,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::{Body, Packed};
+use crate::keepalive::{PING_INTERVAL, PING_TIMEOUT};
 use crate::kernel::Context;
 use rest::Drained;
 
@@ -34,13 +35,6 @@
 /// The same on the adapted platform, while no document says how long callers
 /// may keep a connection idle; the library counts that time as the head's.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Interval of the keep-alive pings of HTTP/2.
-pub const PING_INTERVAL: Duration = Duration::from_millis(500);
-/// Time in which a ping must be answered before the connection is closed, which
-/// cuts the requests on it. The answer waits behind the bodies on a slow link:
-/// 16 connections that each fill their window take 19 s on 7 Mbit/s. Entries
-/// stop using a silent connection much sooner.
-pub const PING_TIMEOUT: Duration = Duration::from_secs(20);
 /// Size of all headers of a request, bytes.
 const HEADER_BYTES: u32 = 16_384;
 /// Window of one HTTP/2 stream, bytes. This much of a body is on the way before
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod error;
 pub mod gatekeeper;
 pub mod holder;
+pub mod keepalive;
 pub mod kernel;
 pub mod logs;
 pub mod metrics;
--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -13,6 +13,8 @@
 //! goes on answering.
 
 mod backoff;
+mod delay;
+mod message;
 mod role;
 
 use std::collections::BTreeMap;
@@ -20,19 +22,11 @@
 use std::time::Duration;
 
 use backoff::Outages;
+use delay::Delay;
+pub use message::{Answer, Candidate, Place, Poll, Request, Step};
 pub use role::Rank;
 use role::{Follower, Reader, Role, Trust};
 
-/// Time for which a poll waits for news.
-const WAIT: Duration = Duration::from_millis(600);
-/// Time beyond the wait after which a poll of a reader has failed.
-const ANSWER_LIMIT: Duration = Duration::from_millis(600);
-/// Longest time of an answer that limits are made from.
-const DELAY_MAX: Duration = Duration::from_secs(1);
-/// Time after which a poll that asks only whether a host is a reader has
-/// failed: several round trips to another region. Hosts that are away do not
-/// refuse connections.
-const LOOK_LIMIT: Duration = Duration::from_millis(300);
 /// Time between two looks of a reader for a better one.
 const CHECK: Duration = Duration::from_secs(2);
 /// Age up to which the knowledge of a reader is worth following.
@@ -59,128 +53,6 @@
 /// host alone: two hosts may name each other.
 const REDIRECTS: u8 = 4;
 
-/// A host by its name, with the rate of its link in megabits a second; 0 if
-/// the rate is not known.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Candidate {
-    /// Name of the host.
-    pub name: Arc<str>,
-    /// Rate of its link.
-    pub rate: u32,
-}
-
-/// Where a host stands.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Place {
-    /// Name of the host.
-    pub name: Arc<str>,
-    /// Data centre that holds it.
-    pub data_centre: Arc<str>,
-    /// Region of the data centre.
-    pub region: Arc<str>,
-}
-
-/// What a poll tells of its sender.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Poll {
-    /// The sender.
-    pub from: Candidate,
-    /// Data centre of the sender.
-    pub data_centre: Arc<str>,
-    /// Whether the sender relies on the receiver for news.
-    pub needs: bool,
-    /// Time for which the sender has read the store without a gap; `None` if
-    /// it does not read it or the store does not answer.
-    pub reading: Option<Duration>,
-}
-
-/// What the answer to a poll tells of its sender, besides the news.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Answer {
-    /// Whether the sender is a reader.
-    pub reader: bool,
-    /// Rate of the sender's link, megabits a second; 0 if it is not known.
-    pub rate: u32,
-    /// As in [`Poll::reading`].
-    pub reading: Option<Duration>,
-    /// Age of what the sender knows; `None` if it knows nothing.
-    pub age: Option<Duration>,
-    /// Whom the receiver is to poll instead.
-    pub source: Option<Arc<str>>,
-    /// Whether the receiver is to read the store, since its link is faster.
-    pub promote: bool,
-    /// Whether the sender is about to end.
-    pub leaving: bool,
-    /// Followers that become readers, in this order, when the sender is lost.
-    pub candidates: Vec<Candidate>,
-}
-
-/// What the driver of a [`Source`] does next.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Step {
-    /// Polls a host.
-    Poll(Request),
-    /// Does nothing for this time, unless something changes.
-    Idle(Duration),
-}
-
-/// A poll to be sent.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Request {
-    /// The host.
-    pub host: Arc<str>,
-    /// Whether this daemon relies on the host.
-    pub needs: bool,
-    /// Time for which the host may wait for news.
-    pub wait: Duration,
-    /// Time after which the poll has failed.
-    pub limit: Duration,
-}
-
-/// Time that answers take, as far as it was seen.
-#[derive(Clone, Copy, Debug, Default)]
-struct Delay(Duration);
-
-impl Delay {
-    /// Takes the time that an answer was on its way, both ways together.
-    fn observe(&mut self, taken: Duration) {
-        self.0 = taken.max(self.0 * 7 / 8).min(DELAY_MAX);
-    }
-
-    /// Returns a limit for an answer; where answers are slow the own link is
-    /// full, and other hosts would answer no sooner.
-    fn limit(&self, least: Duration) -> Duration {
-        least.max(self.0 * 2)
-    }
-
-    /// Returns a poll that asks whether a host is a reader.
-    fn look(&self, host: Arc<str>) -> Request {
-        Request {
-            host,
-            needs: false,
-            wait: Duration::ZERO,
-            limit: self.limit(LOOK_LIMIT),
-        }
-    }
-
-    /// Returns the next poll of a host that is followed.
-    fn poll(&self, host: Arc<str>, trust: Trust) -> Request {
-        match trust {
-            Trust::Unknown => self.look(host),
-            Trust::Needed => Request {
-                needs: true,
-                ..self.look(host)
-            },
-            Trust::Proven => Request {
-                host,
-                needs: true,
-                wait: WAIT,
-                limit: WAIT + self.limit(ANSWER_LIMIT),
-            },
-        }
-    }
-}
-
 /// A follower as a reader knows it.
 #[derive(Clone, Debug)]
 struct Known {
--- a/crates/intent/src/hosts/delta.rs
+++ b/crates/intent/src/hosts/delta.rs
@@ -2,14 +2,10 @@
 //! the receiver has.
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
 
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
 use serde::{Deserialize, Serialize};
 
-use super::{Host, LIST_BYTES, List, check_all};
+use super::{Host, List, check_all, deflate, inflate, malformed};
 use crate::fault::Fault;
 use crate::version::Hash;
 
@@ -123,12 +119,7 @@
 ///
 /// Never: content is expressible in JSON, and memory takes what is written.
 pub fn encode(content: &Content) -> Vec<u8> {
-    let json = serde_json::to_vec(content).expect("content is expressible in JSON");
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
-    encoder
-        .write_all(&json)
-        .expect("memory takes what is written");
-    encoder.finish().expect("memory takes what is written")
+    deflate(&serde_json::to_vec(content).expect("content is expressible in JSON"))
 }
 
 /// Inflates content of a peer.
@@ -136,25 +127,12 @@
 /// # Errors
 ///
 /// Returns [`Fault::Malformed`] for content that is torn or inflates to more
-/// than [`LIST_BYTES`], and the first [`Fault`] of a whole list.
+/// than [`LIST_BYTES`](super::LIST_BYTES), and the first [`Fault`] of a whole
+/// list.
 pub fn decode(bytes: &[u8]) -> Result<Content, Fault> {
-    let mut json = Vec::new();
-    let mut decoder = DeflateDecoder::new(bytes).take(LIST_BYTES as u64 + 1);
-    let read = decoder.read_to_end(&mut json);
-    read.map_err(|error| malformed(&error))?;
-    if json.len() > LIST_BYTES {
-        return Err(Fault::Malformed {
-            reason: format!("the list inflates to more than {LIST_BYTES} bytes"),
-        });
-    }
+    let json = inflate(bytes)?;
     match serde_json::from_slice(&json).map_err(|error| malformed(&error))? {
         Content::List(list) => Ok(Content::List(check_all(list)?)),
         delta => Ok(delta),
     }
 }
-
-fn malformed(error: &dyn std::error::Error) -> Fault {
-    Fault::Malformed {
-        reason: error.to_string(),
-    }
-}
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -4,6 +4,9 @@
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer, Serialize};
 
@@ -188,13 +191,7 @@
 ///
 /// Never: a list is expressible in JSON, and memory takes what is written.
 pub fn pack(list: &List) -> Vec<u8> {
-    let json = serde_json::to_vec(list).expect("a list is expressible in JSON");
-    let mut encoder =
-        flate2::write::DeflateEncoder::new(Vec::new(), flate2::Compression::default());
-    encoder
-        .write_all(&json)
-        .expect("memory takes what is written");
-    encoder.finish().expect("memory takes what is written")
+    deflate(&serde_json::to_vec(list).expect("a list is expressible in JSON"))
 }
 
 /// Inflates and checks a list of a peer.
@@ -204,17 +201,33 @@
 /// Returns the first [`Fault`] found; a list that inflates to more than
 /// [`LIST_BYTES`] is malformed.
 pub fn unpack(bytes: &[u8]) -> Result<List, Fault> {
+    parse(&inflate(bytes)?)
+}
+
+fn deflate(json: &[u8]) -> Vec<u8> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+    encoder
+        .write_all(json)
+        .expect("memory takes what is written");
+    encoder.finish().expect("memory takes what is written")
+}
+
+fn inflate(bytes: &[u8]) -> Result<Vec<u8>, Fault> {
     let mut json = Vec::new();
-    let mut decoder = flate2::read::DeflateDecoder::new(bytes).take(LIST_BYTES as u64 + 1);
+    let mut decoder = DeflateDecoder::new(bytes).take(LIST_BYTES as u64 + 1);
     decoder
         .read_to_end(&mut json)
-        .map_err(|error| Fault::Malformed {
-            reason: error.to_string(),
-        })?;
+        .map_err(|error| malformed(&error))?;
     if json.len() > LIST_BYTES {
         return Err(Fault::Malformed {
             reason: format!("the list inflates to more than {LIST_BYTES} bytes"),
         });
     }
-    parse(&json)
+    Ok(json)
+}
+
+fn malformed(error: &dyn std::error::Error) -> Fault {
+    Fault::Malformed {
+        reason: error.to_string(),
+    }
 }
