distribution: hosts that the store lost keep the hosts they knew

A store removes the entries of hosts that it does not hear.

Change: a daemon whose own upstream is removed asks the store itself. A list that keeps entries of an outage has a lower number than one of the same revision that does not, so that it cannot stay in force at a follower that changes its reader.

--- a/crates/daemon/src/distribution/follow.rs
+++ b/crates/daemon/src/distribution/follow.rs
@@ -107,6 +107,8 @@
         .distribution
         .update(|source| source.on_hosts(&places));
     context.distribution.changed.notify_one();
+    let cut_off = &context.distribution.cut_off;
+    cut_off.on_list(context.now(), &context.settings.host, &list);
     let mut hosts = list.hosts.iter();
     let own = hosts.find(|host| host.name == context.settings.host);
     context.gatekeeper.departures.on_list(context.now(), own);
--- a/crates/daemon/src/distribution/hint.rs
+++ b/crates/daemon/src/distribution/hint.rs
@@ -10,8 +10,8 @@
 
 use savorylane_distribution::age::Numbers;
 use savorylane_intent::adopt::Outcome;
-use savorylane_intent::hosts::{self, List};
 
+use super::cut_off::merged;
 use super::numbers;
 use crate::kernel::Context;
 use crate::peers::fetch;
@@ -74,14 +74,6 @@
     });
 }
 
-/// Merges a newer list with the hosts that only the own one names. The result
-/// precedes the newer list, which thus takes its place once a reader tells it.
-fn merged(own: &List, newer: List) -> List {
-    let number = newer.number.saturating_sub(1).max(own.number + 1);
-    let merged = hosts::merge(own, newer);
-    List { number, ..merged }
-}
-
 /// Fetches a list. A daemon that learns nothing from the store may be cut off
 /// together with hosts that the store no longer lists, and keeps those.
 async fn fetch_list(context: &Arc<Context>, control: SocketAddr, source: &str) {
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -4,6 +4,7 @@
 //! [`news`] makes and takes the answers, and [`hint`] acts on the numbers that
 //! requests and answers between daemons carry.
 
+pub mod cut_off;
 pub mod follow;
 pub mod hint;
 pub mod news;
@@ -43,6 +44,8 @@
     /// Whether another daemon is being asked because of a hint.
     asking: AtomicBool,
     encoded: news::Cache,
+    /// Whether this host is cut off from the store.
+    pub cut_off: cut_off::State,
 }
 
 impl Distribution {
@@ -63,6 +66,7 @@
             adopt_after_ms: AtomicU64::new(0),
             asking: AtomicBool::new(false),
             encoded: news::Cache::default(),
+            cut_off: cut_off::State::default(),
         }
     }
 
--- a/crates/daemon/src/distribution/news.rs
+++ b/crates/daemon/src/distribution/news.rs
@@ -283,6 +283,8 @@
     });
     match list {
         Ok(list) => {
+            let known = context.config.list().unwrap_or_default();
+            let list = context.distribution.cut_off.keep(&known, list);
             context.config.offer_hosts(&context.trail, list, host);
             true
         }
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -16,7 +16,7 @@
 use savorylane_platform::store::{Batch, Change, Client, Fault, Part, What};
 use tokio_util::sync::CancellationToken;
 
-use crate::distribution::follow;
+use crate::distribution::{cut_off, follow};
 use crate::kernel::Context;
 use crate::settings::Adapter;
 
@@ -30,6 +30,8 @@
 const START_READS: usize = 3;
 /// Time between two of them.
 const START_PAUSE: Duration = Duration::from_millis(500);
+/// Shortest wait of a daemon that is cut off before it calls again.
+const RETRY_MIN: Duration = Duration::from_millis(200);
 /// Longest wait before a failed call is made again; only readers call.
 const RETRY_MAX: Duration = Duration::from_millis(500);
 
@@ -55,9 +57,11 @@
             }
         }
     };
+    let client = Client::new(address);
+    let doubts = confirm_removals(&context, &adapter, &client);
     let follow = follow::run(Arc::clone(&context), stop.clone());
     tokio::select! {
-        _ = async { tokio::join!(reads, follow) } => {}
+        _ = async { tokio::join!(reads, doubts, follow) } => {}
         () = stop.cancelled() => {}
     }
 }
@@ -85,6 +89,28 @@
     context.distribution.update(|source| source.start(now));
 }
 
+/// Asks the store whenever the own upstream was removed from the list: one
+/// that does not answer has lost this host, and not the upstream.
+async fn confirm_removals(context: &Arc<Context>, adapter: &Adapter, client: &Client) {
+    let cut_off = &context.distribution.cut_off;
+    loop {
+        cut_off.doubted().await;
+        let mut delay = Delay::default();
+        loop {
+            match client.read(Part::Entries).await {
+                Ok(batch) => {
+                    cut_off.on_answer();
+                    entries::publish_first(context, adapter, batch);
+                    break;
+                }
+                Err(_) => cut_off::begin(context),
+            }
+            let wait = delay.next(&mut rand::rng()).min(RETRY_MAX);
+            tokio::time::sleep(wait.max(RETRY_MIN)).await;
+        }
+    }
+}
+
 /// Says whether the list names a host of the own data centre. Where all start
 /// at once, daemons can run before any upstream has registered.
 fn is_listed(context: &Context) -> bool {
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -15,6 +15,9 @@
 /// Bits of a list's number below the store's revision. Lists also change
 /// between two revisions, when kept entries expire.
 const STEP_BITS: u32 = 8;
+/// First step of lists without kept entries. Of two lists of one revision the
+/// one without is the greater, whoever made it.
+const WHOLE: u64 = 1 << (STEP_BITS - 1);
 
 /// One run of an upstream.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -146,8 +149,8 @@
             self.revision = revision;
             self.step = 0;
         }
-        let step = self.step.min((1 << STEP_BITS) - 1);
-        (self.revision << STEP_BITS) | step
+        let first = if self.expires().is_some() { 0 } else { WHOLE };
+        (self.revision << STEP_BITS) | (first + self.step.min(WHOLE - 1))
     }
 
     /// Returns when a kept entry ends.
--- a/crates/intent/tests/suite/registry.rs
+++ b/crates/intent/tests/suite/registry.rs
@@ -122,3 +122,21 @@
     registry.settle(SECOND + RETURN, 7);
     assert_eq!(ids(&registry), ["b"]);
 }
+
+/// Guards against a list with hosts that are gone, which stays in force at a
+/// daemon that goes from one reader to another of the same revision.
+#[test]
+fn a_list_with_kept_entries_precedes_one_without() {
+    let mut keeping = two();
+    keeping.on_return(SECOND);
+    keeping.remove(SECOND, 3, "a");
+    let with_kept = keeping.settle(SECOND, 3);
+    let again = keeping.settle(SECOND, 3);
+    let mut whole = two();
+    whole.remove(SECOND, 3, "a");
+    let without = whole.settle(SECOND, 3);
+    assert!(with_kept < again && again < without);
+    let expired = keeping.settle(SECOND + RETURN, 3);
+    assert!(expired >= without);
+    assert!(expired < whole.settle(SECOND, 4));
+}
