distribution: few daemons call a store that is away for all

Change: it tries one other reader, and stays where that learns nothing either. A reader that the store turns away alone is left as before. The test fails with the old rule.

--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -31,6 +31,11 @@
 const CHECK: Duration = Duration::from_secs(2);
 /// Age up to which the knowledge of a reader is worth following.
 const FRESH: Duration = Duration::from_secs(3);
+/// The same of a reader that the store does not answer. It is younger where
+/// that one learns from another reader.
+const FRESH_ELSEWHERE: Duration = Duration::from_millis(1_500);
+/// Readers that a follower leaves for want of news, one after the other.
+const CHANGES: u8 = 1;
 /// Time without the store after which a reader asks other readers.
 const LOST: Duration = Duration::from_millis(300);
 /// Greatest age with which a new reader goes on from the revision that it
@@ -79,6 +84,8 @@
     /// Hosts of the own data centre that polled this one.
     known: BTreeMap<Arc<str>, Known>,
     leaving: bool,
+    /// Readers that were left since one had news.
+    changes: u8,
 }
 
 impl Source {
@@ -97,6 +104,7 @@
             candidates: Vec::new(),
             known: BTreeMap::new(),
             leaving: false,
+            changes: 0,
         }
     }
 
@@ -332,7 +340,17 @@
             }
             _ => {}
         }
-        if answer.reader && (fresh || !answer.leaving && !self.has_other(now, host)) {
+        let news = match answer.reading {
+            Some(_) => fresh,
+            None => answer.age.is_some_and(|age| age <= FRESH_ELSEWHERE),
+        };
+        if news && !answer.leaving {
+            self.changes = 0;
+        }
+        // One other reader is tried. Where that learns nothing either, the
+        // store is away for all, and no more daemons are to call it.
+        let stays = news || self.changes >= CHANGES || !self.has_other(now, host);
+        if answer.reader && stays && !answer.leaving {
             if let Role::Follower(follower) = &mut self.role {
                 follower.trust = Trust::Proven;
                 follower.redirects = 0;
@@ -351,6 +369,7 @@
             return;
         }
         // One that is about to end, or knows nothing new.
+        self.changes = self.changes.saturating_add(u8::from(answer.reader));
         self.on_failure(now, host);
     }
 
--- a/crates/distribution/tests/distribution.rs
+++ b/crates/distribution/tests/distribution.rs
@@ -114,6 +114,34 @@
     assert_eq!(sim.readers().len(), 6, "{:?}", sim.readers());
 }
 
+/// Load pattern: the store is away for all. Guards against followers that take
+/// that for a lost reader and all call the store, and against versions that are
+/// late after its return.
+#[test]
+fn an_outage_of_the_store_makes_few_readers() {
+    let mut sim = Sim::new(testata(Mode::Readers));
+    sim.run(BEGIN);
+    for host in 0..79 {
+        sim.refuse(BEGIN, host, true);
+        sim.refuse(BEGIN + at(8_000), host, false);
+    }
+    let calls = sim.counts.store_calls;
+    let mut most = 0;
+    for step in 0..80 {
+        sim.run(BEGIN + at(step * 100));
+        most = most.max(sim.readers().len());
+    }
+    let calls = sim.counts.store_calls - calls;
+    println!("{most} readers, {calls} calls");
+    assert!(most <= 12, "{:?}", sim.readers());
+    assert!(calls < 12 * 8 * 5, "{calls} calls");
+    sim.publish(BEGIN + at(8_001), 500);
+    sim.run(END);
+    let (taken, ..) = sim.slowest(|_, _| true);
+    println!("{taken:?} after the return");
+    assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
+}
+
 /// Guards against store calls or bytes between regions that grow with the
 /// hosts.
 #[test]
