distribution: a host that is cut off polls at the usual pace

A list that a cut-off host merges has a lower number than the one that it was told, so that the plain list takes its place later. The poll names the number that it was told. savorylane_polls counts them.

Lists that a daemon merges because of a hint keep the newer number, as they did before.

--- a/crates/daemon/src/distribution/cut_off.rs
+++ b/crates/daemon/src/distribution/cut_off.rs
@@ -7,7 +7,7 @@
 //! itself: if that does not answer, the daemon keeps the hosts that it knew.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -34,6 +34,8 @@
     known: ArcSwapOption<Known>,
     /// Notified when the store is to be asked.
     doubt: Notify,
+    /// Number of the newest list that was merged; 0 while none is.
+    seen: AtomicU64,
 }
 
 impl State {
@@ -64,15 +66,24 @@
     /// Takes that the store answered. Its list counts again.
     pub fn on_answer(&self) {
         self.cut_off.store(false, Ordering::Relaxed);
+        self.seen.store(0, Ordering::Relaxed);
         self.known.store(None);
     }
 
+    /// Returns the number of the newest list that was merged, which is greater
+    /// than that in force; 0 while none is. Without it a reader would tell the
+    /// same list again and again.
+    pub(super) fn seen(&self) -> u64 {
+        self.seen.load(Ordering::Relaxed)
+    }
+
     /// Returns the list that is to be in force for a `newer` one.
     pub(super) fn keep(&self, own: &List, newer: List) -> List {
-        match self.cut_off.load(Ordering::Relaxed) {
-            true => merged(own, newer),
-            false => newer,
+        if !self.cut_off.load(Ordering::Relaxed) {
+            return newer;
         }
+        self.seen.fetch_max(newer.number, Ordering::Relaxed);
+        merged(own, newer)
     }
 }
 
@@ -100,7 +111,7 @@
 /// Merges a newer list with the hosts that only the own one names. The result
 /// precedes the newer list, which thus takes its place as soon as it is offered
 /// by itself.
-pub(super) fn merged(own: &List, newer: List) -> List {
+fn merged(own: &List, newer: List) -> List {
     let number = newer.number.saturating_sub(1);
     let merged = hosts::merge(own, newer);
     List { number, ..merged }
--- a/crates/daemon/src/distribution/follow.rs
+++ b/crates/daemon/src/distribution/follow.rs
@@ -2,6 +2,7 @@
 //! lists.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use savorylane_distribution::source::{Place, Request, Step};
@@ -62,6 +63,7 @@
         return failed("the host has no address");
     };
     let sent = context.now();
+    context.distribution.polls.fetch_add(1, Ordering::Relaxed);
     let message = news::ask(context, request);
     let client = client(context, address);
     let mut polled = Box::pin(async move { client.poll(message).await });
--- a/crates/daemon/src/distribution/hint.rs
+++ b/crates/daemon/src/distribution/hint.rs
@@ -10,8 +10,8 @@
 
 use savorylane_distribution::age::Numbers;
 use savorylane_intent::adopt::Outcome;
+use savorylane_intent::hosts;
 
-use super::cut_off::merged;
 use super::numbers;
 use crate::kernel::Context;
 use crate::peers::fetch;
@@ -83,7 +83,7 @@
     let age = context.distribution.age.of(context.now());
     let list = match age.is_none_or(|age| age <= CUT_OFF) {
         true => list,
-        false => merged(&context.config.list().unwrap_or_default(), list),
+        false => hosts::merge(&context.config.list().unwrap_or_default(), list),
     };
     context.config.offer_hosts(&context.trail, list, source);
 }
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -44,6 +44,8 @@
     /// Whether another daemon is being asked because of a hint.
     asking: AtomicBool,
     encoded: news::Cache,
+    /// Polls that this daemon has sent.
+    polls: AtomicU64,
     /// Whether this host is cut off from the store.
     pub cut_off: cut_off::State,
 }
@@ -66,6 +68,7 @@
             adopt_after_ms: AtomicU64::new(0),
             asking: AtomicBool::new(false),
             encoded: news::Cache::default(),
+            polls: AtomicU64::new(0),
             cut_off: cut_off::State::default(),
         }
     }
@@ -102,6 +105,11 @@
         self.reads.subscribe()
     }
 
+    /// Returns the number of polls that this daemon has sent.
+    pub fn polls(&self) -> u64 {
+        self.polls.load(Ordering::Relaxed)
+    }
+
     /// Returns the revision of the store up to which all versions are known.
     pub fn revision(&self) -> u64 {
         self.revision.load(Ordering::Relaxed)
--- a/crates/daemon/src/distribution/news.rs
+++ b/crates/daemon/src/distribution/news.rs
@@ -58,7 +58,10 @@
         needs: request.needs,
         reading_ms: reading.map(millis),
         version: context.config.version(),
-        list: listed.as_ref().map_or(0, |listed| listed.list.number),
+        list: listed
+            .as_ref()
+            .map_or(0, |listed| listed.list.number)
+            .max(context.distribution.cut_off.seen()),
         list_hash: listed.map(|listed| listed.hash),
         wait_ms: millis(request.wait),
         version_after_ms: match request.wait.is_zero() {
--- a/crates/daemon/src/edge/keyed_store/config.rs
+++ b/crates/daemon/src/edge/keyed_store/config.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use savorylane_distribution::pace::Pace;
-use savorylane_distribution::source::GAP_MAX;
+use savorylane_distribution::source::RESUME_AGE_MAX;
 use savorylane_intent::Document;
 use savorylane_intent::adopt::{self, Outcome};
 use savorylane_membership::backoff::Delay;
@@ -27,7 +27,7 @@
     pub(super) fn open(store: &'a Store) -> Self {
         let distribution = &store.context.distribution;
         let age = distribution.age.of(store.context.now());
-        let goes_on = age.is_some_and(|age| age <= GAP_MAX);
+        let goes_on = age.is_some_and(|age| age <= RESUME_AGE_MAX);
         Self {
             store,
             revision: if goes_on { distribution.revision() } else { 0 },
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -31,6 +31,7 @@
     store_lost: Gauge<u64>,
     age: Gauge<u64>,
     reader: Gauge<u64>,
+    polls: Gauge<u64>,
 }
 
 /// Boundaries of latency histograms, seconds.
@@ -105,6 +106,10 @@
                 .u64_gauge("savorylane_reader")
                 .with_description("Whether this daemon reads the store; 1 or 0")
                 .build(),
+            polls: meter
+                .u64_gauge("savorylane_polls")
+                .with_description("Polls that this daemon has sent to other daemons")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -139,6 +144,7 @@
         self.store_lost.record(distribution.lost_ms(now), &[]);
         self.reader
             .record(u64::from(*distribution.reads().borrow()), &[]);
+        self.polls.record(distribution.polls(), &[]);
         if let Some(age) = distribution.age.of(now) {
             self.age.record(age.as_millis() as u64, &[]);
         }
--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -41,7 +41,7 @@
 /// Greatest age with which a new reader goes on from the revision that it
 /// knows. One that takes over after a loss would read all versions that came
 /// since, and reads the newest instead.
-pub const GAP_MAX: Duration = Duration::from_secs(1);
+pub const RESUME_AGE_MAX: Duration = Duration::from_secs(1);
 /// Time after which a host that was asked to read may be asked again.
 const PROMOTE_AGAIN: Duration = Duration::from_secs(10);
 /// Time without a poll after which a follower is forgotten.
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -13,9 +13,9 @@
 use savorylane_distribution::source::{
     Answer,
     Candidate,
-    GAP_MAX,
     Place,
     Poll,
+    RESUME_AGE_MAX,
     Request,
     Source,
     Step, //
@@ -514,7 +514,7 @@
             Mode::AllNewest => true,
             Mode::Readers | Mode::ReadersWhole => {
                 let node = &self.nodes[host];
-                let old = node.age.of(self.now).is_none_or(|age| age > GAP_MAX);
+                let old = node.age.of(self.now).is_none_or(|age| age > RESUME_AGE_MAX);
                 old || node.pace.is_slow()
             }
         };
