distribution: one reader of the mesh calls the store, the others poll it

Cause: one reader a data centre watched the store with two watches of 1 s, so nine data centres called it some 35 times a second; each daemon read all pages of the entries at its start, up to three times, and once more when its upstream was removed.

Change: readers poll the primary, the reader of the first data centre by name that has one, and call the store themselves whenever it is lost, leaves, or its knowledge is over 1.4 s old. A held poll is answered once the knowledge of the polled daemon is confirmed, so that its age does not grow by the wait of each poll on the way. A start reads one stale page to find a daemon of its data centre, which tells the list; stale entries are never routed by. A removed upstream asks with a probe at a tenth of a call.

Ruled out: one group of followers for the whole mesh (polls of all hosts cross regions); longer watches (a store that went silent is noticed after them).

Tests: the virtual mesh now uses the first answer to a poll that is not held, as the driver does, and asks for one host that calls the store beside one that answers in each data centre, where it asked for one reader in each.

--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -29,6 +29,8 @@
 pub struct Distribution {
     /// Age of the knowledge.
     pub age: Age,
+    /// Changes whenever the knowledge is confirmed.
+    confirmed: watch::Sender<()>,
     source: Mutex<Source>,
     /// Whether this daemon reads the store.
     reads: watch::Sender<bool>,
@@ -60,6 +62,7 @@
         };
         Self {
             age: Age::default(),
+            confirmed: watch::Sender::new(()),
             source: Mutex::new(Source::new(own, settings.link_mbps)),
             reads: watch::Sender::new(false),
             changed: Notify::new(),
@@ -73,6 +76,12 @@
         }
     }
 
+    /// Takes that all changes up to the moment `at` are known.
+    pub fn confirm(&self, at: Duration) {
+        self.age.confirm(at);
+        self.confirmed.send_replace(());
+    }
+
     /// Calls `change` on the source, and tells of a new role.
     pub fn update<T>(&self, change: impl FnOnce(&mut Source) -> T) -> T {
         let mut source = self.lock();
@@ -100,6 +109,11 @@
         result
     }
 
+    /// Has the next step decided anew.
+    pub fn wake(&self) {
+        self.changed.notify_one();
+    }
+
     /// Returns a receiver that is told whether this daemon reads the store.
     pub fn reads(&self) -> watch::Receiver<bool> {
         self.reads.subscribe()
--- a/crates/daemon/src/distribution/news.rs
+++ b/crates/daemon/src/distribution/news.rs
@@ -19,6 +19,8 @@
 
 /// Longest time for which a poll is held, whatever it asks for.
 const HOLD_MAX: Duration = Duration::from_secs(5);
+/// Least progress of the confirmed moment for which a held poll is answered.
+const CONFIRMATION: Duration = Duration::from_millis(400);
 /// Encoded differences that are kept; most followers have the same base.
 const ENCODED: usize = 8;
 
@@ -83,9 +85,8 @@
     };
     let mut roles = on_poll(context, &message);
     let wait = Duration::from_millis(message.wait_ms).min(HOLD_MAX);
-    let holds = roles.reader && !roles.promote && !roles.leaving && roles.source.is_none();
     let version_at = asked + Duration::from_millis(message.version_after_ms).min(wait);
-    if holds && !wait.is_zero() {
+    if roles.hold && !wait.is_zero() {
         let news = async {
             while !has_news(context, &told, version_at) {
                 let until_version = version_at.saturating_sub(context.now());
@@ -97,6 +98,7 @@
         };
         tokio::select! {
             () = news => {}
+            () = confirmation(context) => {}
             () = context.leaving.cancelled() => {}
             () = tokio::time::sleep(wait) => {}
         }
@@ -105,6 +107,25 @@
     compose(context, &message, &told, roles, asked)
 }
 
+/// Waits until the knowledge is confirmed up to a later moment than now, so
+/// that its age does not grow by the wait of each poll on the way.
+async fn confirmation(context: &Context) {
+    let distribution = &context.distribution;
+    let mut confirmed = distribution.confirmed.subscribe();
+    let now = context.now();
+    let known = distribution.age.of(now);
+    let moment = |now: Duration, age: Duration| now.saturating_sub(age);
+    let told = known.map_or(Duration::ZERO, |age| moment(now, age));
+    // The sender lives as long as the context.
+    while confirmed.changed().await.is_ok() {
+        let now = context.now();
+        let age = distribution.age.of(now);
+        if age.is_some_and(|age| moment(now, age) >= told + CONFIRMATION) {
+            return;
+        }
+    }
+}
+
 /// Returns whether a follower that has `told` is answered now. It gets versions
 /// from `version_at` on, and lists at once.
 fn has_news(context: &Context, told: &Numbers, version_at: Duration) -> bool {
@@ -229,7 +250,7 @@
     let age = news.age_ms.map(Duration::from_millis);
     if whole && let Some(age) = age {
         let distribution = &context.distribution;
-        distribution.age.confirm(now.saturating_sub(age + transit));
+        distribution.confirm(now.saturating_sub(age + transit));
         distribution.on_revision(news.revision);
     }
     let candidate = |candidate: &Candidate| source::Candidate {
@@ -244,6 +265,7 @@
         source: news.source.as_deref().map(Arc::from),
         promote: news.promote,
         leaving: news.leaving,
+        hold: false,
         candidates: news.candidates.iter().map(candidate).collect(),
     };
     let now = context.now();
--- a/crates/daemon/src/edge/keyed_store/config.rs
+++ b/crates/daemon/src/edge/keyed_store/config.rs
@@ -1,6 +1,7 @@
 //! The configuration, as a reader follows it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use savorylane_distribution::pace::Pace;
 use savorylane_distribution::source::RESUME_AGE_MAX;
@@ -40,17 +41,25 @@
     /// are passed over.
     pub(super) async fn follow(&mut self) {
         let mut whole = self.revision == 0;
+        // The first answer shows at once that what is known holds.
+        let mut first = true;
         loop {
             let client = &self.store.config;
             let answer = match whole {
                 true => client.read(Part::Config).await,
                 false => {
-                    let wait = self.store.wait();
+                    let wait = match first {
+                        true => Duration::ZERO,
+                        false => self.store.wait(),
+                    };
                     client.watch(Part::Config, self.revision, wait).await
                 }
             };
             match answer {
-                Ok(batch) => whole = self.take(batch).await,
+                Ok(batch) => {
+                    first = false;
+                    whole = self.take(batch).await;
+                }
                 Err(Fault::Compacted) => {
                     log::info!("the history of the configuration is gone; reading it again");
                     whole = true;
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use savorylane_distribution::age::STALE;
+use savorylane_distribution::source::Place;
 use savorylane_intent::hosts::{Host, List};
 use savorylane_intent::registry::{Instance, Registry};
 use savorylane_membership::backoff::Delay;
-use savorylane_platform::store::{Batch, Fault, Part, What};
+use savorylane_platform::store::{Batch, Client, Consistency, Fault, Part, What};
 
 use super::{Store, log_read};
 use crate::config::PLATFORM;
@@ -145,6 +146,48 @@
     }
 }
 
+/// Returns where hosts stand, read until one of the own data centre is found;
+/// none if there is none. They serve to find other daemons, and may have left.
+///
+/// # Errors
+///
+/// Returns why the entries could not be read.
+pub(super) async fn neighbours(
+    context: &Context,
+    client: &Client,
+    consistency: Consistency,
+) -> Result<Vec<Place>, Fault> {
+    let own = context.settings.data_centre.as_str();
+    let mut places: Vec<Place> = Vec::new();
+    let mut after = String::new();
+    loop {
+        let portion = client.page(Part::Entries, &after, consistency).await?;
+        let entries = portion.changes.iter();
+        places.extend(entries.filter_map(|change| match &change.what {
+            What::Entry(_, Some(instance)) => Some(place(context, instance)),
+            _ => None,
+        }));
+        if places.iter().any(|place| *place.data_centre == *own) {
+            return Ok(places);
+        }
+        match portion.next {
+            Some(key) => after = key,
+            None => return Ok(Vec::new()),
+        }
+    }
+}
+
+/// Returns where the host of an upstream stands.
+fn place(context: &Context, instance: &Instance) -> Place {
+    let adapter = context.settings.adapter.as_ref();
+    let region = adapter.and_then(|adapter| adapter.regions.get(&instance.data_centre));
+    Place {
+        name: instance.address.ip().to_string().into(),
+        data_centre: instance.data_centre.as_str().into(),
+        region: region.map_or(UNKNOWN, String::as_str).into(),
+    }
+}
+
 /// Puts the entries of a first reading in force.
 pub(super) fn publish_first(context: &Context, adapter: &Adapter, batch: Batch) {
     let (now, at) = (context.now(), batch.at);
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use savorylane_membership::backoff::Delay;
-use savorylane_platform::store::{Batch, Change, Client, Fault, Part, What};
+use savorylane_platform::store::{Batch, Change, Client, Consistency, Fault, Part, What};
 use tokio_util::sync::CancellationToken;
 
 use crate::distribution::{cut_off, follow};
@@ -26,10 +26,10 @@
 /// The same while the store gives no answers, so that its return is noticed
 /// soon.
 const WATCH_LOST: Duration = Duration::from_millis(200);
-/// Readings of the entries at the start, at most.
-const START_READS: usize = 3;
+/// Looks for hosts of the own data centre at the start, at most.
+const START_LOOKS: usize = 6;
 /// Time between two of them.
-const START_PAUSE: Duration = Duration::from_millis(500);
+const START_PAUSE: Duration = Duration::from_millis(300);
 /// Shortest wait of a daemon that is cut off before it calls again.
 const RETRY_MIN: Duration = Duration::from_millis(200);
 /// Longest wait before a failed call is made again; only readers call.
@@ -45,7 +45,7 @@
         return;
     };
     let reads = async {
-        start(&context, &adapter, &Client::new(address)).await;
+        start(&context, &Client::new(address)).await;
         let mut reads = context.distribution.reads();
         loop {
             // The sender lives as long as the context.
@@ -66,11 +66,17 @@
     }
 }
 
-/// Reads the entries, so that the hosts of the data centre are known.
-async fn start(context: &Arc<Context>, adapter: &Adapter, client: &Client) {
-    for _ in 0..START_READS {
-        match client.read(Part::Entries).await {
-            Ok(batch) => entries::publish_first(context, adapter, batch),
+/// Looks for hosts of the data centre, one of which tells the rest. Where all
+/// start at once, daemons can run before any upstream has registered.
+async fn start(context: &Arc<Context>, client: &Client) {
+    let mut places = Vec::new();
+    for look in 1..=START_LOOKS {
+        let consistency = match look {
+            START_LOOKS => Consistency::Linearizable,
+            _ => Consistency::Stale,
+        };
+        match entries::neighbours(context, client, consistency).await {
+            Ok(found) => places = found,
             Err(fault) => {
                 log::info!(
                     target: "dependency", dependency = "store", outcome = "lost";
@@ -79,14 +85,17 @@
                 break;
             }
         }
-        if is_listed(context) {
+        if !places.is_empty() {
             break;
         }
         tokio::time::sleep(START_PAUSE).await;
     }
-    follow::on_list(context);
     let now = context.now();
-    context.distribution.update(|source| source.start(now));
+    context.distribution.update(|source| {
+        source.on_hosts(&places);
+        source.start(now);
+    });
+    context.distribution.wake();
 }
 
 /// Asks the store whenever the own upstream was removed from the list: one
@@ -95,15 +104,17 @@
     let cut_off = &context.distribution.cut_off;
     loop {
         cut_off.doubted().await;
+        if client.probe().await.is_ok() {
+            cut_off.on_answer();
+            continue;
+        }
+        cut_off::begin(context);
         let mut delay = Delay::default();
         loop {
-            match client.read(Part::Entries).await {
-                Ok(batch) => {
-                    cut_off.on_answer();
-                    entries::publish_first(context, adapter, batch);
-                    break;
-                }
-                Err(_) => cut_off::begin(context),
+            if let Ok(batch) = client.read(Part::Entries).await {
+                cut_off.on_answer();
+                entries::publish_first(context, adapter, batch);
+                break;
             }
             let wait = delay.next(&mut rand::rng()).min(RETRY_MAX);
             tokio::time::sleep(wait.max(RETRY_MIN)).await;
@@ -111,14 +122,6 @@
     }
 }
 
-/// Says whether the list names a host of the own data centre. Where all start
-/// at once, daemons can run before any upstream has registered.
-fn is_listed(context: &Context) -> bool {
-    let list = context.config.list();
-    let mut hosts = list.iter().flat_map(|list| &list.hosts);
-    hosts.any(|host| host.data_centre == context.settings.data_centre)
-}
-
 /// The store as a reader sees it.
 struct Store {
     context: Arc<Context>,
@@ -169,7 +172,7 @@
             return false;
         }
         let distribution = &self.context.distribution;
-        distribution.age.confirm(Duration::from_millis(whole_ms));
+        distribution.confirm(Duration::from_millis(whole_ms));
         let Some(away_ms) = distribution.on_answered(now) else {
             return false;
         };
--- a/crates/distribution/src/source/message.rs
+++ b/crates/distribution/src/source/message.rs
@@ -43,6 +43,9 @@
 pub struct Answer {
     /// Whether the sender is a reader.
     pub reader: bool,
+    /// Whether the poll may wait for news at the sender. Only the sender uses
+    /// this.
+    pub hold: bool,
     /// Rate of the sender's link, megabits a second; 0 if it is not known.
     pub rate: u32,
     /// As in [`Poll::reading`].
--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -11,10 +11,16 @@
 //! the faster link is better, since a store tells large values whole. A reader
 //! that the store turns away learns from readers of other data centres and
 //! goes on answering.
+//!
+//! Of the readers of all data centres one calls the store, the *primary*: that
+//! of the first data centre by name which has one. The others poll it, and call
+//! the store themselves whenever it is lost or its knowledge is old.
 
 mod backoff;
 mod delay;
+mod follower;
 mod message;
+mod reader;
 mod role;
 
 use std::collections::BTreeMap;
@@ -27,17 +33,10 @@
 pub use role::Rank;
 use role::{Follower, Reader, Role, Trust};
 
-/// Time between two looks of a reader for a better one.
-const CHECK: Duration = Duration::from_secs(2);
+/// Time that a daemon waits which has not started.
+const IDLE: Duration = Duration::from_secs(2);
 /// Age up to which the knowledge of a reader is worth following.
 const FRESH: Duration = Duration::from_secs(3);
-/// The same of a reader that the store does not answer. It is younger where
-/// that one learns from another reader.
-const FRESH_ELSEWHERE: Duration = Duration::from_millis(1_500);
-/// Readers that a follower leaves for want of news, one after the other.
-const CHANGES: u8 = 1;
-/// Time without the store after which a reader asks other readers.
-const LOST: Duration = Duration::from_millis(300);
 /// Greatest age with which a new reader goes on from the revision that it
 /// knows. One that takes over after a loss would read all versions that came
 /// since, and reads the newest instead.
@@ -50,14 +49,6 @@
 const CANDIDATES: usize = 3;
 /// Hosts of a data centre that are tried as the rendezvous.
 const RENDEZVOUS: usize = 3;
-/// Polls of a host that has just started before another one is tried.
-const STARTS: u8 = 6;
-/// Time between two of them.
-const START_PAUSE: Duration = Duration::from_millis(100);
-/// Times in a row that a follower is sent elsewhere before it leaves the named
-/// host alone: two hosts may name each other.
-const REDIRECTS: u8 = 4;
-
 /// A follower as a reader knows it.
 #[derive(Clone, Debug)]
 struct Known {
@@ -77,6 +68,8 @@
     near: Vec<Arc<str>>,
     /// Hosts of each other data centre by name; those of the own region first.
     far: Vec<Vec<Arc<str>>>,
+    /// Hosts of each data centre that precedes the own one, by name.
+    ahead: Vec<Vec<Arc<str>>>,
     outages: Outages,
     delay: Delay,
     /// Followers that become readers when the source is lost.
@@ -99,6 +92,7 @@
             role: Role::Starting,
             near: Vec::new(),
             far: Vec::new(),
+            ahead: Vec::new(),
             outages: Outages::default(),
             delay: Delay::default(),
             candidates: Vec::new(),
@@ -110,6 +104,11 @@
 
     /// Returns whether this daemon reads the store.
     pub fn reads(&self) -> bool {
+        matches!(&self.role, Role::Reader(reader) if reader.primary.is_none())
+    }
+
+    /// Returns whether this daemon answers followers.
+    pub fn is_reader(&self) -> bool {
         matches!(self.role, Role::Reader(_))
     }
 
@@ -118,7 +117,10 @@
         match &self.role {
             Role::Starting => None,
             Role::Follower(follower) => Some(&follower.of),
-            Role::Reader(reader) => reader.elsewhere.as_ref(),
+            Role::Reader(reader) => {
+                let primary = reader.primary.as_ref().map(|primary| &primary.host);
+                primary.or(reader.elsewhere.as_ref())
+            }
         }
     }
 
@@ -137,8 +139,15 @@
             centres.entry(key).or_default().push(Arc::clone(&host.name));
         }
         self.near.sort();
+        centres.values_mut().for_each(|hosts| hosts.sort());
+        let mut ahead: Vec<(&str, Vec<Arc<str>>)> = centres
+            .iter()
+            .filter(|((_, centre), _)| **centre < *self.own.data_centre)
+            .map(|((_, centre), hosts)| (*centre, hosts.clone()))
+            .collect();
+        ahead.sort();
+        self.ahead = ahead.into_iter().map(|(_, hosts)| hosts).collect();
         self.far = centres.into_values().collect();
-        self.far.iter_mut().for_each(|hosts| hosts.sort());
         if let Role::Reader(reader) = &mut self.role
             && self.near.first() != first.as_ref()
         {
@@ -173,6 +182,10 @@
         let Role::Reader(reader) = &mut self.role else {
             return;
         };
+        // A call that was under way when the primary was found.
+        if reader.primary.is_some() {
+            return;
+        }
         match answers {
             true => {
                 reader.reading_since.get_or_insert(now);
@@ -191,8 +204,8 @@
         self.leaving = true;
     }
 
-    /// Returns the time for which this daemon has read the store without a
-    /// gap.
+    /// Returns the time for which this daemon has known what the store says
+    /// without a gap, as a reader.
     pub fn reading(&self, now: Duration) -> Option<Duration> {
         match &self.role {
             Role::Reader(reader) if !self.leaving => {
@@ -206,84 +219,14 @@
     pub fn next(&mut self, now: Duration) -> Step {
         self.give_way(now);
         match &mut self.role {
-            Role::Starting => Step::Idle(CHECK),
+            Role::Starting => Step::Idle(IDLE),
             Role::Follower(follower) if now < follower.not_before => {
                 Step::Idle(follower.not_before - now)
             }
             Role::Follower(follower) => {
                 Step::Poll(self.delay.poll(Arc::clone(&follower.of), follower.trust))
             }
-            Role::Reader(reader) => match reader.lost(now) {
-                Some(lost) if lost >= LOST => self.ask_elsewhere(now),
-                Some(lost) => Step::Idle(LOST - lost),
-                None => self.check(now),
-            },
-        }
-    }
-
-    /// Becomes a follower of a better reader once none needs this one.
-    fn give_way(&mut self, now: Duration) {
-        let Role::Reader(reader) = &self.role else {
-            return;
-        };
-        let Some(better) = reader.better.clone() else {
-            return;
-        };
-        if now >= reader.needed_until() {
-            self.follow(better, Trust::Needed);
-        }
-    }
-
-    /// Looks for a better reader from time to time.
-    fn check(&mut self, now: Duration) -> Step {
-        let rendezvous = self.rendezvous(now);
-        let Role::Reader(reader) = &mut self.role else {
-            return Step::Idle(CHECK);
-        };
-        let told = reader.look.take();
-        let due = reader.check_at;
-        if told.is_none() && now < due {
-            let until = match reader.better {
-                Some(_) => reader.needed_until().min(due),
-                None => due,
-            };
-            let least = Duration::from_millis(1);
-            return Step::Idle(until.saturating_sub(now).max(least));
-        }
-        reader.check_at = now + CHECK;
-        match told.or(rendezvous) {
-            Some(host) => Step::Poll(self.delay.look(host)),
-            None => Step::Idle(CHECK),
-        }
-    }
-
-    /// Learns from another reader while the store does not answer.
-    fn ask_elsewhere(&mut self, now: Duration) -> Step {
-        let known = match &self.role {
-            Role::Reader(reader) => reader.elsewhere.clone(),
-            _ => None,
-        };
-        if let Some(host) = known.filter(|host| !self.outages.lasts(now, host)) {
-            let trust = match &self.role {
-                Role::Reader(reader) => reader.trust_elsewhere,
-                _ => Trust::Unknown,
-            };
-            return Step::Poll(self.delay.poll(host, trust));
-        }
-        let centres = std::iter::once(&self.near).chain(&self.far);
-        let usable = |host: &&Arc<str>| !self.outages.lasts(now, host);
-        let next = centres
-            .filter_map(|hosts| hosts.iter().take(RENDEZVOUS).find(usable))
-            .next()
-            .cloned();
-        let Role::Reader(reader) = &mut self.role else {
-            return Step::Idle(CHECK);
-        };
-        reader.trust_elsewhere = Trust::Unknown;
-        reader.elsewhere.clone_from(&next);
-        match next {
-            Some(host) => Step::Poll(self.delay.look(host)),
-            None => Step::Idle(LOST),
+            Role::Reader(_) => self.next_of_reader(now),
         }
     }
 
@@ -320,119 +263,12 @@
         }
     }
 
-    fn follower_answered(&mut self, now: Duration, host: &str, answer: &Answer, fresh: bool) {
-        if answer.reader {
-            self.candidates.clone_from(&answer.candidates);
-        }
-        if answer.promote {
-            self.read(now);
-            if let Role::Reader(reader) = &mut self.role {
-                reader.look = Some(host.into());
-                reader.elsewhere = Some(host.into());
-                reader.trust_elsewhere = Trust::Proven;
-            }
-            return;
-        }
-        match &answer.source {
-            Some(source) if **source == *self.own.name => return self.read(now),
-            Some(source) if !self.outages.lasts(now, source) => {
-                return self.redirect(now, source);
-            }
-            _ => {}
-        }
-        let news = match answer.reading {
-            Some(_) => fresh,
-            None => answer.age.is_some_and(|age| age <= FRESH_ELSEWHERE),
-        };
-        if news && !answer.leaving {
-            self.changes = 0;
-        }
-        // One other reader is tried. Where that learns nothing either, the
-        // store is away for all, and no more daemons are to call it.
-        let stays = news || self.changes >= CHANGES || !self.has_other(now, host);
-        if answer.reader && stays && !answer.leaving {
-            if let Role::Follower(follower) = &mut self.role {
-                follower.trust = Trust::Proven;
-                follower.redirects = 0;
-            }
-            return;
-        }
-        if !answer.reader
-            && !answer.leaving
-            && answer.source.is_none()
-            && let Role::Follower(follower) = &mut self.role
-            && follower.redirects < STARTS
-        {
-            // It has just started as well, and may become the reader.
-            follower.redirects += 1;
-            follower.not_before = now + START_PAUSE;
-            return;
-        }
-        // One that is about to end, or knows nothing new.
-        self.changes = self.changes.saturating_add(u8::from(answer.reader));
-        self.on_failure(now, host);
-    }
-
-    /// Follows a named reader, unless hosts name each other.
-    fn redirect(&mut self, now: Duration, to: &Arc<str>) {
-        let Role::Follower(follower) = &mut self.role else {
-            return;
-        };
-        if follower.redirects >= REDIRECTS {
-            follower.redirects = 0;
-            self.outages.begin(now, to);
-            return;
-        }
-        follower.redirects += 1;
-        follower.of = Arc::clone(to);
-        follower.trust = Trust::Unknown;
-    }
-
-    fn reader_answered(&mut self, now: Duration, host: &str, answer: &Answer, fresh: bool) {
-        let near = self.is_near(host);
-        let rank = Rank::new(answer.rate, answer.reading, host);
-        let own = self.rank(now);
-        let Role::Reader(reader) = &mut self.role else {
-            return;
-        };
-        let elsewhere = reader.elsewhere.as_deref() == Some(host);
-        let redirect = answer.source.clone();
-        let redirect = redirect.filter(|source| *source != self.own.name);
-        if near && answer.reader && fresh && answer.reading.is_some() && rank > own {
-            reader.better = Some(host.into());
-            return;
-        }
-        if reader.better.as_deref() == Some(host) {
-            reader.better = None;
-        }
-        if elsewhere {
-            match (fresh && answer.reader, redirect) {
-                (true, _) => reader.trust_elsewhere = Trust::Proven,
-                (false, Some(source)) if !self.outages.lasts(now, &source) => {
-                    reader.trust_elsewhere = Trust::Unknown;
-                    reader.elsewhere = Some(source);
-                }
-                (false, _) => self.on_failure(now, host),
-            }
-        } else if near && let Some(source) = redirect {
-            reader.look = (*source != *host).then_some(source);
-        }
-    }
-
     /// Takes that a poll of `host` failed.
     pub fn on_failure(&mut self, now: Duration, host: &str) {
         self.outages.begin(now, host);
-        match &mut self.role {
+        match &self.role {
             Role::Follower(follower) if *follower.of == *host => {}
-            Role::Reader(reader) => {
-                if reader.elsewhere.as_deref() == Some(host) {
-                    reader.elsewhere = None;
-                }
-                if reader.better.as_deref() == Some(host) {
-                    reader.better = None;
-                }
-                return;
-            }
+            Role::Reader(_) => return self.reader_failed(now, host),
             _ => return,
         }
         let mut names = self.candidates.iter().map(|candidate| &candidate.name);
@@ -456,14 +292,25 @@
             self.on_near_poll(now, poll);
         }
         let promote = near && self.promotes(now, &poll.from);
-        let reader = self.reads();
-        let source = match &self.role {
-            Role::Starting => None,
-            Role::Follower(follower) => Some(Arc::clone(&follower.of)),
-            Role::Reader(reader) => reader.better.clone(),
+        let reader = self.is_reader();
+        let (mut source, mut hold) = match &self.role {
+            Role::Starting => (None, false),
+            Role::Follower(follower) => (Some(Arc::clone(&follower.of)), false),
+            Role::Reader(reader) => (reader.better.clone(), reader.better.is_none()),
         };
+        // Daemons of other data centres are sent on to the primary. One that
+        // relies on this daemon all the same may not reach it.
+        if let Role::Reader(reader) = &self.role
+            && let Some(primary) = &reader.primary
+            && source.is_none()
+            && !near
+        {
+            source = Some(Arc::clone(&primary.host));
+            hold = poll.needs;
+        }
         Answer {
             reader,
+            hold: hold && !promote && !self.leaving,
             rate: self.rate,
             reading: self.reading(now),
             age,
@@ -487,7 +334,7 @@
         known.polled = now;
         self.known
             .retain(|_, known| now.saturating_sub(known.polled) < FORGOTTEN);
-        if poll.needs && !self.reads() && !self.leaving {
+        if poll.needs && !self.is_reader() && !self.leaving {
             self.read(now);
         }
         let Role::Reader(reader) = &mut self.role else {
@@ -550,12 +397,6 @@
         self.near.iter().any(|name| **name == *host)
     }
 
-    /// Returns whether a host beside `host` may be followed.
-    fn has_other(&self, now: Duration, host: &str) -> bool {
-        let mut names = self.candidates.iter().map(|candidate| &candidate.name);
-        names.any(|name| **name != *host && !self.outages.lasts(now, name))
-    }
-
     /// Returns the host at which readers of the data centre find each other.
     fn rendezvous(&self, now: Duration) -> Option<Arc<str>> {
         let hosts = self.near.iter().take(RENDEZVOUS);
@@ -573,7 +414,7 @@
     }
 
     fn read(&mut self, now: Duration) {
-        if !self.reads() {
+        if !self.is_reader() {
             self.role = Role::Reader(Reader::new(now));
         }
     }
--- a/crates/distribution/src/source/role.rs
+++ b/crates/distribution/src/source/role.rs
@@ -18,7 +18,7 @@
     Starting,
     /// It polls a reader.
     Follower(Follower),
-    /// It reads the store.
+    /// It answers followers.
     Reader(Reader),
 }
 
@@ -46,7 +46,7 @@
     pub(super) not_before: Duration,
 }
 
-/// A daemon that reads the store.
+/// A daemon that answers followers. It reads the store unless a primary does.
 #[derive(Clone, Debug)]
 pub(super) struct Reader {
     /// When the store began to answer; `None` while it does not.
@@ -65,6 +65,23 @@
     pub(super) elsewhere: Option<Arc<str>>,
     /// What is known of that one.
     pub(super) trust_elsewhere: Trust,
+    /// Reader that calls the store in place of this one.
+    pub(super) primary: Option<Primary>,
+    /// Host that is asked whether it is the primary.
+    pub(super) candidate: Option<Arc<str>>,
+    /// When this reader looks for a primary.
+    pub(super) primary_at: Duration,
+}
+
+/// A reader of another data centre that calls the store for this one.
+#[derive(Clone, Debug)]
+pub(super) struct Primary {
+    /// The reader.
+    pub(super) host: Arc<str>,
+    /// What is known of it.
+    pub(super) trust: Trust,
+    /// Times in a row that this reader was sent on.
+    pub(super) redirects: u8,
 }
 
 impl Reader {
@@ -78,6 +95,9 @@
             better: None,
             elsewhere: None,
             trust_elsewhere: Trust::Unknown,
+            primary: None,
+            candidate: None,
+            primary_at: Duration::ZERO,
         }
     }
 
--- a/crates/distribution/tests/distribution.rs
+++ b/crates/distribution/tests/distribution.rs
@@ -37,6 +37,17 @@
     Duration::from_millis(millis)
 }
 
+/// Asserts that one host reads the store, and that each data centre has one
+/// that answers followers.
+fn assert_one_answers_in_each_centre(sim: &Sim) {
+    let (readers, answering) = (sim.readers(), sim.answering());
+    assert_eq!(readers.len(), 1, "{readers:?} read the store");
+    for centre in 0..sim.centres() {
+        let near = answering.iter().filter(|host| sim.centre(**host) == centre);
+        assert_eq!(near.count(), 1, "{answering:?} answer followers");
+    }
+}
+
 /// Load pattern: six versions a second of 1,100 routes, links of 7 Mbit/s.
 /// Guards against versions that are late where each host reads all of them.
 #[test]
@@ -47,8 +58,8 @@
     let (taken, version, host) = sim.slowest(|_, _| true);
     println!("{taken:?} {version} {host} {:?}", sim.counts);
     assert!(taken.is_some_and(|taken| taken < at(1_000)), "{taken:?}");
-    assert_eq!(sim.readers().len(), 6, "{:?}", sim.readers());
-    for reader in sim.readers() {
+    assert_one_answers_in_each_centre(&sim);
+    for reader in sim.answering() {
         assert_eq!(sim.rate(reader), 140);
     }
     let mut all = Sim::new(testata(Mode::AllVersions));
@@ -67,7 +78,7 @@
         let mut sim = Sim::new(testata(Mode::Readers));
         series(&mut sim);
         sim.run(BEGIN + at(delay));
-        for reader in sim.readers() {
+        for reader in sim.answering() {
             sim.kill(BEGIN + at(delay + 1), reader);
         }
         sim.run(END);
@@ -83,7 +94,7 @@
     let mut sim = Sim::new(testata(Mode::Readers));
     series(&mut sim);
     sim.run(BEGIN - at(500));
-    let readers = sim.readers();
+    let readers = sim.answering();
     for &reader in &readers[..4] {
         sim.refuse(BEGIN, reader, true);
     }
@@ -111,7 +122,7 @@
     let steady = |host: usize, _| host % 9 >= 5;
     let (taken, ..) = sim.slowest(steady);
     assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
-    assert_eq!(sim.readers().len(), 6, "{:?}", sim.readers());
+    assert_one_answers_in_each_centre(&sim);
 }
 
 /// Load pattern: the store is away for all. Guards against followers that take
@@ -161,16 +172,69 @@
         let (taken, version, host) = sim.slowest(|_, _| true);
         println!("{taken:?} {version} {host} {:?}", sim.counts);
         assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
-        assert_eq!(sim.readers().len(), 6, "{:?}", sim.readers());
-        for centre in 0..6 {
-            let readers = sim.readers();
-            let near = readers.iter().filter(|host| sim.centre(**host) == centre);
-            assert_eq!(near.count(), 1);
-        }
+        assert_one_answers_in_each_centre(sim);
     }
     assert!(large.counts.store_calls < small.counts.store_calls * 2);
 }
 
+/// Calls a second for the whole mesh, at rest.
+const REST_CALLS: f64 = 4.0;
+/// The same while versions come in a fast series.
+const SERIES_CALLS: f64 = 8.0;
+
+/// Load pattern: a mesh at rest, then six versions a second. Guards against
+/// store calls that grow with the hosts or the data centres, and against
+/// knowledge that is older the farther a host is from the store.
+#[test]
+fn the_mesh_calls_the_store_like_one_daemon() {
+    let sizes = [(12, 6), (79, 6), (295, 9), (1_105, 5)];
+    for (hosts, centres) in sizes {
+        let mut sim = Sim::new(Settings {
+            hosts,
+            centres,
+            ..testata(Mode::Readers)
+        });
+        sim.run(at(6_000));
+        let before = sim.counts.store_calls;
+        let mut oldest = Duration::ZERO;
+        for step in 0..80 {
+            sim.run(at(6_000 + 100 * step));
+            oldest = oldest.max(sim.oldest());
+        }
+        let rest = (sim.counts.store_calls - before) as f64 / 8.0;
+        let before = sim.counts.store_calls;
+        series(&mut sim);
+        sim.run(BEGIN + GAP * SERIES as u32);
+        let fast = (sim.counts.store_calls - before) as f64 / 5.1;
+        println!("{hosts} hosts: {rest} and {fast} calls a second, {oldest:?} old");
+        assert!(rest < REST_CALLS, "{hosts} hosts: {rest} calls a second");
+        assert!(fast < SERIES_CALLS, "{hosts} hosts: {fast} calls a second");
+        assert!(oldest < savorylane_distribution::age::STALE, "{oldest:?}");
+    }
+}
+
+/// Guards against readers that rely on a primary which is gone or which the
+/// store turns away.
+#[test]
+fn a_lost_primary_is_replaced_in_time() {
+    for delay in (0..1_600).step_by(100) {
+        for refused in [false, true] {
+            let mut sim = Sim::new(testata(Mode::Readers));
+            series(&mut sim);
+            sim.run(BEGIN + at(delay));
+            let primary = sim.readers()[0];
+            match refused {
+                true => sim.refuse(BEGIN + at(delay + 1), primary, true),
+                false => sim.kill(BEGIN + at(delay + 1), primary),
+            }
+            sim.run(END);
+            let (taken, version, host) = sim.slowest(|_, _| true);
+            println!("{delay} ms, refused: {refused}: {taken:?} {version} {host}");
+            assert!(taken.is_some_and(|taken| taken < IN_FORCE), "{taken:?}");
+        }
+    }
+}
+
 /// Prints the figures of the design note.
 #[test]
 #[ignore = "prints a table; checks nothing"]
--- a/crates/distribution/tests/sim/mod.rs
+++ b/crates/distribution/tests/sim/mod.rs
@@ -37,6 +37,8 @@
 const FAR: Duration = Duration::from_millis(20);
 /// Region that holds the store.
 const STORE_REGION: &str = "r-0";
+/// Least progress of the confirmed moment for which a held poll is answered.
+const CONFIRMATION: Duration = Duration::from_millis(400);
 /// Time between two attempts at a store that does not answer.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -128,6 +130,8 @@
     poll: Poll,
     version: u64,
     until: Duration,
+    /// Moment up to which the asked host knew all when it was asked.
+    confirmed: Duration,
 }
 
 struct Node {
@@ -144,6 +148,9 @@
     watching: bool,
     /// Number of the present call at the store; 0 while there is none.
     call: u64,
+    /// Whether the store has answered since the host began to call it. The
+    /// first call does not wait for news.
+    called: bool,
     /// Number of the poll under way; 0 for none.
     polling: u64,
     turn: u64,
@@ -208,6 +215,7 @@
                     refused: false,
                     watching: false,
                     call: 0,
+                    called: false,
                     polling: 0,
                     turn: 0,
                     held: Vec::new(),
@@ -262,12 +270,29 @@
         self.at(at, Event::Refuse(host, refused));
     }
 
+    /// Returns the hosts that answer followers.
+    pub(crate) fn answering(&self) -> Vec<usize> {
+        let answers = |host: &usize| self.nodes[*host].up && self.nodes[*host].source.is_reader();
+        (0..self.nodes.len()).filter(answers).collect()
+    }
+
+    /// Returns the greatest age of what a running host knows now.
+    pub(crate) fn oldest(&self) -> Duration {
+        let up = self.nodes.iter().filter(|node| node.up);
+        let age = |node: &Node| node.age.of(self.now).unwrap_or(self.now);
+        up.map(age).max().unwrap_or_default()
+    }
+
     /// Returns the hosts that read the store.
     pub(crate) fn readers(&self) -> Vec<usize> {
         let reads = |host: &usize| self.nodes[*host].up && self.nodes[*host].source.reads();
         (0..self.nodes.len()).filter(reads).collect()
     }
 
+    pub(crate) fn centres(&self) -> usize {
+        self.settings.centres
+    }
+
     pub(crate) fn centre(&self, host: usize) -> usize {
         host % self.settings.centres
     }
@@ -406,11 +431,11 @@
                 if self.alive(host, run) && self.nodes[host].polling == number {
                     self.nodes[host].polling = 0;
                     let name = Arc::clone(&self.places[from].name);
+                    self.adopt(host, version);
                     if let Some(age) = answer.age {
                         let at = self.now.saturating_sub(age + transit);
-                        self.nodes[host].age.confirm(at);
+                        self.confirm(host, at);
                     }
-                    self.adopt(host, version);
                     let now = self.now;
                     self.nodes[host]
                         .source
@@ -461,7 +486,10 @@
     fn after(&mut self, host: usize) {
         let reads = self.settings.mode.all_read() || self.nodes[host].source.reads();
         match (reads, self.nodes[host].call) {
-            (true, 0) => self.watch(host, self.now),
+            (true, 0) => {
+                self.nodes[host].called = false;
+                self.watch(host, self.now);
+            }
             (false, call) if call != 0 => {
                 self.nodes[host].call = 0;
                 self.nodes[host].watching = false;
@@ -487,9 +515,11 @@
             self.tell(host);
             return;
         }
-        node.watching = !node.refused;
+        let first = !std::mem::replace(&mut node.called, true);
+        node.watching = !node.refused && !first;
         let (at, version) = match node.refused {
             true => (self.now + RETRY, None),
+            false if first => (self.now + FAR, Some(self.version)),
             false => (self.now + WATCH, Some(self.version)),
         };
         let (call, taken) = (node.call, Duration::ZERO);
@@ -546,8 +576,8 @@
         self.nodes[host].source.on_contact(now, version.is_some());
         let mut wait = Duration::ZERO;
         if let Some(version) = version {
-            self.nodes[host].age.confirm(now);
             self.adopt(host, version);
+            self.confirm(host, now);
         }
         if !taken.is_zero() {
             self.nodes[host].pace.on_transfer(taken);
@@ -560,6 +590,17 @@
         self.after(host);
     }
 
+    fn confirm(&mut self, host: usize, at: Duration) {
+        let node = &mut self.nodes[host];
+        node.age.confirm(at);
+        let due = |held: &Asked| at >= held.confirmed + CONFIRMATION;
+        let (due, kept) = std::mem::take(&mut node.held).into_iter().partition(due);
+        node.held = kept;
+        for held in <Vec<Asked> as IntoIterator>::into_iter(due) {
+            self.answer(&held);
+        }
+    }
+
     fn adopt(&mut self, host: usize, version: u64) {
         if version <= self.nodes[host].version {
             return;
@@ -628,6 +669,7 @@
             poll,
             version,
             until: arrives + wait,
+            confirmed: Duration::ZERO,
         };
         self.at(
             now + limit,
@@ -642,17 +684,21 @@
         self.at(arrives, Event::Asked { poll });
     }
 
-    fn asked(&mut self, asked: Asked) {
+    fn asked(&mut self, mut asked: Asked) {
         let at = asked.at;
         if !self.nodes[at].up {
             return;
         }
         let now = self.now;
         let age = self.nodes[at].age.of(now);
-        self.nodes[at].source.on_poll(now, &asked.poll, age);
+        asked.confirmed = now.saturating_sub(age.unwrap_or(now));
+        let told = self.nodes[at].source.on_poll(now, &asked.poll, age);
         self.after(at);
-        let reader = self.nodes[at].source.reads();
-        if !reader || asked.until <= now || self.nodes[at].version > asked.version {
+        if !told.hold {
+            self.reply(&asked, told);
+            return;
+        }
+        if asked.until <= now || self.nodes[at].version > asked.version {
             self.answer(&asked);
             return;
         }
@@ -673,6 +719,12 @@
         let now = self.now;
         let age = self.nodes[at].age.of(now);
         let answer = self.nodes[at].source.on_poll(now, &asked.poll, age);
+        self.reply(asked, answer);
+    }
+
+    /// Sends the answer to a poll.
+    fn reply(&mut self, asked: &Asked, answer: Answer) {
+        let (at, now) = (asked.at, self.now);
         let version = self.nodes[at].version;
         let newer = self.published.range(asked.version + 1..);
         let between = newer.take_while(|(known, _)| **known <= version).count() as u64;
