--- a/crates/daemon/src/dispatch/link.rs
+++ b/crates/daemon/src/dispatch/link.rs
@@ -1,8 +1,8 @@
 //! Connections to other daemons, and when each last received bytes.
 //!
-//! A connection that receives nothing is silent, not broken: on a slow link the
-//! answers to its pings wait behind the bodies of requests. It gets no new
-//! requests, and those on it go on.
+//! A connection that receives nothing while requests wait on it is silent, not
+//! broken: on a slow link the answers to its pings wait behind the bodies of
+//! requests. It gets no new requests, and those on it go on.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -28,13 +28,16 @@
 use tokio::time::Sleep;
 use tower::Service;
 
-use crate::keepalive::PING_INTERVAL;
+use crate::keepalive::{IDLE, PING_INTERVAL};
 
 /// Time for the answer to a ping before the connection counts as silent.
 const PING_ALLOWANCE: Duration = Duration::from_secs(1);
 /// Time without a byte from the peer after which a connection is silent. A peer
 /// that answers pings sends something once in [`PING_INTERVAL`] at least.
 pub const SILENT: Duration = PING_INTERVAL.saturating_add(PING_ALLOWANCE);
+/// Time without a byte after which a connection without requests is closed. The
+/// pool hands none out that long after its last request.
+const UNUSED: Duration = SILENT.saturating_add(IDLE);
 /// Rate at which the bytes that were written since the last ones came are taken
 /// to pass, bytes a second: an eighth of a link of 7 Mbit/s. The answer to a
 /// ping is not late before they have.
@@ -52,6 +55,9 @@
     start: Instant,
     /// When bytes last came from the peer, microseconds since `start`.
     read_us: AtomicU64,
+    /// When the first of the requests that wait now came, microseconds since
+    /// `start`. Without requests nothing is sent that the peer would answer.
+    awaited_us: AtomicU64,
     /// Bytes that were written since then.
     written: AtomicU64,
     /// Requests that wait for the head of their answer.
@@ -88,10 +94,17 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Returns the time since bytes came from the peer.
+    /// Returns the time for which the peer has owed bytes and sent none.
     fn silence(&self) -> Duration {
-        let read = Duration::from_micros(self.0.read_us.load(Ordering::Relaxed));
-        self.0.start.elapsed().saturating_sub(read)
+        let read_us = self.0.read_us.load(Ordering::Relaxed);
+        let since_us = read_us.max(self.0.awaited_us.load(Ordering::Relaxed));
+        let since = Duration::from_micros(since_us);
+        self.0.start.elapsed().saturating_sub(since)
+    }
+
+    /// Returns whether no request waits for an answer.
+    fn is_idle(&self) -> bool {
+        self.0.waiting.load(Ordering::Relaxed) == 0
     }
 
     /// Says whether bytes came over a connection that was opened after the last
@@ -165,7 +178,10 @@
 
 impl Waiting {
     fn begin(activity: &Activity) -> Self {
-        activity.0.waiting.fetch_add(1, Ordering::Relaxed);
+        if activity.0.waiting.fetch_add(1, Ordering::Relaxed) == 0 {
+            let now_us = activity.0.start.elapsed().as_micros() as u64;
+            activity.0.awaited_us.store(now_us, Ordering::Relaxed);
+        }
         Self(activity.clone())
     }
 }
@@ -209,6 +225,7 @@
             peer,
             start: self.start,
             read_us: AtomicU64::new(opened_us),
+            awaited_us: AtomicU64::new(opened_us),
             written: AtomicU64::new(0),
             waiting: AtomicUsize::new(0),
             reported: AtomicBool::new(false),
@@ -253,16 +270,15 @@
 }
 
 impl Link {
-    /// Ends a silent connection on which no request waits, so that the next one
-    /// does not meet it.
+    /// Ends a connection on which no request waits after [`UNUSED`], when the
+    /// pool no longer hands it out.
     fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(self.look.as_mut().poll(cx));
-        let time_left = self.activity.time_left();
-        if time_left.is_none() && self.activity.0.waiting.load(Ordering::Relaxed) == 0 {
-            self.activity.report();
+        let left = UNUSED.saturating_sub(self.activity.silence());
+        if left.is_zero() && self.activity.is_idle() {
             return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
         }
-        let next = Instant::now() + time_left.unwrap_or(PING_INTERVAL);
+        let next = Instant::now() + left.max(PING_INTERVAL);
         self.look.as_mut().reset(next.into());
         // The reset timer must know whom to wake.
         let _ = self.look.as_mut().poll(cx);
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -17,7 +17,7 @@
 use crate::body::Body;
 use crate::call::{Call, Cause, Explanation, Refusal};
 use crate::edge::upstream::target;
-use crate::keepalive::{PING_INTERVAL, PING_TIMEOUT};
+use crate::keepalive::{IDLE, PING_INTERVAL, PING_TIMEOUT};
 
 /// Time for a connection to another daemon to be opened: six round trips to
 /// another region. A host that is cut off does not refuse connections, and each
@@ -261,6 +261,7 @@
         .pool_timer(TokioTimer::new())
         .http2_keep_alive_interval(PING_INTERVAL)
         .http2_keep_alive_timeout(PING_TIMEOUT)
-        .http2_keep_alive_while_idle(true)
+        .http2_keep_alive_while_idle(false)
+        .pool_idle_timeout(IDLE)
         .build(Connector::new(connector))
 }
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -24,7 +24,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::{Body, Packed};
-use crate::keepalive::{PING_INTERVAL, PING_TIMEOUT};
+use crate::keepalive::{PING_TIMEOUT, SERVER_PING_INTERVAL};
 use crate::kernel::Context;
 use rest::Drained;
 
@@ -349,7 +349,7 @@
     builder
         .http2()
         .timer(TokioTimer::new())
-        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_interval(SERVER_PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .initial_stream_window_size(limits.stream_window)
         .initial_connection_window_size(WINDOWS * STREAM_WINDOW)
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -36,7 +36,7 @@
 /// Wait between attempts to reach an upstream that is away.
 const CLOSED_RETRY: Duration = Duration::from_millis(50);
 /// Longest time between two looks at the gate's timers.
-const IDLE_WAKE: Duration = Duration::from_millis(100);
+const IDLE_WAKE: Duration = Duration::from_secs(1);
 /// Shortest time between two looks, so that a timer that is due now and cannot
 /// act does not take a whole core.
 const WAKE_MIN: Duration = Duration::from_millis(1);
@@ -394,8 +394,10 @@
                 Decision::Wait => {
                     let (wake, waiting) = oneshot::channel();
                     inner.waiters.insert(id, wake);
-                    // An arrival can displace waiting work.
+                    // An arrival can displace waiting work, and its deadline
+                    // may be the next timer.
                     inner.pump(now);
+                    self.changed.notify_one();
                     Some(waiting)
                 }
             }
