distribution: a start of all daemons makes few readers

Cause: a follower that polled a reader before the store had answered that one took it for a reader without news and read the store itself; and a reader gave way at once where nobody had relied on it yet, became one again when its followers did, and had another host promoted.

--- a/crates/distribution/src/source/follower.rs
+++ b/crates/distribution/src/source/follower.rs
@@ -46,6 +46,21 @@
             }
             _ => {}
         }
+        // It has just started as well, and may become the reader or knows
+        // nothing yet.
+        let starts = match answer.reader {
+            true => answer.age.is_none(),
+            false => answer.source.is_none(),
+        };
+        if starts
+            && !answer.leaving
+            && let Role::Follower(follower) = &mut self.role
+            && follower.redirects < STARTS
+        {
+            follower.redirects += 1;
+            follower.not_before = now + START_PAUSE;
+            return;
+        }
         let news = match answer.reading {
             Some(_) => fresh,
             None => answer.age.is_some_and(|age| age <= FRESH_ELSEWHERE),
@@ -63,17 +78,6 @@
             }
             return;
         }
-        if !answer.reader
-            && !answer.leaving
-            && answer.source.is_none()
-            && let Role::Follower(follower) = &mut self.role
-            && follower.redirects < STARTS
-        {
-            // It has just started as well, and may become the reader.
-            follower.redirects += 1;
-            follower.not_before = now + START_PAUSE;
-            return;
-        }
         // One that is about to end, or knows nothing new.
         self.changes = self.changes.saturating_add(u8::from(answer.reader));
         self.on_failure(now, host);
--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -341,7 +341,7 @@
             return;
         };
         if poll.needs {
-            reader.needed = Some(now);
+            reader.needed = now;
         }
         if poll.reading.is_some() && rank > own {
             reader.better = Some(Arc::clone(&poll.from.name));
--- a/crates/distribution/src/source/role.rs
+++ b/crates/distribution/src/source/role.rs
@@ -53,8 +53,9 @@
     pub(super) reading_since: Option<Duration>,
     /// Since when the store does not answer; `None` while it does.
     pub(super) lost_since: Option<Duration>,
-    /// When a follower last needed this reader, if one did.
-    pub(super) needed: Option<Duration>,
+    /// When a follower last needed this reader; at first, when it became one.
+    /// Who needs it may just have begun to look for a reader.
+    pub(super) needed: Duration,
     /// When this reader looks for a better one.
     pub(super) check_at: Duration,
     /// Host at which it looks next.
@@ -89,7 +90,7 @@
         Self {
             reading_since: None,
             lost_since: Some(now),
-            needed: None,
+            needed: now,
             check_at: now,
             look: None,
             better: None,
@@ -103,7 +104,7 @@
 
     /// Returns the moment from which on nobody needs this reader.
     pub(super) fn needed_until(&self) -> Duration {
-        self.needed.map_or(Duration::ZERO, |at| at + UNNEEDED)
+        self.needed + UNNEEDED
     }
 
     /// Returns the time for which the store has not answered.
--- a/crates/distribution/tests/distribution.rs
+++ b/crates/distribution/tests/distribution.rs
@@ -213,6 +213,28 @@
     }
 }
 
+/// Load pattern: all daemons start within 0.3 s. Guards against daemons that
+/// read the store because the host that they polled does not know anything yet.
+#[test]
+fn a_start_of_all_makes_few_readers() {
+    for (hosts, centres) in [(79, 6), (295, 9), (1_105, 5)] {
+        let mut sim = Sim::new(Settings {
+            hosts,
+            centres,
+            ..testata(Mode::Readers)
+        });
+        let mut most = 0;
+        for step in 1..=60 {
+            sim.run(at(50 * step));
+            most = most.max(sim.answering().len());
+        }
+        println!("{hosts} hosts: {most} readers");
+        // One on a slow link and one on a fast link that takes its place.
+        assert!(most <= 2 * centres, "{hosts} hosts: {most} readers");
+        assert!(sim.oldest() < savorylane_distribution::age::STALE);
+    }
+}
+
 /// Guards against readers that rely on a primary which is gone or which the
 /// store turns away.
 #[test]
