keyed_store: cut-off hosts probe the store; changes of entries in batches of 250 ms

Readers took each change of a release by itself.

Change: a host whose upstream was removed probes the store at a tenth of a call and reads the entries once it answers; a reader waits 250 ms after an answer with changes (100 before). The runtime does not wait for blocking work at the end of the process.

--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -17,7 +17,7 @@
 
 /// Time between the answer of a watch and the next one, so that a series of
 /// changes is read in batches.
-const BATCH: Duration = Duration::from_millis(100);
+const BATCH: Duration = Duration::from_millis(250);
 /// Region of a data centre that the settings do not name.
 const UNKNOWN: &str = "unknown";
 
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -98,30 +98,48 @@
     context.distribution.wake();
 }
 
-/// Asks the store whenever the own upstream was removed from the list: one
+/// Asks the store whenever the own upstream was removed from the list: a store
 /// that does not answer has lost this host, and not the upstream.
 async fn confirm_removals(context: &Arc<Context>, adapter: &Adapter, client: &Client) {
     let cut_off = &context.distribution.cut_off;
     loop {
         cut_off.doubted().await;
-        if client.probe().await.is_ok() {
-            cut_off.on_answer();
-            continue;
-        }
-        cut_off::begin(context);
         let mut delay = Delay::default();
-        loop {
-            if let Ok(batch) = client.read(Part::Entries).await {
-                cut_off.on_answer();
-                entries::publish_first(context, adapter, batch);
-                break;
-            }
+        let mut lost = false;
+        while !confirm(context, adapter, client, lost).await {
+            lost = true;
+            cut_off::begin(context);
             let wait = delay.next(&mut rand::rng()).min(RETRY_MAX);
             tokio::time::sleep(wait.max(RETRY_MIN)).await;
         }
     }
 }
 
+/// Asks the store whether it answers, and reads the entries if it did not
+/// before. Returns whether it answered.
+async fn confirm(
+    context: &Arc<Context>,
+    adapter: &Adapter,
+    client: &Client,
+    was_lost: bool,
+) -> bool {
+    // Hundreds of hosts may be cut off at once, and a probe costs a tenth of
+    // the first page of the entries.
+    if client.probe().await.is_err() {
+        return false;
+    }
+    if was_lost {
+        let Ok(batch) = client.read(Part::Entries).await else {
+            return false;
+        };
+        context.distribution.cut_off.on_answer();
+        entries::publish_first(context, adapter, batch);
+        return true;
+    }
+    context.distribution.cut_off.on_answer();
+    true
+}
+
 /// The store as a reader sees it.
 struct Store {
     context: Arc<Context>,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -40,6 +40,9 @@
     };
     let code = runtime.block_on(run(command));
     logger.flush();
+    // Work that is under way on a blocking thread, such as the adoption of a
+    // version, is of no use any more and must not hold up the end.
+    runtime.shutdown_background();
     code
 }
 
