distribution: of two readers the same one is better at all times

Cause: the times as readers were compared in whole seconds, so that at some moments one and at others the other one was longer a reader, and each forgot again that the other one is better before it gave way. A reader that did know a better one also looked for its next step every millisecond until it gave way, where data centres precede its own.

Change: times within a second of each other count as equal, whatever the moment; a reader that gives way waits for the moment from which on nobody needs it.

--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -343,7 +343,7 @@
         if poll.needs {
             reader.needed = now;
         }
-        if poll.reading.is_some() && rank > own {
+        if poll.reading.is_some() && rank.precedes(&own) {
             reader.better = Some(Arc::clone(&poll.from.name));
         } else if reader.better.as_ref() == Some(&poll.from.name) {
             reader.better = None;
--- a/crates/distribution/src/source/reader.rs
+++ b/crates/distribution/src/source/reader.rs
@@ -71,10 +71,11 @@
         let Role::Reader(reader) = &self.role else {
             return Step::Idle(CHECK);
         };
-        let mut until = reader.check_at.min(reader.primary_at);
-        if reader.better.is_some() {
-            until = until.min(reader.needed_until());
-        }
+        let other = match reader.better {
+            Some(_) => reader.needed_until(),
+            None => reader.primary_at,
+        };
+        let until = reader.check_at.min(other);
         let least = Duration::from_millis(1);
         Step::Idle(until.saturating_sub(now).max(least))
     }
@@ -177,7 +178,7 @@
         let Role::Reader(reader) = &mut self.role else {
             return;
         };
-        if answer.reader && fresh && answer.reading.is_some() && rank > own {
+        if answer.reader && fresh && answer.reading.is_some() && rank.precedes(&own) {
             reader.better = Some(host.into());
             return;
         }
--- a/crates/distribution/src/source/role.rs
+++ b/crates/distribution/src/source/role.rs
@@ -113,42 +113,39 @@
     }
 }
 
-/// Order of readers; the greatest is the best.
+/// What decides which of two readers is the better one.
 ///
 /// One to which the store answers precedes one to which it does not, then the
 /// faster link, then the longer time as a reader, then the first name.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Rank {
-    reads: bool,
     rate: u32,
-    /// Time as a reader, in steps of [`EQUAL`].
-    steps: u64,
-    name: std::cmp::Reverse<Box<str>>,
+    reading: Option<Duration>,
+    name: Box<str>,
 }
 
 impl Rank {
     /// Returns the rank of a reader.
     pub fn new(rate: u32, reading: Option<Duration>, name: &str) -> Self {
         Self {
-            reads: reading.is_some(),
             rate,
-            steps: reading.map_or(0, |time| time.as_secs() / EQUAL.as_secs()),
-            name: std::cmp::Reverse(name.into()),
+            reading,
+            name: name.into(),
         }
     }
-}
-
-impl PartialOrd for Rank {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
 
-impl Ord for Rank {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        let key = |rank: &Self| (rank.reads, rank.rate, rank.steps);
-        key(self)
-            .cmp(&key(other))
-            .then_with(|| self.name.cmp(&other.name))
+    /// Returns whether this reader is better than `other`. The answer for two
+    /// readers does not change while both go on reading.
+    pub fn precedes(&self, other: &Self) -> bool {
+        let key = |rank: &Self| (rank.reading.is_some(), rank.rate);
+        if key(self) != key(other) {
+            return key(self) > key(other);
+        }
+        let time = |rank: &Self| rank.reading.unwrap_or_default();
+        let (own, others) = (time(self), time(other));
+        if own.abs_diff(others) > EQUAL {
+            return own > others;
+        }
+        self.name < other.name
     }
 }
--- a/crates/distribution/tests/roles.rs
+++ b/crates/distribution/tests/roles.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use savorylane_distribution::Source;
-use savorylane_distribution::source::{Answer, Candidate, Place, Poll, Step};
+use savorylane_distribution::source::{Answer, Candidate, Place, Poll, Rank, Step};
 
 const fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -203,3 +203,38 @@
     assert_eq!(polled(&mut source, at(2_500)), told("a"));
     assert_eq!(limit(&mut source, at(2_500)), at(2_000));
 }
+
+/// Guards against two readers that each take the other one for better at
+/// different moments, so that neither gives way for good.
+#[test]
+fn of_two_readers_the_same_one_is_better_at_all_times() {
+    for apart in (0..3_000).step_by(150) {
+        let better = |millis: u64| {
+            let older = Rank::new(7, Some(at(millis + apart)), "b");
+            let younger = Rank::new(7, Some(at(millis)), "a");
+            assert_ne!(older.precedes(&younger), younger.precedes(&older));
+            older.precedes(&younger)
+        };
+        let first = better(5_000);
+        for millis in (5_000..8_000).step_by(70) {
+            assert_eq!(better(millis), first, "{apart} ms apart, after {millis} ms");
+        }
+    }
+}
+
+/// Guards against a reader that looks for its next step again and again while
+/// it waits for the moment from which on nobody needs it.
+#[test]
+fn a_reader_that_gives_way_waits_until_it_is_not_needed() {
+    let mut source = Source::new(place("b", "here"), 7);
+    source.on_hosts(&[place("b", "here"), place("c", "here"), place("a", "ahead")]);
+    source.start(at(0));
+    source.on_contact(at(10), true);
+    source.on_poll(at(20), &poll("c", 140, false, Some(at(500))), Some(at(0)));
+    // It asks the other host of its data centre once.
+    assert_eq!(polled(&mut source, at(20)), Some(("c".into(), false)));
+    match source.next(at(30)) {
+        Step::Idle(wait) => assert!(wait > at(1_000), "{wait:?}"),
+        step => panic!("{step:?}"),
+    }
+}
