--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
+use futures::FutureExt;
 use futures::future::BoxFuture;
 use savorylane_intent::hosts;
 use savorylane_wire::control::Sender;
@@ -41,6 +43,9 @@
 /// are taken, and sends none after two refusals.
 const UNREADY_NOTICE: Duration = Duration::from_millis(2_300);
 
+/// Time after the panic of an edge before it starts again.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
+
 /// Part of the drain limit that is left for the answers to what is cut.
 const CUT_NOTICE: Duration = Duration::from_millis(200);
 
@@ -258,7 +263,7 @@
         .into_iter()
         .map(|(plugin, listener)| {
             let stop = CancellationToken::new();
-            let edge = (plugin.run)(Arc::clone(&context), listener, stop.clone());
+            let edge = supervise(plugin, Arc::clone(&context), listener, stop.clone());
             Edge {
                 name: plugin.name,
                 stop,
@@ -273,6 +278,32 @@
     })
 }
 
+/// Runs an edge, and starts one without a port again after a panic: a daemon
+/// whose edge towards the platform is gone would serve on with what it knew.
+/// An edge with a port handles what comes in on tasks of their own.
+async fn supervise(
+    plugin: &'static Plugin,
+    context: Arc<Context>,
+    listener: Option<TcpListener>,
+    stop: CancellationToken,
+) {
+    let mut listener = listener;
+    loop {
+        let edge = (plugin.run)(Arc::clone(&context), listener.take(), stop.clone());
+        if AssertUnwindSafe(edge).catch_unwind().await.is_ok() {
+            return;
+        }
+        log::error!(
+            target: "process", outcome = "panicked", edge = plugin.name;
+            "an edge ended by a panic"
+        );
+        if plugin.port.is_some() || stop.is_cancelled() {
+            return;
+        }
+        tokio::time::sleep(RESTART_PAUSE).await;
+    }
+}
+
 /// Returns the edges to run, one of each name, in the order of their start.
 fn plugins() -> Vec<&'static Plugin> {
     let mut plugins: Vec<&'static Plugin> = inventory::iter::<Plugin>().collect();
--- /dev/null
+++ b/crates/daemon/tests/supervision.rs
@@ -0,0 +1,55 @@
+//! Edges that panic.
+
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod common;
+#[allow(dead_code, reason = "each test file uses some of the helpers")]
+mod fleet;
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use common::get;
+use fleet::{Fleet, IN_FORCE, Member};
+use http::StatusCode;
+use savorylane_daemon::kernel::Plugin;
+
+/// Times that the edge panics before it goes on.
+const PANICS: usize = 2;
+/// Time within which it must run again.
+const LIMIT: Duration = Duration::from_secs(5);
+
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+
+inventory::submit! {
+    Plugin {
+        name: "unsound",
+        order: 20,
+        builtin: false,
+        port: None,
+        run: |_, _, stop| Box::pin(async move {
+            let started = STARTED.fetch_add(1, Ordering::Relaxed);
+            assert!(started >= PANICS, "an unexpected message");
+            stop.cancelled().await;
+        }),
+    }
+}
+
+/// Guards against an unexpected message that ends an edge for good, or the
+/// whole process, while the daemon goes on with what it knew.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_edge_that_panics_runs_again() {
+    let mut fleet = Fleet::open();
+    let member = Member::start(&fleet, "a1", |_| {}).await;
+    fleet.members.push(member);
+    fleet.publish_hosts(1);
+    fleet.platform.publish_document(&fleet::versioned(1));
+    fleet.reach(1, IN_FORCE).await;
+    let start = Instant::now();
+    while STARTED.load(Ordering::Relaxed) <= PANICS {
+        assert!(start.elapsed() < LIMIT, "the edge was not started again");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let answer = get(fleet.members[0].entry(), "/stock/1").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    fleet.end();
+}
