dispatch: a refusal after an attempt that may have run is no 503

What callers saw: a request whose first attempt ran, and whose answer was lost, was answered 503 when the next attempt was refused. 503 promises that it has not run. Only idempotent requests are repeated after such an attempt.

Cause: the verdict of all attempts was put together, the status was that of the last one; the entry of the adapted platform answers with the status alone. The same stood where a hedge is refused.

Change: the refusal takes the status of the attempt that may have run, and no Retry-After. Searched as well: the entry's own refusals, the gatekeeper's, the holder's; their verdict and status come from one place.

a_refusal_after_a_lost_answer_promises_nothing failed before with 503.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -106,7 +106,8 @@
     let handed_most = call.class.attempts.unwrap_or(u32::MAX);
     let mut handed = 0;
     let mut tried = Vec::new();
-    let mut unknown = false;
+    // Status of the last attempt that may have run.
+    let mut unknown = None;
     let mut last = Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         format!("service {} has no host that takes work", call.service),
@@ -136,7 +137,9 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        unknown |= last.verdict == Verdict::MayHaveRun;
+        if last.verdict == Verdict::MayHaveRun {
+            unknown = Some(last.status);
+        }
         let second = tried.len() > before + 1;
         handed += u32::from(last.arrived) + u32::from(second);
         if handed >= handed_most || !again(context, call, body, &class, &last) {
@@ -144,13 +147,26 @@
         }
         context.metrics.attempted("retry");
     }
-    // The verdict is about all attempts, not only the last.
-    if unknown && last.verdict == Verdict::NotRun {
-        last.verdict = Verdict::MayHaveRun;
+    // The answer is about all attempts, not only the last.
+    if let Some(status) = unknown
+        && last.verdict == Verdict::NotRun
+    {
+        last = may_have_run(last, status);
     }
     Err(last)
 }
 
+/// Returns a refusal for a request of which an earlier attempt may have run and
+/// ended with `status`. The status of the refusal would promise that none has.
+fn may_have_run(refusal: Refusal, status: StatusCode) -> Refusal {
+    Refusal {
+        status,
+        verdict: Verdict::MayHaveRun,
+        retry_after: None,
+        ..refusal
+    }
+}
+
 /// Returns the way to the owner of a suspicion.
 fn owner(snapshot: &Snapshot, last: &Refusal, tried: &[usize]) -> Option<Plan> {
     let owner = last.owner.as_deref()?;
@@ -296,8 +312,8 @@
         Err(refusal) => refusal,
     };
     let result = other.await.map_err(|mut last| {
-        if last.verdict == Verdict::NotRun {
-            last.verdict = refusal.verdict;
+        if last.verdict == Verdict::NotRun && refusal.verdict == Verdict::MayHaveRun {
+            last = may_have_run(last, refusal.status);
         }
         // Neither attempt may be repeated if one of them broke an upstream.
         if refusal.cause == Cause::Suspect {
