--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -3,12 +3,11 @@
 
 mod choice;
 pub mod link;
+mod race;
 pub mod remote;
 pub mod table;
 
-use std::future::Future;
 use std::net::IpAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +27,7 @@
 use crate::peers;
 use choice::{choose, estimate};
 use link::Watch;
+use race::{Attempt, may_have_run, race};
 use remote::{Clients, Reply, value};
 use table::{Class, Table};
 
@@ -54,9 +54,6 @@
 /// whose gatekeepers refuse take nothing from the budget of repeats.
 const TRIES: usize = 4;
 
-/// Result of one attempt.
-type Attempt = Pin<Box<dyn Future<Output = Result<Response<Body>, Refusal>> + Send>>;
-
 /// Host of the next attempt, and the host that a hedge would go to.
 struct Plan {
     host: usize,
@@ -156,17 +153,6 @@
     Err(last)
 }
 
-/// Returns a refusal for a request of which an earlier attempt may have run and
-/// ended with `status`. The status of the refusal would promise that none has.
-fn may_have_run(refusal: Refusal, status: StatusCode) -> Refusal {
-    Refusal {
-        status,
-        verdict: Verdict::MayHaveRun,
-        retry_after: None,
-        ..refusal
-    }
-}
-
 /// Returns the way to the owner of a suspicion.
 fn owner(snapshot: &Snapshot, last: &Refusal, tried: &[usize]) -> Option<Plan> {
     let owner = last.owner.as_deref()?;
@@ -296,35 +282,6 @@
         .then(|| other.map_or(plan.host, |other| other.index))
 }
 
-/// Returns the first answer of two attempts and the attempt that still runs.
-/// A refusal counts only when the other attempt is refused too.
-async fn race(
-    first: Attempt,
-    second: Attempt,
-) -> (Result<Response<Body>, Refusal>, Option<Attempt>) {
-    use futures::future::{Either, select};
-    let (result, other) = match select(first, second).await {
-        Either::Left(ended) => ended,
-        Either::Right(ended) => ended,
-    };
-    let refusal = match result {
-        Ok(answer) => return (Ok(answer), Some(other)),
-        Err(refusal) => refusal,
-    };
-    let result = other.await.map_err(|mut last| {
-        if last.verdict == Verdict::NotRun && refusal.verdict == Verdict::MayHaveRun {
-            last = may_have_run(last, refusal.status);
-        }
-        // Neither attempt may be repeated if one of them broke an upstream.
-        if refusal.cause == Cause::Suspect {
-            last.cause = Cause::Suspect;
-            last.owner = last.owner.or(refusal.owner);
-        }
-        last
-    });
-    (result, None)
-}
-
 fn plan(
     context: &Context,
     snapshot: &Snapshot,
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -8,7 +8,6 @@
 use http::{HeaderValue, Response, StatusCode};
 use savorylane_intent::Hash;
 use savorylane_ledger::suspect::BODY_BYTES;
-use savorylane_platform::header::{self as platform, Judgement};
 use savorylane_policy::gate::{Action, Decision, Finish, Gate, Reason, Work};
 use savorylane_wire::{Load, Verdict, header};
 use tokio::sync::{Notify, oneshot};
@@ -24,6 +23,7 @@
 
 mod deaths;
 mod departure;
+mod judge;
 
 use deaths::{Deaths, End};
 use departure::Departures;
@@ -31,8 +31,6 @@
 /// Share of a target's latency that an upstream of the adapted platform is
 /// expected to need before it was measured. Daemons start there under full load.
 const PRIOR: f64 = 0.25;
-/// Bytes of an answer that are read before its head is sent on.
-const WHOLE_BYTES: usize = 64 << 10;
 /// Wait between attempts to reach an upstream that is away.
 const CLOSED_RETRY: Duration = Duration::from_millis(50);
 /// Longest time between two looks at the gate's timers.
@@ -249,64 +247,6 @@
         Ok(Response::from_parts(head, body))
     }
 
-    /// Takes the answer of an upstream on the adapted platform. A short body is
-    /// read whole, so that a cut one can still be answered with a failure.
-    async fn judge(
-        self: &Arc<Self>,
-        context: &Arc<Context>,
-        call: &Call,
-        answer: Response<Body>,
-        mut slot: Slot,
-    ) -> Result<Response<Body>, Refusal> {
-        let refused = |cause, reason| Refusal {
-            cause,
-            arrived: true,
-            ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-        };
-        match platform::judge(&answer, call.id.as_deref()) {
-            Judgement::Ran => {}
-            Judgement::Misdirected => {
-                return Err(refused(Cause::Away, "the upstream is another instance"));
-            }
-            Judgement::NotRun => {
-                return Err(refused(Cause::Busy, "the upstream refused the request"));
-            }
-            Judgement::Foreign => {
-                upstream::discard(&answer);
-                let reason = "the upstream's answer belongs to another request or is not its own";
-                return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason));
-            }
-        }
-        let (mut head, body) = answer.into_parts();
-        head.headers = crate::call::passed_on(&head.headers);
-        head.headers.insert(
-            header::VERDICT,
-            HeaderValue::from_static(Verdict::Ran.as_str()),
-        );
-        let remaining = call.remaining(Instant::now());
-        match tokio::time::timeout(remaining, peek(body, WHOLE_BYTES)).await {
-            Ok(Ok((_, true, body))) => {
-                slot.finish = Finish::Answered;
-                Ok(Response::from_parts(head, body))
-            }
-            Ok(Ok((_, false, body))) => {
-                let body = Watched::wrap(body, call.deadline, context.settings.body_bytes, slot);
-                Ok(Response::from_parts(head, body))
-            }
-            Ok(Err(cut)) => {
-                log::debug!("an answer was cut: {cut}");
-                let (id, fingerprint) = (slot.id, slot.fingerprint);
-                deaths::broke(context, id, fingerprint, end_by(&cut)).await;
-                let reason = "the upstream broke off its answer";
-                Err(Refusal::unknown(StatusCode::BAD_GATEWAY, reason))
-            }
-            Err(_) => Err(Refusal::unknown(
-                StatusCode::GATEWAY_TIMEOUT,
-                "the upstream did not finish its answer in time",
-            )),
-        }
-    }
-
     /// Returns the client of the upstream.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
