--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -109,7 +109,7 @@
         result
     }
 
-    /// Has the next step decided anew.
+    /// Wakes [`follow::run`], whose next step may be another one now.
     pub fn wake(&self) {
         self.changed.notify_one();
     }
--- a/crates/daemon/src/distribution/news.rs
+++ b/crates/daemon/src/distribution/news.rs
@@ -110,22 +110,24 @@
 /// Waits until the knowledge is confirmed up to a later moment than now, so
 /// that its age does not grow by the wait of each poll on the way.
 async fn confirmation(context: &Context) {
-    let distribution = &context.distribution;
-    let mut confirmed = distribution.confirmed.subscribe();
-    let now = context.now();
-    let known = distribution.age.of(now);
-    let moment = |now: Duration, age: Duration| now.saturating_sub(age);
-    let told = known.map_or(Duration::ZERO, |age| moment(now, age));
+    let mut confirmed = context.distribution.confirmed.subscribe();
+    let told = confirmed_moment(context);
     // The sender lives as long as the context.
     while confirmed.changed().await.is_ok() {
-        let now = context.now();
-        let age = distribution.age.of(now);
-        if age.is_some_and(|age| moment(now, age) >= told + CONFIRMATION) {
+        if confirmed_moment(context) >= told + CONFIRMATION {
             return;
         }
     }
 }
 
+/// Returns the moment up to which all changes are known; zero if they never
+/// were.
+fn confirmed_moment(context: &Context) -> Duration {
+    let now = context.now();
+    let age = context.distribution.age.of(now);
+    now.saturating_sub(age.unwrap_or(now))
+}
+
 /// Returns whether a follower that has `told` is answered now. It gets versions
 /// from `version_at` on, and lists at once.
 fn has_news(context: &Context, told: &Numbers, version_at: Duration) -> bool {
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -26,7 +26,7 @@
 /// The same while the store gives no answers, so that its return is noticed
 /// soon.
 const WATCH_LOST: Duration = Duration::from_millis(200);
-/// Looks for hosts of the own data centre at the start, at most.
+/// Times that hosts of the own data centre are looked for at the start, at most.
 const START_LOOKS: usize = 6;
 /// Time between two of them.
 const START_PAUSE: Duration = Duration::from_millis(300);
@@ -128,15 +128,17 @@
     if client.probe().await.is_err() {
         return false;
     }
-    if was_lost {
-        let Ok(batch) = client.read(Part::Entries).await else {
-            return false;
-        };
-        context.distribution.cut_off.on_answer();
+    let read = match was_lost {
+        true => client.read(Part::Entries).await.map(Some),
+        false => Ok(None),
+    };
+    let Ok(batch) = read else {
+        return false;
+    };
+    context.distribution.cut_off.on_answer();
+    if let Some(batch) = batch {
         entries::publish_first(context, adapter, batch);
-        return true;
     }
-    context.distribution.cut_off.on_answer();
     true
 }
 
--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -33,7 +33,7 @@
 pub use role::Rank;
 use role::{Follower, Reader, Role, Trust};
 
-/// Time that a daemon waits which has not started.
+/// Time between two steps of a daemon that has not started.
 const IDLE: Duration = Duration::from_secs(2);
 /// Age up to which the knowledge of a reader is worth following.
 const FRESH: Duration = Duration::from_secs(3);
--- a/crates/distribution/src/source/reader.rs
+++ b/crates/distribution/src/source/reader.rs
@@ -160,7 +160,11 @@
         };
         if reader.elsewhere.as_deref() == Some(host) {
             self.elsewhere_answered(now, host, answer, fresh);
-        } else if reader.primary.as_ref().is_some_and(|it| *it.host == *host) {
+        } else if reader
+            .primary
+            .as_ref()
+            .is_some_and(|primary| *primary.host == *host)
+        {
             self.primary_answered(now, host, answer);
         } else if reader.candidate.as_deref() == Some(host) {
             self.candidate_answered(now, host, answer);
@@ -224,7 +228,7 @@
                 redirects: 0,
             });
         } else {
-            // A host that sends on to one that is away is of no more use.
+            // The next look asks the host that it names, or another one.
             self.outages.begin(now, host);
             reader.candidate = source;
         }
@@ -277,10 +281,15 @@
         if is_host(&reader.candidate) {
             reader.candidate = None;
         }
-        if reader.primary.as_ref().is_some_and(|it| *it.host == *host) {
+        if reader
+            .primary
+            .as_ref()
+            .is_some_and(|primary| *primary.host == *host)
+        {
             reader.primary = None;
             reader.primary_at = now + CHECK;
-            // The store counts as lost until it answers.
+            // This reader calls the store again, which counts as lost until it
+            // answers. What is known was confirmed until now.
             reader.lost_since = Some(now);
         }
     }
