body: larger frames between tiny chunks do not allow further tiny frames

A trial program shows how the library counts: each unread DATA frame below 256 bytes takes what it lacks to 256 from half of the connection's window (2,057 frames of 1 byte close a connection with a window of 1 MiB; dropped streams give all back). Packed allowed 16 small frames in a row, but each frame of 1 KiB started the count anew: a source that is read chunk by chunk made 16 tiny frames for each 1 KiB.

Change: one small frame in 50 ms, 16 at once; nothing but time restores them.

Before: tests/packed.rs failed (fast and slow source). Ruled out: dropped streams that keep their share of the count (400 requests with 100 unread tiny frames each: the connection stays).

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -14,7 +14,7 @@
 
 mod packed;
 
-pub(crate) use packed::Packed;
+pub use packed::Packed;
 
 /// Why a body ended early. The connection or stream is then reset, so that a
 /// cut body is never taken for a complete one.
--- a/crates/daemon/src/body/packed.rs
+++ b/crates/daemon/src/body/packed.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use super::{Body, Cut};
 
@@ -17,33 +17,33 @@
 const FRAME_BYTES: usize = 16_384;
 /// Frames with fewer bytes are small.
 const SMALL_BYTES: usize = 1_024;
-/// Small frames in a row that are passed on at once, so that ordinary streams
-/// are not held up.
-const SMALL_MAX: u32 = 16;
-/// Time for which a small frame after these waits for more bytes.
-const HOLD: Duration = Duration::from_millis(5);
+/// Time in which one more small frame may be passed on. Bytes wait that long
+/// for others, so that an ordinary stream of events is not held up.
+const SMALL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time by which small frames may come early: sixteen are passed on at once.
+const SMALL_BURST: Duration = Duration::from_millis(800);
 
 /// Body of HTTP/1.1 whose runs of small chunks are joined. Each chunk would
 /// become a frame of HTTP/2 otherwise, and a peer closes a connection, with all
-/// requests on it, on which too many small frames come.
-pub(crate) struct Packed {
+/// requests on it, on which too many small frames wait to be read.
+pub struct Packed {
     inner: Body,
     joined: BytesMut,
     /// What ended a run of chunks: trailers, an error or the end of the body.
     next: Option<Option<Result<Frame<Bytes>, Cut>>>,
-    /// Small frames in a row.
-    small: u32,
+    /// When the next small frame would be due if all came evenly.
+    due: Instant,
     hold: Option<Pin<Box<Sleep>>>,
 }
 
 impl Packed {
     /// Wraps a body that is read from HTTP/1.1.
-    pub(crate) fn wrap(inner: Body) -> Body {
+    pub fn wrap(inner: Body) -> Body {
         Self {
             inner,
             joined: BytesMut::new(),
             next: None,
-            small: 0,
+            due: Instant::now(),
             hold: None,
         }
         .boxed_unsync()
@@ -54,21 +54,21 @@
         if self.joined.is_empty() {
             return true;
         }
-        if self.small < SMALL_MAX || self.joined.len() >= SMALL_BYTES {
+        if self.joined.len() >= SMALL_BYTES || Instant::now() + SMALL_BURST > self.due {
             return false;
         }
+        let until = self.due - SMALL_BURST;
         let hold = self
             .hold
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(HOLD)));
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
         hold.as_mut().poll(cx).is_pending()
     }
 
     fn emit(&mut self) -> Frame<Bytes> {
         self.hold = None;
-        self.small = match self.joined.len() < SMALL_BYTES {
-            true => self.small.saturating_add(1),
-            false => 0,
-        };
+        if self.joined.len() < SMALL_BYTES {
+            self.due = self.due.max(Instant::now()) + SMALL_INTERVAL;
+        }
         Frame::data(self.joined.split().freeze())
     }
 }
@@ -103,7 +103,6 @@
             // A large frame, or the only one, is passed on without a copy.
             let last = self.inner.is_end_stream();
             if self.joined.is_empty() && (last || bytes.len() >= FRAME_BYTES) {
-                self.small = 0;
                 return Poll::Ready(Some(Ok(Frame::data(bytes))));
             }
             self.joined.extend_from_slice(&bytes);
--- /dev/null
+++ b/crates/daemon/tests/packed.rs
@@ -0,0 +1,133 @@
+//! Joining of small frames of a body.
+
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use savorylane_daemon::body::{Cut, Packed};
+use tokio::time::{Instant, Sleep};
+
+/// Frames below this size cost the receiver more memory than they carry, so
+/// that it bounds how many may wait on a connection.
+const TINY_BYTES: usize = 256;
+
+/// One step of a source: what is read, or a pause.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A chunk of this many bytes.
+    Chunk(usize),
+    /// Nothing is there now, but soon.
+    Yield,
+    /// Nothing is there for this time.
+    Pause(Duration),
+}
+
+/// A body of HTTP/1.1 that yields what `steps` say.
+struct Source {
+    steps: VecDeque<Step>,
+    pause: Option<Pin<Box<Sleep>>>,
+}
+
+impl http_body::Body for Source {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        loop {
+            if let Some(pause) = &mut self.pause {
+                if pause.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+                self.pause = None;
+            }
+            match self.steps.pop_front() {
+                None => return Poll::Ready(None),
+                Some(Step::Chunk(size)) => {
+                    return Poll::Ready(Some(Ok(Frame::data(vec![b'x'; size].into()))));
+                }
+                Some(Step::Yield) => {
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                Some(Step::Pause(time)) => {
+                    self.pause = Some(Box::pin(tokio::time::sleep(time)));
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.steps.is_empty()
+    }
+}
+
+/// A frame that came out: its size and when.
+type Emitted = (usize, Duration);
+
+async fn pack(steps: impl IntoIterator<Item = Step>) -> Vec<Emitted> {
+    let source = Source {
+        steps: steps.into_iter().collect(),
+        pause: None,
+    };
+    let mut body = Packed::wrap(source.boxed_unsync());
+    let start = Instant::now();
+    let mut frames = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let size = frame.unwrap().into_data().unwrap().len();
+        frames.push((size, start.elapsed()));
+    }
+    frames
+}
+
+fn tiny(frames: &[Emitted]) -> usize {
+    frames.iter().filter(|(size, _)| *size < TINY_BYTES).count()
+}
+
+fn repeat(steps: &[Step], times: usize) -> Vec<Step> {
+    (0..times).flat_map(|_| steps.to_vec()).collect()
+}
+
+/// Guards against a connection between daemons that the library closes, with
+/// all requests on it, because an upstream sends tiny chunks faster than the
+/// caller reads: larger frames between them must not allow as many again.
+#[tokio::test(start_paused = true)]
+async fn a_fast_source_of_tiny_chunks_makes_few_tiny_frames() {
+    for size in [1, 32, 200] {
+        let chunks = (2 << 20) / size;
+        let frames = pack(repeat(&[Step::Chunk(size), Step::Yield], chunks)).await;
+        let bytes: usize = frames.iter().map(|(size, _)| size).sum();
+        assert_eq!(bytes, chunks * size);
+        // One in 64 KiB leaves a stream's window far below the bound.
+        assert!(tiny(&frames) <= 33, "{size}: {} tiny frames", tiny(&frames));
+    }
+}
+
+/// Guards against the same from a source that sends tiny chunks with pauses,
+/// for as long as a request may last.
+#[tokio::test(start_paused = true)]
+async fn a_slow_source_of_tiny_chunks_makes_few_tiny_frames() {
+    let steps = [Step::Chunk(8), Step::Pause(Duration::from_millis(5))];
+    let frames = pack(repeat(&steps, 500)).await;
+    let bytes: usize = frames.iter().map(|(size, _)| size).sum();
+    assert_eq!(bytes, 4_000);
+    assert!(tiny(&frames) <= 70, "{} tiny frames", tiny(&frames));
+}
+
+/// Guards against events that are held up, where they come at an ordinary pace.
+#[tokio::test(start_paused = true)]
+async fn an_ordinary_stream_is_not_held_up() {
+    let pause = Duration::from_millis(100);
+    let frames = pack(repeat(&[Step::Chunk(20), Step::Pause(pause)], 100)).await;
+    for (number, (size, at)) in frames.iter().take(100).enumerate() {
+        assert_eq!(*size, 20);
+        let due = pause * number as u32;
+        assert!(*at <= due + Duration::from_millis(20), "{number}: {at:?}");
+    }
+}
