keyed_store: an older state of the store is a failed call and changes nothing

Cause: a reading after 410 was taken at any revision. The registry removed what the older state lacked and put back what had left, under a number greater than that of the list in force, so that all followers took it. Change: readings and watches of both parts are refused if their revision is below what is known (Fault::Outdated). They count as a store that does not answer, so the age of knowledge stays honest. A reader that takes over starts from the number of the list that it knows.

--- a/crates/daemon/src/edge/keyed_store/config.rs
+++ b/crates/daemon/src/edge/keyed_store/config.rs
@@ -55,7 +55,7 @@
                     client.watch(Part::Config, self.revision, wait).await
                 }
             };
-            match answer {
+            match answer.and_then(|batch| batch.since(self.revision)) {
                 Ok(batch) => {
                     first = false;
                     whole = self.take(batch).await;
@@ -78,7 +78,7 @@
         self.delay.reset();
         log_read(&batch);
         let known = self.revision;
-        self.revision = known.max(batch.at);
+        self.revision = batch.at;
         let passed = batch.transfer.passed;
         // A reading that brings nothing newer ends a series.
         let changed = batch.changes.iter().any(|change| change.revision > known);
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -37,12 +37,12 @@
     pub(super) fn open(store: &'a Store, adapter: &'a Adapter) -> Self {
         let context = &store.context;
         let age = context.distribution.age.of(context.now());
-        let list = context.config.list();
-        let hosts = list.iter().flat_map(|list| &list.hosts);
+        let list = context.config.list().unwrap_or_default();
+        let instances = list.hosts.iter().filter_map(instance).collect();
         Self {
             store,
             adapter,
-            registry: Registry::seeded(hosts.filter_map(instance).collect()),
+            registry: Registry::seeded(list.number, instances),
             delay: Delay::default(),
             lapsed: age.is_some_and(|age| age > STALE),
         }
@@ -51,7 +51,9 @@
     /// Reads everything, then follows the changes until the history is gone.
     pub(super) async fn follow(&mut self) {
         loop {
-            match self.store.entries.read(Part::Entries).await {
+            let known = self.registry.revision();
+            let read = self.store.entries.read(Part::Entries).await;
+            match read.and_then(|batch| batch.since(known)) {
                 Ok(batch) => self.take_all(batch),
                 Err(fault) => {
                     self.failed(&fault).await;
@@ -69,7 +71,8 @@
         let wait = self.store.wait();
         let wait = expires.map_or(wait, |at| at.saturating_sub(now).min(wait));
         let after = self.registry.revision();
-        match self.store.entries.watch(Part::Entries, after, wait).await {
+        let watched = self.store.entries.watch(Part::Entries, after, wait).await;
+        match watched.and_then(|batch| batch.since(after)) {
             Ok(batch) => {
                 let changed = !batch.changes.is_empty();
                 self.take(batch);
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -52,7 +52,9 @@
 /// Upstreams by id.
 ///
 /// Invariant: an entry changes only to a greater revision, so that an answer
-/// that arrives late undoes nothing.
+/// that arrives late undoes nothing. Complete readings must not be older than
+/// [`Registry::revision`]: what they do not name may have come since, and what
+/// they name may have left.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<String, Entry>,
@@ -64,9 +66,9 @@
 }
 
 impl Registry {
-    /// Returns a registry of upstreams that are known from elsewhere. A
-    /// complete reading at any revision removes those that it does not name.
-    pub fn seeded(instances: Vec<Instance>) -> Self {
+    /// Returns a registry of upstreams that are known from the list `number`. A
+    /// complete reading that is no older removes those that it does not name.
+    pub fn seeded(number: u64, instances: Vec<Instance>) -> Self {
         let entry = |instance: Instance| {
             let id = instance.id.clone();
             let entry = Entry {
@@ -78,6 +80,8 @@
         };
         Self {
             entries: instances.into_iter().map(entry).collect(),
+            revision: number >> STEP_BITS,
+            step: number & (WHOLE - 1),
             ..Self::default()
         }
     }
--- a/crates/intent/tests/suite/registry.rs
+++ b/crates/intent/tests/suite/registry.rs
@@ -104,10 +104,13 @@
 #[test]
 fn a_seeded_registry_follows_the_first_reading() {
     let known = || {
-        Registry::seeded(vec![
-            instance("a", "10.0.0.1:80", 0),
-            instance("b", "10.0.0.2:80", 0),
-        ])
+        Registry::seeded(
+            0,
+            vec![
+                instance("a", "10.0.0.1:80", 0),
+                instance("b", "10.0.0.2:80", 0),
+            ],
+        )
     };
     let mut registry = known();
     registry.retain(SECOND, 7, &["b"]);
