distribution: the first host of a data centre asks another one at its start

Cause: the first host by name read the store at once after a restart, while its neighbours knew a newer version and list. With a store that answers with an earlier state it served a withdrawn route and an upstream that had left. Change: it polls the next host first, as all others do. Where both have just started the other one names it, and it becomes the reader; it does so as well when nobody answers. Two tests of roles took the first host for a reader as their preparation; they start it before it knows other hosts now, and check the same.

--- a/crates/distribution/src/source/mod.rs
+++ b/crates/distribution/src/source/mod.rs
@@ -160,9 +160,11 @@
         if !matches!(self.role, Role::Starting) {
             return;
         }
+        // Also the first host asks another one. It may have been restarted beside
+        // hosts that know more than the store tells it.
         match self.rendezvous(now) {
-            Some(host) if host < self.own.name => self.follow(host, Trust::Unknown),
-            _ => self.read(now),
+            Some(host) => self.follow(host, Trust::Unknown),
+            None => self.read(now),
         }
     }
 
--- a/crates/distribution/tests/roles.rs
+++ b/crates/distribution/tests/roles.rs
@@ -130,13 +130,48 @@
     panic!("it goes back and forth");
 }
 
+/// Guards against the first host of a data centre that reads the store after a
+/// restart, which may tell it less than other hosts know.
+#[test]
+fn a_first_host_that_restarts_asks_others_before_it_reads() {
+    let start = || {
+        let mut source = Source::new(place("a", "here"), 7);
+        source.on_hosts(&["a", "b", "c"].map(|name| place(name, "here")));
+        source.start(at(0));
+        assert_eq!(polled(&mut source, at(0)), Some(("b".into(), false)));
+        source
+    };
+    // One that follows another host sends it there.
+    let mut source = start();
+    let follower = Answer {
+        source: Some("c".into()),
+        ..Answer::default()
+    };
+    source.on_answer(at(1), "b", &follower, at(1));
+    assert_eq!(polled(&mut source, at(1)), Some(("c".into(), false)));
+    assert!(!source.reads());
+    // Where both have just started, it becomes the reader.
+    let mut source = start();
+    let started = Answer {
+        source: Some("a".into()),
+        ..Answer::default()
+    };
+    source.on_answer(at(1), "b", &started, at(1));
+    assert!(source.reads());
+    // And also if nobody answers.
+    let mut source = start();
+    source.on_failure(at(300), "b");
+    source.on_failure(at(600), "c");
+    assert!(source.reads());
+}
+
 /// Guards against a reader on a slow link that keeps followers although one of
 /// them has a fast link, and against one that gives way while it is needed.
 #[test]
 fn a_reader_on_a_slow_link_gives_way_to_a_fast_follower() {
     let mut source = Source::new(place("a", "here"), 7);
-    source.on_hosts(&["a", "b", "c"].map(|name| place(name, "here")));
     source.start(at(0));
+    source.on_hosts(&["a", "b", "c"].map(|name| place(name, "here")));
     source.on_contact(at(10), true);
     assert!(source.reads());
     let answer = source.on_poll(at(20), &poll("b", 140, true, None), Some(at(0)));
@@ -227,8 +262,8 @@
 #[test]
 fn a_reader_that_gives_way_waits_until_it_is_not_needed() {
     let mut source = Source::new(place("b", "here"), 7);
-    source.on_hosts(&[place("b", "here"), place("c", "here"), place("a", "ahead")]);
     source.start(at(0));
+    source.on_hosts(&[place("b", "here"), place("c", "here"), place("a", "ahead")]);
     source.on_contact(at(10), true);
     source.on_poll(at(20), &poll("c", 140, false, Some(at(500))), Some(at(0)));
     // It asks the other host of its data centre once.
