keyed_store: a store that gives no answers is probed at a tenth of a call

Change: after a failed call one part probes for both until the store answers; a new reader probes before its first call. The return is noticed as soon as before, after 0.5 s at most and one more way.

--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -30,9 +30,9 @@
 const START_LOOKS: usize = 6;
 /// Time between two of them.
 const START_PAUSE: Duration = Duration::from_millis(300);
-/// Shortest wait of a daemon that is cut off before it calls again.
+/// Shortest and longest wait before a store that gave no answer is probed. A
+/// probe costs a tenth of a call.
 const RETRY_MIN: Duration = Duration::from_millis(200);
-/// Longest wait before a failed call is made again; only readers call.
 const RETRY_MAX: Duration = Duration::from_millis(500);
 
 /// Follows the store and other daemons until `stop`.
@@ -151,6 +151,8 @@
     /// When each part was last known to be whole, milliseconds of
     /// [`Context::now`]; 0 while it is not.
     whole_ms: [AtomicU64; 2],
+    /// When the store last answered a probe.
+    probed_at: tokio::sync::Mutex<Duration>,
 }
 
 impl Store {
@@ -160,11 +162,17 @@
             entries: Client::new(address),
             config: Client::new(address),
             whole_ms: Default::default(),
+            probed_at: tokio::sync::Mutex::default(),
         }
     }
 
-    /// Follows both parts.
+    /// Follows both parts, once the store answers a probe: in an outage daemons
+    /// become readers one after the other.
     async fn read(&self, adapter: &Adapter) {
+        if let Err(fault) = self.entries.probe().await {
+            let mut delay = Delay::default();
+            self.failed(Part::Entries, &fault, &mut delay).await;
+        }
         let mut entries = entries::Follower::open(self, adapter);
         let mut config = config::Follower::open(self);
         tokio::join!(entries.follow(), config.follow());
@@ -203,15 +211,24 @@
         true
     }
 
-    /// Notes that a call about a part failed, and waits before the next one.
+    /// Notes that a call about a part failed, and waits until the store answers
+    /// again.
     async fn failed(&self, part: Part, fault: &Fault, delay: &mut Delay) {
         self.whole_ms[part as usize].store(0, Ordering::Relaxed);
         if self.context.distribution.on_lost(self.context.now()) {
             log::warn!(target: "dependency", dependency = "store", outcome = "lost"; "{fault}");
         }
-        // The thread's random numbers cannot be kept across an await.
-        let wait = delay.next(&mut rand::rng()).min(RETRY_MAX);
-        tokio::time::sleep(wait).await;
+        // One part probes for both.
+        let failed_at = self.context.now();
+        let mut probed_at = self.probed_at.lock().await;
+        while *probed_at <= failed_at {
+            // The thread's random numbers cannot be kept across an await.
+            let wait = delay.next(&mut rand::rng()).min(RETRY_MAX);
+            tokio::time::sleep(wait.max(RETRY_MIN)).await;
+            if self.entries.probe().await.is_ok() {
+                *probed_at = self.context.now();
+            }
+        }
     }
 }
 
