distribution: a reader that returns brings back nothing that left

Cause: a reader that the store had turned away took removals that it missed for leases that lapsed in an outage, kept those upstreams for 2 s, and its list, of a later revision, replaced the lists of daemons that knew better. Change: it keeps them only if no other daemon has told since what the store says; hosts that are kept are marked in lists, and a daemon whose knowledge is at most 2.2 s old takes none that it does not have as live. The new tests of lists and ages are without network. Ruled out: a number of the list that follows each revision; a list with kept entries of a yet later revision would still have replaced it. The fixture lists the fields that a host may have, which are one more.

--- a/crates/daemon/src/distribution/hint.rs
+++ b/crates/daemon/src/distribution/hint.rs
@@ -12,7 +12,7 @@
 use savorylane_intent::adopt::Outcome;
 use savorylane_intent::hosts;
 
-use super::numbers;
+use super::{numbers, without_gone};
 use crate::kernel::Context;
 use crate::peers::fetch;
 
@@ -82,7 +82,7 @@
     };
     let age = context.distribution.age.of(context.now());
     let list = match age.is_none_or(|age| age <= CUT_OFF) {
-        true => list,
+        true => without_gone(context, list),
         false => hosts::merge(&context.config.list().unwrap_or_default(), list),
     };
     context.config.offer_hosts(&context.trail, list, source);
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -14,10 +14,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use savorylane_distribution::age::Numbers;
+use savorylane_distribution::age::{Numbers, STALE};
 use savorylane_distribution::source::Place;
 use savorylane_distribution::{Age, Source, pace};
-use savorylane_intent::hosts::Host;
+use savorylane_intent::hosts::{self, Host, List};
 use tokio::sync::{Notify, watch};
 
 use crate::kernel::Context;
@@ -191,6 +191,16 @@
     }
 }
 
+/// Returns the list of another daemon without the hosts that this one knows to
+/// have left.
+fn without_gone(context: &Context, list: List) -> List {
+    let age = context.distribution.age.of(context.now());
+    match age.is_some_and(|age| age <= STALE) {
+        true => hosts::without_gone(&context.config.list().unwrap_or_default(), list),
+        false => list,
+    }
+}
+
 /// Returns whether a route that is not known here may exist.
 pub fn is_stale(context: &Context) -> bool {
     let own = numbers(context).version;
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use savorylane_distribution::age::STALE;
+use savorylane_distribution::age::{STALE, may_have_lapsed};
 use savorylane_distribution::source::Place;
 use savorylane_intent::hosts::{Host, List};
 use savorylane_intent::registry::{Instance, Registry};
@@ -98,9 +98,12 @@
     /// Notes that the store answered, before what it said is taken.
     fn answered(&mut self) {
         self.delay.reset();
-        let regained = self.store.context.distribution.lost_ms(self.now()) > 0;
-        if regained || std::mem::take(&mut self.lapsed) {
-            self.registry.on_return(self.now());
+        let now = self.now();
+        let distribution = &self.store.context.distribution;
+        let lost = Duration::from_millis(distribution.lost_ms(now));
+        let lapsed = !lost.is_zero() && may_have_lapsed(distribution.age.of(now), lost);
+        if std::mem::take(&mut self.lapsed) || lapsed {
+            self.registry.on_return(now);
         }
     }
 
@@ -205,7 +208,10 @@
     let mut hosts: Vec<Host> = registry
         .instances()
         .into_iter()
-        .map(|instance| host(context, adapter, instance))
+        .map(|instance| Host {
+            lapsed: registry.is_lapsed(&instance.id),
+            ..host(context, adapter, instance)
+        })
         .collect();
     hosts.sort_by(|a, b| a.name.cmp(&b.name));
     let known = context.config.list();
@@ -234,6 +240,7 @@
         state: instance.state,
         instance: Some(instance.id.clone()),
         slots: Some(instance.slots),
+        lapsed: false,
     }
 }
 
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -370,6 +370,7 @@
         state: hosts::State::Live,
         instance: None,
         slots: None,
+        lapsed: false,
     }
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -96,6 +96,7 @@
             state: State::Live,
             instance: None,
             slots: None,
+            lapsed: false,
         }
     }
 }
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -63,6 +63,7 @@
             state: State::Live,
             instance: None,
             slots: None,
+            lapsed: false,
         };
         Self {
             handle,
--- a/crates/daemon/tests/in_process/mod.rs
+++ b/crates/daemon/tests/in_process/mod.rs
@@ -208,6 +208,7 @@
             state: State::Live,
             instance: None,
             slots: None,
+            lapsed: false,
         };
         Member {
             name: name.into(),
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -183,6 +183,7 @@
             state: State::Live,
             instance: None,
             slots: None,
+            lapsed: false,
         });
         daemons.push(daemon);
     }
--- a/crates/distribution/src/age/mod.rs
+++ b/crates/distribution/src/age/mod.rs
@@ -92,6 +92,13 @@
     }
 }
 
+/// Returns whether the store may have been away for all while it gave no answers
+/// to a daemon for the time `lost`, so that leases lapsed meanwhile. It was not
+/// if another daemon has told since what it says.
+pub fn may_have_lapsed(age: Option<Duration>, lost: Duration) -> bool {
+    age.is_none_or(|age| age >= lost || age > STALE)
+}
+
 /// Returns whole milliseconds, at least 1: 0 stands for none.
 fn millis(at: Duration) -> u64 {
     (at.as_millis() as u64).max(1)
--- a/crates/distribution/tests/age.rs
+++ b/crates/distribution/tests/age.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use savorylane_distribution::Age;
-use savorylane_distribution::age::{Numbers, STALE};
+use savorylane_distribution::age::{Numbers, STALE, may_have_lapsed};
 use savorylane_distribution::pace::{PAUSE_MAX, PAUSE_MIN, Pace, adoption_pause};
 
 const fn at(millis: u64) -> Duration {
@@ -65,3 +65,15 @@
     assert_eq!(adoption_pause(at(4)), at(60));
     assert_eq!(adoption_pause(at(400)), at(500));
 }
+
+/// Guards against hosts that have left and are kept by a reader that was turned
+/// away by a store that served others, and against hosts that are dropped after
+/// an outage for all.
+#[test]
+fn leases_may_have_lapsed_unless_another_daemon_read_the_store() {
+    let lost = at(3_000);
+    assert!(!may_have_lapsed(Some(at(1_000)), lost), "others read it");
+    assert!(may_have_lapsed(Some(lost), lost), "nobody read it");
+    assert!(may_have_lapsed(Some(at(2_500)), lost), "all lost it");
+    assert!(may_have_lapsed(None, lost), "nothing was ever known");
+}
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -68,6 +68,15 @@
     /// Requests that the upstream runs at once.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slots: Option<u32>,
+    /// Whether the platform no longer lists the host, and whoever made the list
+    /// keeps it for a short time: its lease may have lapsed in an outage.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub lapsed: bool,
+}
+
+/// Returns whether a field is left out of a message.
+fn is_false(value: &bool) -> bool {
+    !value
 }
 
 fn address<'de, Source: Deserializer<'de>>(source: Source) -> Result<SocketAddr, Source::Error> {
@@ -181,6 +190,28 @@
     merged
 }
 
+/// Returns another daemon's `newer` list as a daemon takes it that has known
+/// all changes until lately, and has `own` in force: of the lapsed hosts those
+/// that are live there. Whoever keeps the others was cut off while they left.
+pub fn without_gone(own: &List, newer: List) -> List {
+    let known = |host: &Host| own.hosts.iter().find(|known| known.name == host.name);
+    let taken = newer.hosts.into_iter().filter_map(|host| {
+        if !host.lapsed {
+            return Some(host);
+        }
+        match known(&host) {
+            Some(known) if known.state == State::Live && known.instance == host.instance => {
+                Some(host)
+            }
+            known => known.cloned(),
+        }
+    });
+    List {
+        number: newer.number,
+        hosts: taken.collect(),
+    }
+}
+
 /// Largest host list after inflation, bytes: the most hosts with the longest
 /// names and addresses.
 pub const LIST_BYTES: usize = 4 << 20;
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -189,6 +189,12 @@
             .collect()
     }
 
+    /// Returns whether an upstream was removed and is kept for a short time.
+    pub fn is_lapsed(&self, id: &str) -> bool {
+        let entry = self.entries.get(id);
+        entry.is_some_and(|entry| entry.until.is_some())
+    }
+
     fn knows(&self, revision: u64, id: &str) -> bool {
         let entry = self.entries.get(id);
         entry.is_some_and(|entry| entry.revision >= revision)
--- a/crates/intent/tests/suite/limits.rs
+++ b/crates/intent/tests/suite/limits.rs
@@ -54,6 +54,7 @@
         state: State::Live,
         instance: None,
         slots: None,
+        lapsed: false,
     };
     List {
         number: 1,
--- a/crates/intent/tests/suite/lists.rs
+++ b/crates/intent/tests/suite/lists.rs
@@ -3,7 +3,7 @@
 use proptest::collection::btree_map;
 use proptest::prelude::*;
 use savorylane_intent::hosts::delta::{self, Content, Delta};
-use savorylane_intent::hosts::{Host, List, State};
+use savorylane_intent::hosts::{self, Host, List, State};
 
 fn host(number: u8, slots: u32) -> Host {
     let port = |port: u16| {
@@ -27,6 +27,7 @@
         },
         instance: Some(format!("i-{number}")),
         slots: Some(slots),
+        lapsed: false,
     }
 }
 
@@ -70,3 +71,48 @@
         prop_assert!(delta::decode(&sent[..cut]).is_err());
     }
 }
+
+/// Guards against a host that has left and is live again for daemons that know
+/// of it, because another one keeps it as lapsed.
+#[test]
+fn lapsed_hosts_that_are_known_to_have_left_are_not_taken() {
+    let lapsed = |number| Host {
+        lapsed: true,
+        ..host(number, 2)
+    };
+    let own = List {
+        number: 1,
+        hosts: vec![host(1, 2), host(2, 3)],
+    };
+    let newer = List {
+        number: 2,
+        hosts: vec![lapsed(1), lapsed(2), lapsed(3), host(4, 2)],
+    };
+    let taken = hosts::without_gone(&own, newer);
+    // Host 1 was live until then, host 2 leaves, host 3 is gone, host 4 is new.
+    assert_eq!(taken.hosts, [lapsed(1), host(2, 3), host(4, 2)]);
+    assert_eq!(taken.number, 2);
+}
+
+/// Guards against a lapsed host that takes the place of the next instance at
+/// its address.
+#[test]
+fn a_lapsed_host_does_not_replace_its_successor() {
+    let successor = Host {
+        instance: Some("i-9".into()),
+        ..host(1, 2)
+    };
+    let own = List {
+        number: 1,
+        hosts: vec![successor.clone()],
+    };
+    let lapsed = Host {
+        lapsed: true,
+        ..host(1, 2)
+    };
+    let newer = List {
+        number: 2,
+        hosts: vec![lapsed],
+    };
+    assert_eq!(hosts::without_gone(&own, newer).hosts, [successor]);
+}
--- a/crates/ledger/tests/drain.rs
+++ b/crates/ledger/tests/drain.rs
@@ -39,6 +39,7 @@
         state: State::Live,
         instance: None,
         slots: None,
+        lapsed: false,
     };
     let mut list = List {
         number,
--- a/crates/ledger/tests/ring.rs
+++ b/crates/ledger/tests/ring.rs
@@ -30,6 +30,7 @@
         state: State::Live,
         instance: None,
         slots: None,
+        lapsed: false,
     };
     List {
         number,
--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -32,6 +32,7 @@
         state: Platform::Live,
         instance: None,
         slots: None,
+        lapsed: false,
     }
 }
 
--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -81,6 +81,7 @@
             state: State::Live,
             instance: None,
             slots: None,
+            lapsed: false,
         }
     }
 }
