gatekeeper: late news of a leave leave no further time

Callers saw: both requests of the record reached an upstream 30 and 84 ms after the bound of 3 s, sent on by the gatekeeper beside it. Cause: a gatekeeper went on for 0.5 s after it heard of a leave, however old the news were. What it heard 2.5 s after the leave was late by this alone. Change: a list is offered with the moment up to which all changes were known before. The upstream gets no more requests from 1.5 s after that moment, or 0.5 s after the news, whichever is first. The gatekeeper takes lists in the order in which they are in force, and its line says how old the news may be (unknown_ms).

--- a/crates/daemon/src/distribution/cut_off.rs
+++ b/crates/daemon/src/distribution/cut_off.rs
@@ -105,7 +105,7 @@
     let list = hosts::merge(&known.list, List::clone(&list));
     let list = List { number, ..list };
     let own = context.settings.host.as_str();
-    context.config.offer_hosts(&context.trail, list, own);
+    super::offer_list(context, list, own);
 }
 
 /// Merges a newer list with the hosts that only the own one names. The result
--- a/crates/daemon/src/distribution/follow.rs
+++ b/crates/daemon/src/distribution/follow.rs
@@ -98,8 +98,7 @@
     }
 }
 
-/// Tells the source, the gatekeeper and the table of estimates of the list in
-/// force.
+/// Tells the source and the table of estimates of the list in force.
 pub fn on_list(context: &Context) {
     let Some(list) = context.config.list() else {
         return;
@@ -111,9 +110,6 @@
     context.distribution.changed.notify_one();
     let cut_off = &context.distribution.cut_off;
     cut_off.on_list(context.now(), &context.settings.host, &list);
-    let mut hosts = list.hosts.iter();
-    let own = hosts.find(|host| host.name == context.settings.host);
-    context.gatekeeper.departures.on_list(context.now(), own);
     let listed = |name: &str| {
         let mut instances = list.hosts.iter().map(|host| host.instance.as_deref());
         instances.any(|instance| instance == Some(name))
--- a/crates/daemon/src/distribution/hint.rs
+++ b/crates/daemon/src/distribution/hint.rs
@@ -12,7 +12,7 @@
 use savorylane_intent::adopt::Outcome;
 use savorylane_intent::hosts;
 
-use super::{numbers, without_gone};
+use super::{numbers, offer_list, without_gone};
 use crate::kernel::Context;
 use crate::peers::fetch;
 
@@ -85,5 +85,5 @@
         true => without_gone(context, list),
         false => hosts::merge(&context.config.list().unwrap_or_default(), list),
     };
-    context.config.offer_hosts(&context.trail, list, source);
+    offer_list(context, list, source);
 }
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -50,6 +50,8 @@
     polls: AtomicU64,
     /// Whether this host is cut off from the store.
     pub cut_off: cut_off::State,
+    /// Held while a host list is offered.
+    offers: Mutex<()>,
 }
 
 impl Distribution {
@@ -73,6 +75,7 @@
             encoded: news::Cache::default(),
             polls: AtomicU64::new(0),
             cut_off: cut_off::State::default(),
+            offers: Mutex::default(),
         }
     }
 
@@ -191,6 +194,26 @@
     }
 }
 
+/// Offers a host list, and tells the gatekeeper at once how the own upstream
+/// stands in it.
+pub fn offer_list(context: &Context, list: List, source: &str) {
+    let distribution = &context.distribution;
+    // The gatekeeper must take lists in the order in which they are in force.
+    let offers = &distribution.offers;
+    let _turn = offers.lock().unwrap_or_else(PoisonError::into_inner);
+    let now = context.now();
+    let known = now.saturating_sub(distribution.age.of(now).unwrap_or_default());
+    if !context.config.offer_hosts(&context.trail, list, source) {
+        return;
+    }
+    let Some(list) = context.config.list() else {
+        return;
+    };
+    let mut hosts = list.hosts.iter();
+    let own = hosts.find(|host| host.name == context.settings.host);
+    context.gatekeeper.departures.on_list(now, known, own);
+}
+
 /// Returns the list of another daemon without the hosts that this one knows to
 /// have left.
 fn without_gone(context: &Context, list: List) -> List {
--- a/crates/daemon/src/distribution/news.rs
+++ b/crates/daemon/src/distribution/news.rs
@@ -13,7 +13,7 @@
 use savorylane_wire::control::{Candidate, News, Poll};
 use savorylane_wire::rpc::Transfer;
 
-use super::{millis, numbers, without_gone};
+use super::{millis, numbers, offer_list, without_gone};
 use crate::audit::Event;
 use crate::kernel::Context;
 
@@ -313,7 +313,7 @@
             let known = context.config.list().unwrap_or_default();
             let list = without_gone(context, list);
             let list = context.distribution.cut_off.keep(&known, list);
-            context.config.offer_hosts(&context.trail, list, host);
+            offer_list(context, list, host);
             true
         }
         Err(fault) => {
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -12,6 +12,7 @@
 
 use super::{Store, log_read};
 use crate::config::PLATFORM;
+use crate::distribution;
 use crate::kernel::Context;
 use crate::settings::Adapter;
 
@@ -219,7 +220,7 @@
         return;
     }
     let list = List { number, hosts };
-    context.config.offer_hosts(&context.trail, list, PLATFORM);
+    distribution::offer_list(context, list, PLATFORM);
 }
 
 /// Returns the host of an upstream. Daemons have the same ports on all hosts,
--- a/crates/daemon/src/gatekeeper/departure.rs
+++ b/crates/daemon/src/gatekeeper/departure.rs
@@ -12,6 +12,10 @@
 /// Time after which an instance that leaves gets no more requests. Lists reach
 /// all entries sooner than that, so that few requests are refused.
 const GRACE: Duration = Duration::from_millis(500);
+/// Time since the instance was known to stay after which it gets no more
+/// requests, however late the news came: it may have left right after that, and
+/// must get none from 2.5 s on.
+const UNKNOWN_MAX: Duration = Duration::from_millis(1_500);
 /// Instances that are kept; a host has one at a time.
 const KEPT: usize = 8;
 
@@ -19,7 +23,8 @@
 #[derive(Clone, Debug)]
 struct Departure {
     instance: Arc<str>,
-    since: Duration,
+    /// From when on it gets no more requests.
+    refused: Duration,
 }
 
 /// What the host lists told of the instances of the host's upstream.
@@ -32,8 +37,8 @@
 
 impl Departures {
     /// Takes the entry of this host in a list that is in force from `now` on;
-    /// `None` if it has none.
-    pub fn on_list(&self, now: Duration, own: Option<&Host>) {
+    /// `None` if it has none. All changes until `known` were known before.
+    pub fn on_list(&self, now: Duration, known: Duration, own: Option<&Host>) {
         let mut listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
         let own = own.and_then(|host| Some((host.instance.as_deref()?, host.state)));
         let before = listed.take();
@@ -41,13 +46,13 @@
             let goes_on = own.is_some_and(|(instance, _)| *before == *instance);
             match goes_on {
                 true => {}
-                false => self.begin(now, &before),
+                false => self.begin(now, known, &before),
             }
             *listed = Some(before);
         }
         match own {
             Some((instance, State::Live)) => self.end(instance),
-            Some((instance, State::Leaving)) => self.begin(now, instance),
+            Some((instance, State::Leaving)) => self.begin(now, known, instance),
             None => return,
         }
         *listed = own.map(|(instance, _)| instance.into());
@@ -57,28 +62,27 @@
     pub fn has_left(&self, now: Duration, instance: &str) -> bool {
         let known = self.known.load();
         let mut departures = known.iter();
-        departures.any(|departure| {
-            *departure.instance == *instance && now.saturating_sub(departure.since) >= GRACE
-        })
+        departures.any(|departure| *departure.instance == *instance && now >= departure.refused)
     }
 
-    fn begin(&self, now: Duration, instance: &str) {
-        let mut known = Vec::clone(&self.known.load());
-        if known.iter().any(|known| *known.instance == *instance) {
+    fn begin(&self, now: Duration, known: Duration, instance: &str) {
+        let mut departures = Vec::clone(&self.known.load());
+        if departures.iter().any(|known| *known.instance == *instance) {
             return;
         }
+        let refused = (now + GRACE).min(known + UNKNOWN_MAX);
         log::info!(
             target: "dependency", dependency = "upstream", outcome = "leaving",
-            instance = instance;
+            instance = instance, unknown_ms = now.saturating_sub(known).as_millis() as u64;
             "the host list no longer has the upstream as live"
         );
-        known.push(Departure {
+        departures.push(Departure {
             instance: instance.into(),
-            since: now,
+            refused,
         });
-        let excess = known.len().saturating_sub(KEPT);
-        known.drain(..excess);
-        self.known.store(Arc::new(known));
+        let excess = departures.len().saturating_sub(KEPT);
+        departures.drain(..excess);
+        self.known.store(Arc::new(departures));
     }
 
     fn end(&self, instance: &str) {
