reservation: room on a thin link is reserved before a large body is sent

Cause: nine links of 29.4 Mbit/s are offered 0.98 to 1.2 times what they carry. All admitted uploads share a link, so that all are late, and every refusal takes 16 KiB of the body with it, four times a request. Change: where the link is below 200 Mbit/s, an entry asks first, without the body. A few bodies pass at a time (policy::transfer), in windows that let them fill the link; one that would be late is refused at once with the time until the queue is over. Bodies of unknown size are read up to 16 KiB first.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -370,6 +370,24 @@
         Ok(())
     }
 
+    /// Reads a body of unknown size until it has more than `most` bytes or ends,
+    /// so that a small one is known to be small.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the body was cut.
+    pub async fn measure(&self, most: usize) -> Result<(), Cut> {
+        let mut attempt = self.next_attempt();
+        let mut read = 0;
+        while attempt.size_hint().exact().is_none() && read <= most {
+            let Some(frame) = attempt.frame().await else {
+                break;
+            };
+            read += frame?.data_ref().map_or(0, Bytes::len);
+        }
+        Ok(())
+    }
+
     /// Takes the end of the answer. The server then drops what it has not read
     /// of the body, and the library reports that as the body's end. An upstream
     /// that answered early and reads on must not take it for one.
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Response, StatusCode};
+use http_body::Body as _;
 use savorylane_distribution::age::Numbers;
 use savorylane_intent::Snapshot;
 use savorylane_intent::hosts::Host;
@@ -25,6 +26,7 @@
 use crate::distribution::hint;
 use crate::kernel::Context;
 use crate::peers;
+use crate::reservation::SMALL_BYTES;
 use choice::{choose, estimate};
 use link::Watch;
 use race::{Attempt, may_have_run, race};
@@ -91,6 +93,9 @@
         &call.class.name
     };
     let class = context.dispatcher.table.class(budget);
+    if adapted {
+        measure(call, body).await?;
+    }
     if call.attempt.unwrap_or(1) == 1 {
         class.retry.fresh();
         class.hedge.fresh();
@@ -153,6 +158,24 @@
     Err(last)
 }
 
+/// Reads the start of a body whose size is not known, which decides whether a
+/// host has to have room for it.
+async fn measure(call: &Call, body: &Replay) -> Result<(), Refusal> {
+    let remaining = call.remaining(Instant::now());
+    let measured = body.measure(SMALL_BYTES as usize);
+    match tokio::time::timeout(remaining, measured).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err(Refusal::not_run(
+            StatusCode::BAD_REQUEST,
+            "the request's body was cut",
+        )),
+        Err(_) => Err(Refusal::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "the request's body did not come in time",
+        )),
+    }
+}
+
 /// Returns the way to the owner of a suspicion.
 fn owner(snapshot: &Snapshot, last: &Refusal, tried: &[usize]) -> Option<Plan> {
     let owner = last.owner.as_deref()?;
@@ -364,11 +387,12 @@
             Reply { result, load }
         } else {
             let extra = addressed(&context, host, &pending.estimate);
-            context
-                .dispatcher
-                .clients
-                .send(host.data, &call, extra, body, &watch)
-                .await
+            let clients = &context.dispatcher.clients;
+            let to = host.data;
+            match needs_room(&call, &pending.estimate, &body) {
+                true => clients.send_reserved(to, &call, extra, body, &watch).await,
+                false => clients.send(to, &call, extra, body, &watch).await,
+            }
         };
         match (&reply.load, &reply.result) {
             (Some(load), _) => {
@@ -404,6 +428,13 @@
     })
 }
 
+/// Returns whether a host has to have room for a body before it is sent there.
+fn needs_room(call: &Call, estimate: &Estimate, body: &Body) -> bool {
+    let above = u64::from(estimate.reserve_above());
+    let size = body.size_hint().exact();
+    call.path.is_some() && above > 0 && size.is_none_or(|size| size > above)
+}
+
 fn log_attempt(
     context: &Context,
     call: &Call,
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -14,7 +14,7 @@
 use savorylane_wire::{Load, Verdict, header};
 
 use super::link::{Connector, Watch};
-use crate::body::Body;
+use crate::body::{self, Body};
 use crate::call::{Call, Cause, Explanation, Refusal};
 use crate::edge::upstream::target;
 use crate::keepalive::{IDLE, PING_INTERVAL, PING_TIMEOUT};
@@ -124,6 +124,74 @@
     }
 }
 
+impl Clients {
+    /// Does the same as [`Clients::send`] once the daemon has room for the body.
+    pub async fn send_reserved(
+        &self,
+        address: SocketAddr,
+        call: &Call,
+        mut extra: HeaderMap,
+        body: Body,
+        watch: &Watch,
+    ) -> Reply {
+        match self.reserve(address, call, extra.clone(), watch).await {
+            Ok(reserved) => {
+                extra.insert(header::RESERVATION, reserved);
+                self.send(address, call, extra, body, watch).await
+            }
+            Err(reply) => reply,
+        }
+    }
+
+    /// Asks a daemon for room, and returns the number of what it reserves.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal. The request has not run, whatever became of the
+    /// question.
+    async fn reserve(
+        &self,
+        address: SocketAddr,
+        call: &Call,
+        extra: HeaderMap,
+        watch: &Watch,
+    ) -> Result<HeaderValue, Reply> {
+        let remaining = call.remaining(Instant::now());
+        let mut question = request(address, call, remaining, extra, body::empty());
+        let headers = question.headers_mut();
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.insert(header::RESERVE, HeaderValue::from_static("1"));
+        let connection = capture_connection(&mut question);
+        let refusal = tokio::select! {
+            answer = self.short.request(question) => match answer {
+                Ok(answer) => match answer.headers().get(header::RESERVATION) {
+                    Some(reserved) => return Ok(reserved.clone()),
+                    None => return Err(read(answer).await),
+                },
+                Err(error) => Refusal {
+                    cause: Cause::Away,
+                    ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, broken(&error))
+                },
+            },
+            () = tokio::time::sleep(remaining) => Refusal::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the host had no room for the body in time",
+            ),
+            () = watch.follow(connection) => Refusal {
+                cause: Cause::Away,
+                ..Refusal::not_run(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "the connection to the host is silent",
+                )
+            },
+        };
+        Err(Reply {
+            result: Err(refusal),
+            load: None,
+        })
+    }
+}
+
 /// Returns the reason of a refusal after the connection broke under a request,
 /// with what broke it.
 fn broken(error: &(dyn Error + 'static)) -> String {
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -11,12 +11,13 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Replay};
+use crate::body::{self, Body, Replay};
 use crate::call::{self, Call, Cause, Refusal};
 use crate::distribution::hint;
 use crate::edge::server::{self, Limits};
 use crate::holder::{self, Handoff};
 use crate::kernel::{Context, Plugin, Port};
+use crate::reservation;
 
 mod route;
 
@@ -155,5 +156,16 @@
     hint::on_request(context, peer, told);
     route::check(context, head, told.version)?;
     let call = Call::sent_on(head, hop, caller, Instant::now())?;
+    if head.headers.contains_key(header::RESERVE) {
+        let reserved = reservation::answer(context, &call).await?;
+        let mut answer = Response::new(body::empty());
+        let headers = answer.headers_mut();
+        headers.insert(header::RESERVATION, HeaderValue::from(reserved));
+        return Ok(answer);
+    }
+    let body = match call::number(&head.headers, header::RESERVATION)? {
+        Some(reserved) => context.reservations.pass(reserved, body),
+        None => body,
+    };
     context.gatekeeper.run(context, &call, body).await
 }
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -38,16 +38,17 @@
 /// Size of all headers of a request, bytes.
 const HEADER_BYTES: u32 = 16_384;
 /// Window of one HTTP/2 stream, bytes. This much of a body is on the way before
-/// the gatekeeper admits or refuses its request; under overload refused bodies
-/// fill the link of a host otherwise. A body passes at one window a round trip:
-/// 400 KB a second to another region.
+/// the gatekeeper admits or refuses its request. A body passes at one window a
+/// round trip: 400 KB a second to another region.
 pub const STREAM_WINDOW: u32 = 16_384;
-/// The same on a slow link, which 50 refused bodies fill for a quarter of a
-/// second otherwise at 16 KiB each. It holds the start of a body that a
-/// gatekeeper reads before it admits a request.
-const SLOW_STREAM_WINDOW: u32 = 4_096;
-/// Rate of a link below which it is slow, megabits a second.
-const SLOW_LINK_MBPS: u32 = 20;
+/// The same on a thin link, where room for a large body is reserved before it
+/// is sent: two or three of them fill the link from another region.
+const THIN_WINDOW: u32 = 65_536;
+/// The same on a slow link, on which a larger one would hold up what is small.
+const SLOW_WINDOW: u32 = 32_768;
+/// Rates of a link below which it is slow and thin, megabits a second.
+const SLOW_MBPS: u32 = 20;
+const THIN_MBPS: u32 = 200;
 /// Streams that fill the window of one HTTP/2 connection: 64 uploads can wait
 /// for a slot before they hold up those that have one.
 const WINDOWS: u32 = 64;
@@ -167,19 +168,30 @@
     /// Returns these limits for a port that only daemons use, on a link of
     /// `link_mbps` megabits a second; 0 if that is not known.
     pub fn of_daemons(self, link_mbps: u32) -> Self {
-        let slow = (1..SLOW_LINK_MBPS).contains(&link_mbps);
         Self {
             resets: DAEMON_RESETS_MAX,
-            stream_window: if slow {
-                SLOW_STREAM_WINDOW
-            } else {
-                STREAM_WINDOW
-            },
+            stream_window: stream_window(link_mbps),
             ..self
         }
     }
 }
 
+/// Returns whether bodies of requests can fill a link of `mbps` megabits a
+/// second; 0 if that is not known.
+pub fn is_thin(mbps: u32) -> bool {
+    (1..THIN_MBPS).contains(&mbps)
+}
+
+/// Returns the window of a stream on a link of `mbps` megabits a second; 0 if
+/// that is not known.
+pub fn stream_window(mbps: u32) -> u32 {
+    match mbps {
+        1..SLOW_MBPS => SLOW_WINDOW,
+        SLOW_MBPS..THIN_MBPS => THIN_WINDOW,
+        _ => STREAM_WINDOW,
+    }
+}
+
 /// Serves HTTP/1.1 and HTTP/2 until `stop`, then answers the requests that
 /// arrived and waits until each connection has answered what it took.
 ///
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -247,6 +247,23 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Checks that the upstream takes work, before the body of a call comes.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if it does not.
+    pub fn check(&self, context: &Context, call: &Call) -> Result<(), Refusal> {
+        stays(self, context, call)?;
+        let gate = &self.lock().gate;
+        if gate.closed() {
+            return Err(refuse(Reason::Closed, CLOSED_RETRY.as_millis() as u32));
+        }
+        if gate.load().leaving {
+            return Err(refuse(Reason::Leaving, 0));
+        }
+        Ok(())
+    }
+
     /// Returns the client of the upstream.
     pub fn upstream(&self) -> &Upstream {
         &self.upstream
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -31,6 +31,7 @@
 use crate::holder::{Rings, Runs};
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
+use crate::reservation::Reservations;
 use crate::results::Results;
 use crate::settings::Settings;
 use crate::summary;
@@ -66,6 +67,8 @@
     pub trail: Trail,
     /// Gate of the host's upstream.
     pub gatekeeper: Arc<Gatekeeper>,
+    /// Room on the host's link.
+    pub reservations: Arc<Reservations>,
     /// Membership.
     pub peers: Peers,
     /// Rings of idempotency keys.
@@ -112,6 +115,7 @@
         let current = self.config.current();
         load.version = current.version.map_or(0, |version| version.number);
         load.list = current.hosts;
+        load.reserve_above = self.reservations.required_above();
         load
     }
 
@@ -248,6 +252,7 @@
         config: Store::default(),
         trail: Trail::default(),
         gatekeeper,
+        reservations: Reservations::open(if adapted { settings.link_mbps } else { 0 }),
         results: Results::default(),
         metrics: Metrics::open(),
         decisions: Decisions::default(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod peers;
+pub mod reservation;
 pub mod results;
 pub mod settings;
 pub mod summary;
--- /dev/null
+++ b/crates/daemon/src/reservation/mod.rs
@@ -0,0 +1,275 @@
+//! Room on the link of this host that entries reserve before they send a large
+//! body.
+//!
+//! An entry asks without the body, and sends it once there is room. A refusal
+//! takes nothing of the link then, and the bodies that pass have it for
+//! themselves ([`savorylane_policy::transfer`]).
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Poll, ready};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+use savorylane_policy::gate::{Action, Decision, Reason};
+use savorylane_policy::transfer::{Room, Transfer, bodies};
+use tokio::sync::oneshot;
+
+use crate::body::{Body, Cut};
+use crate::call::{Call, Cause, Refusal};
+use crate::edge::server;
+use crate::kernel::Context;
+
+/// Size of a body up to which none reserves room, bytes. Most requests stay
+/// below it, and asking takes them a round trip.
+pub const SMALL_BYTES: u32 = 16 << 10;
+/// Time in which the body must begin to come once there is room.
+const LAPSE: Duration = Duration::from_secs(1);
+
+/// Room on the link of this host.
+#[derive(Debug)]
+pub struct Reservations {
+    start: Instant,
+    next_id: AtomicU64,
+    /// `None` where the link carries more than the upstream takes.
+    inner: Option<Mutex<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    room: Room,
+    waiters: HashMap<u64, oneshot::Sender<Result<(), Reason>>>,
+    /// Room whose bodies have not begun to come.
+    granted: HashMap<u64, Permit>,
+}
+
+/// Room for one body, or a place among those that wait; given back when dropped.
+#[derive(Debug)]
+pub struct Permit {
+    reservations: Arc<Reservations>,
+    id: u64,
+    /// Whether the whole body has come.
+    whole: bool,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.reservations.finish(self.id, self.whole);
+    }
+}
+
+impl Reservations {
+    /// Opens the room of a link of `mbps` megabits a second; 0 if that is not
+    /// known.
+    pub fn open(mbps: u32) -> Arc<Self> {
+        let window = server::stream_window(mbps);
+        let inner = server::is_thin(mbps).then(|| {
+            Mutex::new(Inner {
+                room: Room::new(bodies(mbps, window)),
+                waiters: HashMap::new(),
+                granted: HashMap::new(),
+            })
+        });
+        Arc::new(Self {
+            start: Instant::now(),
+            next_id: AtomicU64::new(1),
+            inner,
+        })
+    }
+
+    /// Returns the size of a body, in bytes, above which it needs room; 0 if
+    /// none does.
+    pub fn required_above(&self) -> u32 {
+        match self.inner {
+            Some(_) => SMALL_BYTES,
+            None => 0,
+        }
+    }
+
+    /// Waits until there is room for the body of a call, and returns the number
+    /// by which its request names it.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the body would come too late.
+    pub async fn reserve(self: &Arc<Self>, call: &Call) -> Result<u64, Refusal> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let waiting = self.ask(id, call)?;
+        let permit = Permit {
+            reservations: Arc::clone(self),
+            id,
+            whole: false,
+        };
+        if let Some(waiting) = waiting {
+            let remaining = call.remaining(Instant::now());
+            let woken = tokio::time::timeout(remaining, waiting).await;
+            if !matches!(woken, Ok(Ok(Ok(())))) {
+                return Err(self.lock().map_or_else(late, |inner| full(&inner.room)));
+            }
+        }
+        self.grant(permit);
+        Ok(id)
+    }
+
+    /// Asks for room; returns what tells of it later if the body has to wait.
+    fn ask(
+        &self,
+        id: u64,
+        call: &Call,
+    ) -> Result<Option<oneshot::Receiver<Result<(), Reason>>>, Refusal> {
+        let Some(mut inner) = self.lock() else {
+            return Ok(None);
+        };
+        let transfer = Transfer {
+            id,
+            shed_order: call.class.shed_order,
+            deadline: call.deadline.saturating_duration_since(self.start),
+            target: call.target.saturating_duration_since(self.start),
+        };
+        match inner.room.arrive(self.now(), transfer) {
+            Decision::Run => Ok(None),
+            Decision::Refuse(_) => Err(full(&inner.room)),
+            Decision::Wait => {
+                let (wake, waiting) = oneshot::channel();
+                inner.waiters.insert(id, wake);
+                Ok(Some(waiting))
+            }
+        }
+    }
+
+    /// Keeps a permit until the body begins to come.
+    fn grant(self: &Arc<Self>, permit: Permit) {
+        let id = permit.id;
+        if let Some(mut inner) = self.lock() {
+            inner.granted.insert(id, permit);
+        }
+        let reservations = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(LAPSE).await;
+            if reservations.redeem(id).is_some() {
+                log::info!("room for a body was reserved and not used");
+            }
+        });
+    }
+
+    /// Returns the permit with a number; `None` if it has lapsed.
+    fn redeem(&self, id: u64) -> Option<Permit> {
+        self.lock()?.granted.remove(&id)
+    }
+
+    /// Returns a body that gives the room with number `id` back once it has
+    /// come.
+    pub fn pass(&self, id: u64, body: Body) -> Body {
+        match self.redeem(id) {
+            Some(permit) => Passing {
+                body,
+                permit: Some(permit),
+            }
+            .boxed_unsync(),
+            None => body,
+        }
+    }
+
+    fn finish(&self, id: u64, whole: bool) {
+        let Some(mut inner) = self.lock() else {
+            return;
+        };
+        inner.waiters.remove(&id);
+        inner.room.finish(self.now(), id, whole);
+        inner.pump(self.now());
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    fn lock(&self) -> Option<MutexGuard<'_, Inner>> {
+        let inner = self.inner.as_ref()?;
+        Some(inner.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Inner {
+    /// Starts and refuses waiting bodies.
+    fn pump(&mut self, now: Duration) {
+        while let Some(action) = self.room.next(now) {
+            let (id, result) = match action {
+                Action::Start(id) => (id, Ok(())),
+                Action::Refuse(id, reason) => (id, Err(reason)),
+            };
+            let Some(wake) = self.waiters.remove(&id) else {
+                self.room.finish(now, id, false);
+                continue;
+            };
+            // A receiver that is gone gives its room back when it is dropped.
+            let _ = wake.send(result);
+        }
+    }
+}
+
+/// Answers an entry that asks for room.
+///
+/// # Errors
+///
+/// Returns a refusal if the upstream takes no work, or the body would come too
+/// late.
+pub async fn answer(context: &Arc<Context>, call: &Call) -> Result<u64, Refusal> {
+    context.gatekeeper.check(context, call)?;
+    context.reservations.reserve(call).await
+}
+
+fn full(room: &Room) -> Refusal {
+    Refusal {
+        retry_after: Some(room.retry_after()),
+        ..late()
+    }
+}
+
+fn late() -> Refusal {
+    Refusal {
+        cause: Cause::Busy,
+        ..Refusal::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the link of the host has no room for the body in time",
+        )
+    }
+}
+
+/// Body that passes the link of this host.
+struct Passing {
+    body: Body,
+    permit: Option<Permit>,
+}
+
+impl http_body::Body for Passing {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let broke = matches!(frame, Some(Err(_)));
+        let ended = frame.is_none() || self.body.is_end_stream();
+        if (broke || ended)
+            && let Some(mut permit) = self.permit.take()
+        {
+            permit.whole = !broke;
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -286,8 +286,8 @@
         (wait_ms.ceil() as u32).clamp(1, RETRY_MAX_MS)
     }
 
-    /// Returns the load to report; the daemon fills in `incarnation`, `version`
-    /// and `list`.
+    /// Returns the load to report; the daemon fills in what does not concern the
+    /// gate.
     pub fn load(&self) -> Load {
         Load {
             running: self.running.len() as u32,
@@ -298,6 +298,7 @@
             incarnation: Incarnation::default(),
             version: 0,
             list: 0,
+            reserve_above: 0,
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod gate;
 pub mod retry;
 pub mod route;
+pub mod transfer;
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -82,6 +82,7 @@
     service_us: AtomicU32,
     reported_us: AtomicU64,
     leaving: AtomicU32,
+    reserve_above: AtomicU32,
     run_started_ms: AtomicU64,
     run_nonce: AtomicU32,
     short_us: AtomicU64,
@@ -175,6 +176,14 @@
         self.reported_us.store(micros(now), Ordering::Relaxed);
         self.leaving
             .store(u32::from(load.leaving), Ordering::Relaxed);
+        self.reserve_above
+            .store(load.reserve_above, Ordering::Relaxed);
+    }
+
+    /// Returns the size of a body, in bytes, above which a request to the host
+    /// reserves room for it first; 0 if none does.
+    pub fn reserve_above(&self) -> u32 {
+        self.reserve_above.load(Ordering::Relaxed)
     }
 
     /// Notes that the host is known from `now`, for its slow start. Later
--- a/crates/wire/src/header/mod.rs
+++ b/crates/wire/src/header/mod.rs
@@ -31,7 +31,23 @@
 pub const HOP: &str = "savorylane-hop";
 /// Marks a refusal that the upstream itself made; on answers between daemons.
 pub const ARRIVED: &str = "savorylane-arrived";
+/// Asks for room for the body of a request, which comes without it; between
+/// daemons.
+pub const RESERVE: &str = "savorylane-reserve";
+/// Number of the room that was reserved; on the answer, and on the request with
+/// the body; between daemons.
+pub const RESERVATION: &str = "savorylane-reservation";
 /// Headers that only daemons send; an entry drops them from callers' requests.
-pub const INTERNAL: [&str; 7] = [CALLER, CLASS, FROM, HOLD, HOP, LOAD, TO];
+pub const INTERNAL: [&str; 9] = [
+    CALLER,
+    CLASS,
+    FROM,
+    HOLD,
+    HOP,
+    LOAD,
+    RESERVATION,
+    RESERVE,
+    TO,
+];
 /// Wait before another attempt is useful, in milliseconds; on refusals.
 pub const RETRY_AFTER_MS: &str = "retry-after-ms";
--- a/crates/wire/src/load/mod.rs
+++ b/crates/wire/src/load/mod.rs
@@ -28,13 +28,17 @@
     /// Number of the host list in force there; 0 for none.
     #[serde(default)]
     pub list: u64,
+    /// Size of a body, in bytes, above which a request reserves room for it
+    /// first; 0 if none does.
+    #[serde(default)]
+    pub reserve_above: u32,
 }
 
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} {} {} {} {} {} {} {}",
+            "{} {} {} {} {} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
@@ -42,7 +46,8 @@
             u8::from(self.leaving),
             self.incarnation,
             self.version,
-            self.list
+            self.list,
+            self.reserve_above
         )
     }
 }
@@ -70,6 +75,7 @@
             Some(field) => field.parse::<u64>().map_err(|_| Malformed),
         };
         let (version, list) = (number()?, number()?);
+        let reserve_above = u32::try_from(number()?).map_err(|_| Malformed)?;
         Ok(Self {
             running,
             queued,
@@ -79,6 +85,7 @@
             incarnation: incarnation.parse().map_err(|_| Malformed)?,
             version,
             list,
+            reserve_above,
         })
     }
 }
