--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -177,13 +177,17 @@
 ///
 /// A host that is cut off from its platform is removed there although it
 /// serves. Daemons that are cut off with it lose nothing by trying it, and
-/// take the platform's list again when they reach it.
+/// take the platform's list again when they reach it. It is marked as lapsed,
+/// so that those that reach the platform do not take it back.
 pub fn merge(own: &List, newer: List) -> List {
     let mut merged = newer;
     for host in &own.hosts {
         let known = merged.hosts.iter().any(|other| other.name == host.name);
         if !known && host.state == State::Live {
-            merged.hosts.push(host.clone());
+            merged.hosts.push(Host {
+                lapsed: true,
+                ..host.clone()
+            });
         }
     }
     merged.hosts.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/intent/tests/suite/lists.rs
+++ b/crates/intent/tests/suite/lists.rs
@@ -116,3 +116,20 @@
     };
     assert_eq!(hosts::without_gone(&own, newer).hosts, [successor]);
 }
+
+/// Guards against hosts that a cut-off daemon keeps, and that others which reach
+/// the platform take back from its list.
+#[test]
+fn what_a_cut_off_daemon_keeps_is_not_taken_by_others() {
+    let known = List {
+        number: 1,
+        hosts: vec![host(1, 2), host(2, 2)],
+    };
+    let platform = List {
+        number: 2,
+        hosts: vec![host(2, 2)],
+    };
+    let kept = hosts::merge(&known, platform.clone());
+    assert_eq!(kept.hosts.len(), 2, "the cut-off daemon uses both");
+    assert_eq!(hosts::without_gone(&platform, kept).hosts, platform.hosts);
+}
