--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -12,6 +12,7 @@
 use savorylane_wire::control::Suspicion;
 
 use crate::call::{Call, Cause, Refusal};
+use crate::reservation::State;
 
 /// Requests that a line about suspects names, at most.
 const SUSPECTS_LISTED: usize = 8;
@@ -264,6 +265,20 @@
     );
 }
 
+/// Writes the line of a request whose body finds no room on the link of its
+/// gatekeeper's host, which was in `state` when it asked.
+pub fn no_room(call: &Call, state: State) {
+    let instance = call.path.as_ref().map_or("", |path| path.instance.as_str());
+    log::info!(
+        target: "request",
+        event = "reserve", id = id(call), class = call.class.name.as_str(), instance = instance,
+        outcome = outcome(Verdict::NotRun), passing = state.passing, waiting = state.waiting,
+        expected_ms = state.expected.as_millis() as u64,
+        left_ms = call.remaining(Instant::now()).as_millis() as u64;
+        "the link of the host has no room for the body in time"
+    );
+}
+
 fn outcome(verdict: Verdict) -> &'static str {
     verdict.as_str()
 }
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -40,6 +40,7 @@
                 let version = context.config.version().map_or(0, |version| version.number);
                 let load = context.gatekeeper.load();
                 context.metrics.set_state(&context.decisions);
+                context.metrics.set_link(context.reservations.state());
                 let distribution = &context.distribution;
                 context
                     .metrics
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -12,6 +12,7 @@
 use crate::decisions::{Decisions, Kind};
 use crate::distribution::Distribution;
 use crate::logs;
+use crate::reservation;
 
 /// Instruments of one daemon.
 pub struct Metrics {
@@ -24,6 +25,8 @@
     running: Gauge<u64>,
     queued: Gauge<u64>,
     limit: Gauge<u64>,
+    passing: Gauge<u64>,
+    waiting: Gauge<u64>,
     version: Gauge<u64>,
     left_out: Gauge<u64>,
     attempts: Counter<u64>,
@@ -80,6 +83,14 @@
             running: meter.u64_gauge("savorylane_running").build(),
             queued: meter.u64_gauge("savorylane_queued").build(),
             limit: meter.u64_gauge("savorylane_slots").build(),
+            passing: meter
+                .u64_gauge("savorylane_bodies_passing")
+                .with_description("Large bodies that have room on the link of this host")
+                .build(),
+            waiting: meter
+                .u64_gauge("savorylane_bodies_waiting")
+                .with_description("Large bodies that wait for room on the link of this host")
+                .build(),
             version: meter.u64_gauge("savorylane_version").build(),
             left_out: meter
                 .u64_gauge("savorylane_log_lines_left_out")
@@ -150,6 +161,12 @@
         }
     }
 
+    /// Sets what the link of the host carries.
+    pub fn set_link(&self, state: reservation::State) {
+        self.passing.record(state.passing.into(), &[]);
+        self.waiting.record(state.waiting.into(), &[]);
+    }
+
     /// Sets what is known of log lines.
     pub fn set_state(&self, decisions: &Decisions) {
         for kind in Kind::ALL {
--- a/crates/daemon/src/reservation/mod.rs
+++ b/crates/daemon/src/reservation/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::body::{Body, Cut};
 use crate::call::{Call, Cause, Refusal};
+use crate::decisions::{self, Kind};
 use crate::edge::server;
 use crate::kernel::Context;
 
@@ -63,6 +64,17 @@
     }
 }
 
+/// What a link carries.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct State {
+    /// Bodies that pass.
+    pub passing: u32,
+    /// Bodies that wait for room.
+    pub waiting: u32,
+    /// Time for which one more would wait.
+    pub expected: Duration,
+}
+
 impl Reservations {
     /// Opens the room of a link of `mbps` megabits a second; 0 if that is not
     /// known.
@@ -91,6 +103,15 @@
         }
     }
 
+    /// Returns what the link carries now.
+    pub fn state(&self) -> State {
+        self.lock().map_or_else(State::default, |inner| State {
+            passing: inner.room.passing() as u32,
+            waiting: inner.room.waiting() as u32,
+            expected: inner.room.retry_after(),
+        })
+    }
+
     /// Waits until there is room for the body of a call, and returns the number
     /// by which its request names it.
     ///
@@ -220,7 +241,12 @@
 /// late.
 pub async fn answer(context: &Arc<Context>, call: &Call) -> Result<u64, Refusal> {
     context.gatekeeper.check(context, call)?;
-    context.reservations.reserve(call).await
+    let state = context.reservations.state();
+    let reserved = context.reservations.reserve(call).await;
+    if reserved.is_err() && context.decisions.allow(Kind::Rejected, context.now()) {
+        decisions::no_room(call, state);
+    }
+    reserved
 }
 
 fn full(room: &Room) -> Refusal {
--- a/crates/policy/src/transfer/mod.rs
+++ b/crates/policy/src/transfer/mod.rs
@@ -132,6 +132,11 @@
         self.passing.len()
     }
 
+    /// Returns the number of bodies that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Returns the expected wait behind `ahead` waiting bodies, seconds.
     fn wait_s(&self, ahead: usize) -> f64 {
         self.taken_s * (ahead + 1) as f64 / self.most as f64
