--- a/crates/client/src/command/explain/mod.rs
+++ b/crates/client/src/command/explain/mod.rs
@@ -127,7 +127,8 @@
     }
     for attempt in own("attempt") {
         let (to, instance) = (text(attempt, "to"), text(attempt, "instance"));
-        let gated = own("gate").any(|gate| text(gate, "host") == to);
+        let mut decided = own("gate").chain(own("reserve"));
+        let gated = decided.any(|line| text(line, "host") == to);
         if !gated && text(attempt, "cause") != "away" {
             notes += &format!(
                 "missing: the gatekeeper's line for the attempt at {to} ({instance}); the line was left out or the file of {to} is not given\n"
