--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -118,6 +118,28 @@
     call.id.as_deref().unwrap_or("")
 }
 
+/// Returns the instance that a request is for; empty where upstreams have none.
+fn instance(call: &Call) -> &str {
+    call.path.as_ref().map_or("", |path| path.instance.as_str())
+}
+
+/// Returns outcome, cause and reason of a line; `outcome` and `reason` are
+/// those of a success.
+fn words<'a>(
+    result: Result<StatusCode, &'a Refusal>,
+    outcome: &'static str,
+    reason: &'static str,
+) -> (&'static str, &'static str, &'a str) {
+    match result {
+        Ok(_) => (outcome, "", reason),
+        Err(refusal) => (
+            self::outcome(refusal.verdict),
+            cause(refusal.cause),
+            refusal.reason.as_str(),
+        ),
+    }
+}
+
 /// What a request was decided by at the entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Basis {
@@ -177,19 +199,11 @@
 ) {
     let elapsed_ms = start.elapsed().as_millis() as u64;
     let left_ms = call.remaining(Instant::now()).as_millis() as u64;
-    let instance = call.path.as_ref().map_or("", |path| path.instance.as_str());
-    let (outcome, cause, reason) = match result {
-        Ok(_) => ("answered", "", "the host answered"),
-        Err(refusal) => (
-            outcome(refusal.verdict),
-            cause(refusal.cause),
-            refusal.reason.as_str(),
-        ),
-    };
+    let (outcome, cause, reason) = words(result, "answered", "the host answered");
     log::info!(
         target: "request",
         event = "attempt", id = id(call), service = call.service.as_str(), to = host,
-        instance = instance, number = number, outcome = outcome, cause = cause,
+        instance = instance(call), number = number, outcome = outcome, cause = cause,
         elapsed_ms = elapsed_ms, left_ms = left_ms, load = observation.load, limit = observation.limit,
         report_age_ms = observation.age_ms, latency_ms = observation.latency_ms;
         "{reason}"
@@ -246,18 +260,10 @@
     result: Result<StatusCode, &Refusal>,
 ) {
     let elapsed_ms = start.elapsed().as_millis() as u64;
-    let instance = call.path.as_ref().map_or("", |path| path.instance.as_str());
-    let (outcome, cause, reason) = match result {
-        Ok(_) => ("ran", "", "the upstream answered"),
-        Err(refusal) => (
-            outcome(refusal.verdict),
-            cause(refusal.cause),
-            refusal.reason.as_str(),
-        ),
-    };
+    let (outcome, cause, reason) = words(result, "ran", "the upstream answered");
     log::info!(
         target: "request",
-        event = "gate", id = id(call), class = call.class.name.as_str(), instance = instance,
+        event = "gate", id = id(call), class = call.class.name.as_str(), instance = instance(call),
         outcome = outcome, cause = cause, waited_ms = waited.as_millis() as u64,
         elapsed_ms = elapsed_ms, running = gate.running, queued = gate.queued,
         limit = gate.limit, left_ms = call.remaining(Instant::now()).as_millis() as u64;
@@ -268,10 +274,9 @@
 /// Writes the line of a request whose body finds no room on the link of its
 /// gatekeeper's host, which was in `state` when it asked.
 pub fn no_room(call: &Call, state: State) {
-    let instance = call.path.as_ref().map_or("", |path| path.instance.as_str());
     log::info!(
         target: "request",
-        event = "reserve", id = id(call), class = call.class.name.as_str(), instance = instance,
+        event = "reserve", id = id(call), class = call.class.name.as_str(), instance = instance(call),
         outcome = outcome(Verdict::NotRun), passing = state.passing, waiting = state.waiting,
         expected_ms = state.expected.as_millis() as u64,
         left_ms = call.remaining(Instant::now()).as_millis() as u64;
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -1,6 +1,5 @@
 //! Gatekeeper: admits requests to the host's upstream and makes the verdict.
 
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,9 +7,9 @@
 use http::{HeaderValue, Response, StatusCode};
 use savorylane_intent::Hash;
 use savorylane_ledger::suspect::BODY_BYTES;
-use savorylane_policy::gate::{Action, Decision, Finish, Gate, Reason, Work};
+use savorylane_policy::gate::{Decision, Finish, Gate, Reason, Work};
 use savorylane_wire::{Load, Verdict, header};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Cut, Observer, Watched, peek};
@@ -20,6 +19,7 @@
 use crate::edge::upstream::{self, Upstream};
 use crate::kernel::Context;
 use crate::suspects::{self, Trial};
+use crate::waiters::Waiters;
 
 mod deaths;
 mod departure;
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 struct Inner {
     gate: Gate,
-    waiters: HashMap<u64, oneshot::Sender<Result<(), Reason>>>,
+    waiters: Waiters,
 }
 
 /// What a request met at the gate.
@@ -134,7 +134,7 @@
             next_id: AtomicU64::new(1),
             inner: Mutex::new(Inner {
                 gate,
-                waiters: HashMap::new(),
+                waiters: Waiters::default(),
             }),
             upstream,
             changed: Notify::new(),
@@ -349,8 +349,7 @@
                     return Err(refuse(reason, wait));
                 }
                 Decision::Wait => {
-                    let (wake, waiting) = oneshot::channel();
-                    inner.waiters.insert(id, wake);
+                    let waiting = inner.waiters.add(id);
                     // An arrival can displace waiting work, and its deadline
                     // may be the next timer.
                     inner.pump(now);
@@ -422,7 +421,7 @@
     fn finish(&self, id: u64, finish: Finish) {
         let now = self.now();
         let mut inner = self.lock();
-        inner.waiters.remove(&id);
+        inner.waiters.remove(id);
         inner.gate.finish(now, id, finish);
         inner.pump(now);
     }
@@ -440,16 +439,9 @@
     /// Starts and refuses waiting requests.
     fn pump(&mut self, now: Duration) {
         while let Some(action) = self.gate.next(now) {
-            let (id, result) = match action {
-                Action::Start(id) => (id, Ok(())),
-                Action::Refuse(id, reason) => (id, Err(reason)),
-            };
-            let Some(wake) = self.waiters.remove(&id) else {
-                self.gate.finish(now, id, Finish::Cancelled);
-                continue;
-            };
-            // A receiver that is gone gives its slot back when it is dropped.
-            let _ = wake.send(result);
+            if let Some(gone) = self.waiters.tell(action) {
+                self.gate.finish(now, gone, Finish::Cancelled);
+            }
         }
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod settings;
 pub mod summary;
 pub mod suspects;
+pub mod waiters;
 
 pub use error::Error;
 pub use kernel::{Handle, spawn};
--- a/crates/daemon/src/reservation/mod.rs
+++ b/crates/daemon/src/reservation/mod.rs
@@ -16,7 +16,7 @@
 use http::StatusCode;
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
-use savorylane_policy::gate::{Action, Decision, Reason};
+use savorylane_policy::gate::Decision;
 use savorylane_policy::transfer::{Room, Transfer, bodies};
 use tokio::sync::oneshot;
 
@@ -25,6 +25,7 @@
 use crate::decisions::{self, Kind};
 use crate::edge::server;
 use crate::kernel::Context;
+use crate::waiters::{self, Waiters};
 
 /// Size of a body up to which none reserves room, bytes. Most requests stay
 /// below it, and asking takes them a round trip.
@@ -44,7 +45,7 @@
 #[derive(Debug)]
 struct Inner {
     room: Room,
-    waiters: HashMap<u64, oneshot::Sender<Result<(), Reason>>>,
+    waiters: Waiters,
     /// Room whose bodies have not begun to come.
     granted: HashMap<u64, Permit>,
 }
@@ -83,7 +84,7 @@
         let inner = server::is_thin(mbps).then(|| {
             Mutex::new(Inner {
                 room: Room::new(bodies(mbps, window)),
-                waiters: HashMap::new(),
+                waiters: Waiters::default(),
                 granted: HashMap::new(),
             })
         });
@@ -142,7 +143,7 @@
         &self,
         id: u64,
         call: &Call,
-    ) -> Result<Option<oneshot::Receiver<Result<(), Reason>>>, Refusal> {
+    ) -> Result<Option<oneshot::Receiver<waiters::Outcome>>, Refusal> {
         let Some(mut inner) = self.lock() else {
             return Ok(None);
         };
@@ -155,11 +156,7 @@
         match inner.room.arrive(self.now(), transfer) {
             Decision::Run => Ok(None),
             Decision::Refuse(_) => Err(full(&inner.room)),
-            Decision::Wait => {
-                let (wake, waiting) = oneshot::channel();
-                inner.waiters.insert(id, wake);
-                Ok(Some(waiting))
-            }
+            Decision::Wait => Ok(Some(inner.waiters.add(id))),
         }
     }
 
@@ -200,7 +197,7 @@
         let Some(mut inner) = self.lock() else {
             return;
         };
-        inner.waiters.remove(&id);
+        inner.waiters.remove(id);
         inner.room.finish(self.now(), id, whole);
         inner.pump(self.now());
     }
@@ -219,16 +216,9 @@
     /// Starts and refuses waiting bodies.
     fn pump(&mut self, now: Duration) {
         while let Some(action) = self.room.next(now) {
-            let (id, result) = match action {
-                Action::Start(id) => (id, Ok(())),
-                Action::Refuse(id, reason) => (id, Err(reason)),
-            };
-            let Some(wake) = self.waiters.remove(&id) else {
-                self.room.finish(now, id, false);
-                continue;
-            };
-            // A receiver that is gone gives its room back when it is dropped.
-            let _ = wake.send(result);
+            if let Some(gone) = self.waiters.tell(action) {
+                self.room.finish(now, gone, false);
+            }
         }
     }
 }
