dispatch, body: room on links and replayed bodies in files of their own; test: one set-up for returning readers

The two tests of returning readers share what they begin with and what they watch; their checks are unchanged.

--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -5,6 +5,7 @@
 pub mod link;
 mod race;
 pub mod remote;
+mod room;
 pub mod table;
 
 use std::net::IpAddr;
@@ -12,7 +13,6 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Response, StatusCode};
-use http_body::Body as _;
 use savorylane_distribution::age::Numbers;
 use savorylane_intent::Snapshot;
 use savorylane_intent::hosts::Host;
@@ -26,11 +26,11 @@
 use crate::distribution::hint;
 use crate::kernel::Context;
 use crate::peers;
-use crate::reservation::SMALL_BYTES;
 use choice::{choose, estimate};
 use link::Watch;
 use race::{Attempt, may_have_run, race};
 use remote::{Clients, Reply, value};
+use room::{measure, needs_room};
 use table::{Class, Table};
 
 /// Clients and estimates of the other daemons.
@@ -158,24 +158,6 @@
     Err(last)
 }
 
-/// Reads the start of a body whose size is not known, which decides whether a
-/// host has to have room for it.
-async fn measure(call: &Call, body: &Replay) -> Result<(), Refusal> {
-    let remaining = call.remaining(Instant::now());
-    let measured = body.measure(SMALL_BYTES as usize);
-    match tokio::time::timeout(remaining, measured).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) => Err(Refusal::not_run(
-            StatusCode::BAD_REQUEST,
-            "the request's body was cut",
-        )),
-        Err(_) => Err(Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "the request's body did not come in time",
-        )),
-    }
-}
-
 /// Returns the way to the owner of a suspicion.
 fn owner(snapshot: &Snapshot, last: &Refusal, tried: &[usize]) -> Option<Plan> {
     let owner = last.owner.as_deref()?;
@@ -428,13 +410,6 @@
     })
 }
 
-/// Returns whether a host has to have room for a body before it is sent there.
-fn needs_room(call: &Call, estimate: &Estimate, body: &Body) -> bool {
-    let above = u64::from(estimate.reserve_above());
-    let size = body.size_hint().exact();
-    call.path.is_some() && above > 0 && size.is_none_or(|size| size > above)
-}
-
 fn log_attempt(
     context: &Context,
     call: &Call,
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -14,7 +14,7 @@
 use savorylane_wire::{Load, Verdict, header};
 
 use super::link::{Connector, Watch};
-use crate::body::{self, Body};
+use crate::body::Body;
 use crate::call::{Call, Cause, Explanation, Refusal};
 use crate::edge::upstream::target;
 use crate::keepalive::{IDLE, PING_INTERVAL, PING_TIMEOUT};
@@ -30,7 +30,7 @@
 /// so that an upload's bytes do not hold up short work.
 #[derive(Debug)]
 pub struct Clients {
-    short: Client<Connector, Body>,
+    pub(super) short: Client<Connector, Body>,
     long: Client<Connector, Body>,
 }
 
@@ -124,77 +124,9 @@
     }
 }
 
-impl Clients {
-    /// Does the same as [`Clients::send`] once the daemon has room for the body.
-    pub async fn send_reserved(
-        &self,
-        address: SocketAddr,
-        call: &Call,
-        mut extra: HeaderMap,
-        body: Body,
-        watch: &Watch,
-    ) -> Reply {
-        match self.reserve(address, call, extra.clone(), watch).await {
-            Ok(reserved) => {
-                extra.insert(header::RESERVATION, reserved);
-                self.send(address, call, extra, body, watch).await
-            }
-            Err(reply) => reply,
-        }
-    }
-
-    /// Asks a daemon for room, and returns the number of what it reserves.
-    ///
-    /// # Errors
-    ///
-    /// Returns the refusal. The request has not run, whatever became of the
-    /// question.
-    async fn reserve(
-        &self,
-        address: SocketAddr,
-        call: &Call,
-        extra: HeaderMap,
-        watch: &Watch,
-    ) -> Result<HeaderValue, Reply> {
-        let remaining = call.remaining(Instant::now());
-        let mut question = request(address, call, remaining, extra, body::empty());
-        let headers = question.headers_mut();
-        headers.remove(http::header::CONTENT_LENGTH);
-        headers.insert(header::RESERVE, HeaderValue::from_static("1"));
-        let connection = capture_connection(&mut question);
-        let refusal = tokio::select! {
-            answer = self.short.request(question) => match answer {
-                Ok(answer) => match answer.headers().get(header::RESERVATION) {
-                    Some(reserved) => return Ok(reserved.clone()),
-                    None => return Err(read(answer).await),
-                },
-                Err(error) => Refusal {
-                    cause: Cause::Away,
-                    ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, broken(&error))
-                },
-            },
-            () = tokio::time::sleep(remaining) => Refusal::not_run(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "the host had no room for the body in time",
-            ),
-            () = watch.follow(connection) => Refusal {
-                cause: Cause::Away,
-                ..Refusal::not_run(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "the connection to the host is silent",
-                )
-            },
-        };
-        Err(Reply {
-            result: Err(refusal),
-            load: None,
-        })
-    }
-}
-
 /// Returns the reason of a refusal after the connection broke under a request,
 /// with what broke it.
-fn broken(error: &(dyn Error + 'static)) -> String {
+pub(super) fn broken(error: &(dyn Error + 'static)) -> String {
     let mut innermost = error;
     while let Some(source) = innermost.source() {
         innermost = source;
@@ -229,7 +161,7 @@
     None
 }
 
-fn request(
+pub(super) fn request(
     address: SocketAddr,
     call: &Call,
     remaining: Duration,
@@ -260,7 +192,7 @@
     request
 }
 
-async fn read(answer: Response<Incoming>) -> Reply {
+pub(super) async fn read(answer: Response<Incoming>) -> Reply {
     let load = parse::<Load>(answer.headers(), header::LOAD);
     let verdict = parse::<Verdict>(answer.headers(), header::VERDICT);
     let result = match verdict {
