review: a follower of a cut-off reader uses what left

Cause: a reader that is cut off from the store adds the hosts that it knew to the lists it hands on, and its followers keep those that they have as live, also if they have just left.

It takes the place of the second SIGTERM. Cases 2 and 3 drain two targets, since under load one zone's nodes may all read the store.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -6,10 +6,15 @@
 
 use crate::Verdict;
 use crate::node;
+use crate::proxy::Proxy;
 use crate::record::{Event, Record};
-use crate::target::Target;
-use crate::world::{self, CONFIG_APPLY, DRAIN, GRACE, LEAD, RECOVERY, STABLE_WINDOW, World};
+use crate::world::{
+    self, CONFIG_APPLY, DRAIN, GRACE, HEARTBEAT, LEAD, RECOVERY, STABLE_WINDOW, World,
+};
 
+/// Indices of the machines whose targets are drained; they run `utlan` in two of
+/// the three zones.
+const DRAINED_MACHINES: [usize; 2] = [3, 4];
 /// Index of the first machine that runs `utlan`.
 const FIRST_BOOKING_MACHINE: usize = 3;
 
@@ -56,7 +61,7 @@
 }
 
 /// Puts an entry of another writer with the name of a service that no route
-/// leads to, if any; then one target is drained. Last, all processes are killed
+/// leads to, if any; then two targets are drained. Last, all processes are killed
 /// and started again, which shows what nodes know that start beside the entry.
 pub fn foreign_entry(world: &mut World, trouble: bool) -> Verdict {
     std::thread::sleep(LEAD);
@@ -67,11 +72,11 @@
         let entry = world::entry_json(address, "Batch Jobs", "sv-a", 4, "ready");
         put_foreign(world, &entry);
     }
-    sleep(4.0);
-    let (target, acknowledged) = drain_first_booking_target(world);
+    sleep(1.0);
+    let acknowledged = drain_booking_targets(world);
     std::thread::sleep(DRAIN);
     sleep(4.0);
-    let (late, _) = late_runs(&world.record, &target.id, acknowledged + DRAIN);
+    let (late, _) = late_at_drained(world, acknowledged + DRAIN);
     let killed = world.record.note("all processes are killed");
     for index in 0..world.daemons.len() {
         world.kill_daemon(index);
@@ -90,9 +95,9 @@
     let before = served(&world.record, Duration::ZERO, killed);
     let after = served(&world.record, back + RECOVERY, Duration::MAX);
     world.record.note(format!(
-        "{late} requests sent later than drain_s after that reached {}; served before the kill: \
-         {} of {}, later than recovery_s after it: {} of {}",
-        target.id, before.0, before.1, after.0, after.1
+        "{late} requests sent later than drain_s after that reached them; served before the \
+         kill: {} of {}, later than recovery_s after it: {} of {}",
+        before.0, before.1, after.0, after.1
     ));
     match (late, before.1 > 100) {
         (_, false) => Verdict::NotRun,
@@ -101,22 +106,31 @@
     }
 }
 
-/// Lets the first target of `utlan` report that it is draining. Returns it and
-/// the time of the acknowledgement.
-fn drain_first_booking_target(world: &World) -> (Target, Duration) {
-    let index = FIRST_BOOKING_MACHINE;
-    world.put_entry(index, "draining");
-    let target = world.targets[index].clone();
-    target.leave();
-    let acknowledged = world.record.note(format!(
-        "the store acknowledged that {} is draining",
-        target.id
-    ));
-    (target, acknowledged)
+/// Lets two of the three targets of `utlan` report that they are draining.
+/// Returns the time of the acknowledgement.
+fn drain_booking_targets(world: &World) -> Duration {
+    for index in DRAINED_MACHINES {
+        world.put_entry(index, "draining");
+        world.targets[index].leave();
+    }
+    let ids = DRAINED_MACHINES.map(|index| world.targets[index].id.as_str());
+    world.record.note(format!(
+        "the store acknowledged that {} are draining",
+        ids.join(" and ")
+    ))
+}
+
+/// Returns how many requests that were sent after `from` the draining targets
+/// ran, and how many of them were cut when a target ended.
+fn late_at_drained(world: &World, from: Duration) -> (usize, usize) {
+    let runs =
+        DRAINED_MACHINES.map(|index| late_runs(&world.record, &world.targets[index].id, from));
+    runs.iter()
+        .fold((0, 0), |sum, (late, cut)| (sum.0 + late, sum.1 + cut))
 }
 
 /// Puts an entry of another writer at another port of a machine, if any; then
-/// one target is drained and ends.
+/// two targets are drained and end.
 pub fn shared_address(world: &mut World, trouble: bool) -> Verdict {
     std::thread::sleep(LEAD);
     start_traffic(world, 300);
@@ -127,23 +141,24 @@
         let entry = world::entry_json(address, "exporter", machine.zone, 4, "ready");
         put_foreign(world, &entry);
     }
-    sleep(4.0);
-    let (target, acknowledged) = drain_first_booking_target(world);
+    sleep(1.0);
+    let acknowledged = drain_booking_targets(world);
     std::thread::sleep(DRAIN);
     sleep(4.0);
-    target.end();
-    world.remove_entry(FIRST_BOOKING_MACHINE);
+    for index in DRAINED_MACHINES {
+        world.targets[index].end();
+        world.remove_entry(index);
+        world.terminate(index);
+    }
     world
         .record
-        .note(format!("{} has ended; its node gets SIGTERM", target.id));
-    world.terminate(FIRST_BOOKING_MACHINE);
+        .note("they have ended; their nodes get SIGTERM");
     sleep(8.0);
     world.stop_clients();
-    let (late, cut) = late_runs(&world.record, &target.id, acknowledged + DRAIN);
+    let (late, cut) = late_at_drained(world, acknowledged + DRAIN);
     world.record.note(format!(
-        "{late} requests sent later than drain_s after that reached {}; \
-         {cut} of them were cut when it ended",
-        target.id
+        "{late} requests sent later than drain_s after that reached them; {cut} of them were cut \
+         when they ended"
     ));
     match late {
         0 => Verdict::Held,
@@ -180,81 +195,89 @@
     (late, cut)
 }
 
-/// A node gets SIGTERM, and once more half a second later.
-pub fn repeated_term(world: &mut World, trouble: bool) -> Verdict {
-    std::thread::sleep(LEAD);
-    let period = Duration::from_millis(420);
+/// The node that reads the store is cut off from it, and its entry expires.
+/// Then a target of its zone leaves without a report.
+pub fn cut_reader(world: &mut World, trouble: bool) -> Verdict {
+    let zone = "go-a";
+    let sent = |world: &World| -> Vec<u64> { world.proxies.iter().map(Proxy::sent).collect() };
+    sleep(5.0);
+    let before = sent(world);
+    sleep(3.0);
+    let after = sent(world);
+    let in_zone = |index: &usize| world.machines[*index].zone == zone;
+    let machines: Vec<usize> = (0..world.machines.len()).filter(in_zone).collect();
+    let calls = |index: &usize| after[*index] - before[*index];
+    let reader = machines.iter().copied().max_by_key(calls);
+    let Some(reader) = reader.filter(|reader| calls(reader) > 0) else {
+        eprintln!("no node of {zone} reads the store");
+        return Verdict::NotRun;
+    };
+    let Some(leaving) = machines.into_iter().find(|index| *index != reader) else {
+        return Verdict::NotRun;
+    };
+    let period = Duration::from_millis(100);
     for index in 0..world.machines.len() {
-        for _ in 0..3 {
-            world.add_client(index, period, world::book(400));
-            world.add_client(index, period, world::stock(300));
+        let machine = &world.machines[index];
+        // The clients of this zone call the service of their own machine.
+        let (local, service) = (machine.zone == zone, machine.service);
+        for (of, request) in [
+            ("lager", world::stock(20)),
+            ("utlan", world::book(20)),
+            ("rapport", world::haul(20)),
+        ] {
+            if index != reader && (!local || of == service) {
+                world.add_client(index, period, request);
+            }
         }
     }
-    sleep(4.0);
-    let mut ends = Vec::new();
-    for index in [1, 4, 7] {
-        let terminated = world
+    sleep(6.0);
+    if trouble {
+        let machine = reader + 1;
+        world
             .record
-            .note(format!("machine {} gets SIGTERM", index + 1));
-        world.terminate(index);
-        sleep(0.5);
-        if trouble {
-            world
-                .record
-                .note(format!("machine {} gets SIGTERM once more", index + 1));
-            world.terminate(index);
-        }
-        ends.push((index + 1, terminated));
-        sleep(7.0);
-        if let Err(reason) = world.restart_daemon(index) {
-            eprintln!("{reason}");
-            return Verdict::NotRun;
-        }
-        sleep(3.0);
+            .note(format!("machine {machine} is cut off from the store"));
+        world.proxies[reader].set_cut(true);
+        std::thread::sleep(3 * HEARTBEAT);
+        world.remove_entry(reader);
+        world
+            .record
+            .note("its entry expires, after three heartbeats");
     }
-    world.stop_clients();
-    let mut lost = 0;
-    for (machine, terminated) in ends {
-        let ids = lost_requests(&world.record, machine, terminated, terminated + GRACE);
-        world.record.note(format!(
-            "machine {machine}: {} requests were passed to a target and not answered",
-            ids.len()
-        ));
-        lost += ids.len();
+    sleep(1.0);
+    world.remove_entry(leaving);
+    let target = world.targets[leaving].clone();
+    let acknowledged = world.record.note(format!(
+        "{} of machine {} leaves without a report; its entry is removed",
+        target.id,
+        leaving + 1
+    ));
+    target.leave();
+    std::thread::sleep(DRAIN);
+    sleep(4.0);
+    target.end();
+    world
+        .record
+        .note(format!("{} ends; its node gets SIGTERM", target.id));
+    world.terminate(leaving);
+    if trouble {
+        world.proxies[reader].set_cut(false);
+        world.put_entry(reader, "ready");
+        world.record.note("the cut heals, and the entry is back");
     }
-    match lost {
+    sleep(4.0);
+    world.stop_clients();
+    let (late, cut) = late_runs(&world.record, &target.id, acknowledged + DRAIN);
+    world.record.note(format!(
+        "{late} requests sent later than drain_s after that reached {}; \
+         {cut} of them were cut when it ended",
+        target.id
+    ));
+    match late {
         0 => Verdict::Held,
         _ => Verdict::Broken,
     }
 }
 
-/// Returns the requests whose connection to `machine` ended in a period without
-/// an answer although a target ran them.
-fn lost_requests(record: &Record, machine: usize, from: Duration, to: Duration) -> Vec<String> {
-    let mut sent = HashSet::new();
-    let mut run = HashSet::new();
-    let mut lost = Vec::new();
-    for (at, event) in record.events() {
-        match event {
-            Event::Sent {
-                id, machine: by, ..
-            } if by == machine => {
-                sent.insert(id);
-            }
-            Event::Run { id, .. } => {
-                run.insert(id);
-            }
-            Event::Answered { id, status: None }
-                if (from..to).contains(&at) && sent.contains(&id) && run.contains(&id) =>
-            {
-                lost.push(id);
-            }
-            _ => {}
-        }
-    }
-    lost
-}
-
 /// The nodes beside the targets of `utlan` are stopped and started again, one
 /// after the other and in two rounds, while their targets go on. Then a route to
 /// `utlan` is added.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod http;
 mod node;
+mod proxy;
 mod record;
 mod store;
 mod target;
@@ -44,9 +45,9 @@
     println!("logs of the nodes: {}", logs.display());
     let root = std::env::current_dir().unwrap_or_default();
     let case: fn(&mut World, bool) -> Verdict = match case.as_str() {
+        "cut-reader" => cases::cut_reader,
         "foreign-entry" => cases::foreign_entry,
         "lost-target" => cases::lost_target,
-        "repeated-term" => cases::repeated_term,
         "rolled" => cases::rolled,
         "shared-address" => cases::shared_address,
         _ => {
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -10,6 +10,7 @@
 use crate::client::{self, Ids, Request};
 use crate::http::Connection;
 use crate::node::{self, Daemon, Machine, Ports};
+use crate::proxy::Proxy;
 use crate::record::Record;
 use crate::store::Store;
 use crate::target::Target;
@@ -17,6 +18,8 @@
 /// Bounds of a small deployment (`SYSTEM.md`, plockpool).
 pub const DRAIN: Duration = Duration::from_millis(2_500);
 pub const GRACE: Duration = Duration::from_secs(6);
+/// Interval at which a target writes its entry.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_500);
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 pub const STABLE_WINDOW: Duration = Duration::from_secs(3);
 pub const RECOVERY: Duration = Duration::from_secs(15);
@@ -40,6 +43,8 @@
     pub store: Store,
     pub machines: Vec<Machine>,
     pub targets: Vec<Target>,
+    /// Proxy of each machine before the store.
+    pub proxies: Vec<Proxy>,
     pub daemons: Vec<Arc<Mutex<Option<Daemon>>>>,
     pub ids: Ids,
     /// Whether the clients of a machine get new work.
@@ -70,7 +75,7 @@
                     region,
                     service: SERVICES[index / ZONES.len() % SERVICES.len()],
                     ports,
-                    store: store_address,
+                    store: SocketAddr::new(node::ip(index + 1), ports.store()),
                     zones: ZONES.to_vec(),
                 }
             })
@@ -80,7 +85,11 @@
             .serve(store_address)
             .map_err(|error| format!("cannot start the store: {error}"))?;
         store.put("op/config", &configuration(7, false));
-        let mut targets = Vec::new();
+        let (mut targets, mut proxies) = (Vec::new(), Vec::new());
+        for machine in &machines {
+            let proxy = Proxy::start(machine.store, store_address);
+            proxies.push(proxy.map_err(|error| format!("cannot start a proxy: {error}"))?);
+        }
         for machine in &machines {
             let address = machine.at(ports.app());
             let target = Target::start(&target_id(machine.index), address, SLOTS, &record);
@@ -91,6 +100,7 @@
             store,
             machines,
             targets,
+            proxies,
             daemons: Vec::new(),
             ids: Ids::new(),
             working: Vec::new(),
