--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -295,7 +295,7 @@
 }
 
 /// The nodes beside the targets of `utlan` are stopped and started again, one
-/// after the other and in two rounds, while their targets go on. Then a route to
+/// after the other and in three rounds, while their targets go on. Then a route to
 /// `utlan` is added.
 pub fn rolled(world: &mut World, trouble: bool) -> Verdict {
     let of = |world: &World, service: &str| -> Vec<usize> {
