--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -1,5 +1,6 @@
-//! Stand-ins and cases of the review. Usage: `review-standin CASE FOLDER`, in
-//! the root of the repository; `TROUBLE=0` leaves the disruption out.
+//! Stand-ins and cases of the review. Usage: `review-standin CASE RECORD TROUBLE`,
+//! in the root of the repository. `RECORD` is the file for the record; a
+//! `TROUBLE` of 0 leaves the disruption out.
 //!
 //! Exits with 1 if the rule was broken, with 0 if it held and with 2 if the
 //! case could not run.
@@ -14,7 +15,6 @@
 mod target;
 mod world;
 
-use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -32,11 +32,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else {
-        eprintln!("usage: review-standin CASE FOLDER");
+    let [_, case, record, trouble] = &arguments[..] else {
+        eprintln!("usage: review-standin CASE RECORD TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = trouble != "0";
     let logs = std::env::temp_dir().join(format!("review-{}", std::process::id()));
     if let Err(error) = std::fs::create_dir_all(&logs) {
         eprintln!("cannot make a temporary folder: {error}");
@@ -75,7 +75,7 @@
     let verdict = case(&mut world, trouble);
     world.end();
     let text = world.record.text();
-    if let Err(error) = std::fs::write(Path::new(folder).join("record.txt"), text) {
+    if let Err(error) = std::fs::write(record, text) {
         eprintln!("cannot write the record: {error}");
         return ExitCode::from(2);
     }
--- a/review/standin/src/node.rs
+++ b/review/standin/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -127,6 +128,20 @@
     Some(line.strip_suffix('"')?.to_owned())
 }
 
+/// Lets the kernel kill this process when its parent ends, however that ends.
+fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: usize = 9;
+    unsafe extern "C" {
+        fn prctl(option: i32, ...) -> i32;
+    }
+    // SAFETY: this option takes a signal and touches no memory.
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// A running daemon, which is killed on drop.
 pub struct Daemon {
     child: Child,
@@ -141,7 +156,10 @@
         log: File,
     ) -> std::io::Result<Self> {
         let words = machine.command_line(template);
-        let child = Command::new(root.join(&words[0]))
+        let mut command = Command::new(root.join(&words[0]));
+        // SAFETY: `prctl` is safe to call between fork and exec.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .args(&words[1..])
             .current_dir(root)
             .env_clear()
