daemon: say which belief leaves a service without a host

A request that no host was chosen for ended with "service X has no host that takes work".

The line now counts the listed hosts, and those that each belief rules out. The text is made only when a request is refused so; before, it was made for every request. No behaviour changes.

--- a/crates/daemon/src/dispatch/choice.rs
+++ b/crates/daemon/src/dispatch/choice.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use http::StatusCode;
 use savorylane_intent::Snapshot;
 use savorylane_intent::hosts::{Host, State};
 use savorylane_policy::retry::may_hedge;
 use savorylane_policy::route::{self, Candidate, Distance, Estimate};
 
 use super::table::Class;
-use crate::call::Call;
+use crate::call::{Call, Refusal};
 use crate::kernel::Context;
 
 /// Chooses among the routable hosts that are not in `tried`; with
@@ -25,9 +26,8 @@
 ) -> Option<route::Choice> {
     let usable = |index: &usize| {
         let host = &snapshot.list.hosts[*index];
-        let listed = host.instance.is_none() || host.state == State::Live;
         !tried.contains(index)
-            && listed
+            && is_listed_live(host)
             && context.peers.is_routable(&host.name)
             && (!same_region || host.region == context.settings.region)
     };
@@ -72,6 +72,35 @@
     Some(choice)
 }
 
+/// Returns whether the host list lets the host take requests. Without an
+/// instance, membership decides that.
+fn is_listed_live(host: &Host) -> bool {
+    host.instance.is_none() || host.state == State::Live
+}
+
+/// Returns the refusal of a call for which no host was chosen, with the number
+/// of hosts that each belief rules out.
+pub(super) fn refuse_without_host(context: &Context, snapshot: &Snapshot, call: &Call) -> Refusal {
+    let indices = snapshot.host_indices(&call.service);
+    let hosts = || indices.iter().map(|&index| &snapshot.list.hosts[index]);
+    let not_live = hosts().filter(|host| !is_listed_live(host)).count();
+    let unroutable = hosts()
+        .filter(|host| !context.peers.is_routable(&host.name))
+        .count();
+    let leaving = hosts()
+        .filter(|host| estimate(context, host).leaving())
+        .count();
+    Refusal::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        format!(
+            "service {} has no host that takes work: {} listed, {not_live} of them not live, \
+             {unroutable} not routable, {leaving} reported to leave",
+            call.service,
+            indices.len(),
+        ),
+    )
+}
+
 /// Returns the load estimate of a host. A restarted upstream has another
 /// instance and so a new estimate.
 pub(super) fn estimate(context: &Context, host: &Host) -> Arc<Estimate> {
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -25,7 +25,7 @@
 use crate::distribution::hint;
 use crate::kernel::Context;
 use crate::peers;
-use choice::{choose, estimate};
+use choice::{choose, estimate, refuse_without_host};
 use link::Monitor;
 use race::{Attempt, mark_may_have_run, race};
 use remote::{Clients, Reply, header_value};
@@ -110,10 +110,7 @@
     let mut tried = Vec::new();
     // Status of the last refusal whose request may have run.
     let mut unknown_status = None;
-    let mut last = Refusal::not_run(
-        StatusCode::SERVICE_UNAVAILABLE,
-        format!("service {} has no host that takes work", call.service),
-    );
+    let mut last = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "");
     while tried.len() < max_attempts {
         let next = match last.cause {
             Cause::Suspect => plan_for_owner(snapshot, &last, &tried),
@@ -131,6 +128,9 @@
             }
         };
         let Some(mut plan) = next else {
+            if tried.is_empty() {
+                last = refuse_without_host(context, snapshot, call);
+            }
             break;
         };
         let attempts_before = tried.len();
