policy: end the report that a host leaves

Cause: an estimate kept the last reported leaving, and a leaving host was never chosen, so no answer could take the report back. The upstream's instance, which the estimate belongs to, went on.

Evidence: at one entry the first stopping host refused a request ("the host leaves"), no attempt at it followed, and after the third stop 2,116 requests were refused after 0 ms with the list in force everywhere. Ruled out: the list (daemons that started later reached the hosts) and the back-off (2 s at most).

Change: a report keeps requests away for 1 s; then one request at a time finds out. If all hosts of a service reported to leave, the one with the oldest report is tried, each at most every 100 ms. A gatekeeper that leaves refuses unrun, so such a request reaches no leaving upstream.

--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -25,6 +25,11 @@
 /// Upper bound of the backoff.
 const MAX_BACKOFF_US: u64 = 2_000_000;
 
+/// Time after which a report that the host is leaving no longer keeps requests
+/// from the host. The process that sent it may have been replaced since, and
+/// only an answer to another request would show that.
+const LEAVING_TIMEOUT_US: u64 = 1_000_000;
+
 /// Time constant, in service times of short work, with which a reported load
 /// decays. Long work occupies its slots for many service times of short work,
 /// so a shorter time constant would send short work to hosts that are still
@@ -249,6 +254,36 @@
         self.leaving.load(Ordering::Relaxed) != 0
     }
 
+    /// Returns whether a host that reported that it is leaving must be avoided:
+    /// until the report is [`LEAVING_TIMEOUT_US`] old, and after that while a
+    /// request is in flight whose answer will confirm or end the report.
+    pub(super) fn must_avoid_leaving(&self, now: Duration) -> bool {
+        self.leaving() && !self.may_recheck(now, LEAVING_TIMEOUT_US)
+    }
+
+    /// Returns whether a request may be sent to a leaving host to learn whether
+    /// it still leaves: no other one is in flight, and the last report and the
+    /// last probe are at least `interval_us` old.
+    pub(super) fn may_recheck(&self, now: Duration, interval_us: u64) -> bool {
+        let checked_us = self
+            .reported_us()
+            .max(self.probed_us.load(Ordering::Relaxed));
+        self.in_flight() == 0 && micros(now) >= checked_us + interval_us
+    }
+
+    /// Records that a request chosen at `now` will show whether a leaving host
+    /// still leaves.
+    pub(super) fn record_recheck(&self, now: Duration) {
+        if self.leaving() {
+            self.probed_us.store(micros(now), Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the time of the last report.
+    pub(super) fn reported_us(&self) -> u64 {
+        self.reported_us.load(Ordering::Relaxed)
+    }
+
     /// Returns the smoothed response time of short or long work, if one was
     /// measured.
     pub fn response_time(&self, length: document::Work) -> Option<Duration> {
@@ -307,7 +342,7 @@
     /// load, decayed with its age, plus the requests sent since the report.
     pub(super) fn outstanding(&self, now: Duration) -> f64 {
         let own = f64::from(self.in_flight());
-        let age_us = micros(now).saturating_sub(self.reported_us.load(Ordering::Relaxed));
+        let age_us = micros(now).saturating_sub(self.reported_us());
         let service_us = self.service_us.load(Ordering::Relaxed).max(1_000);
         let kept = (-(age_us as f64) / (LOAD_DECAY_SERVICE_TIMES * f64::from(service_us))).exp();
         let reported = f64::from(self.reported_load.load(Ordering::Relaxed)) * kept;
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -18,7 +18,8 @@
 /// latency above which the age counts as the host's latency. Of exponential
 /// service times, 1 in 20 exceeds three times the mean.
 const OVERDUE_RATIO: f64 = 3.0;
-/// Minimum interval between two probes of a slow host by one entry.
+/// Minimum interval between two probes of a slow host, or of a leaving one if
+/// all hosts are leaving, by one entry.
 const PROBE_INTERVAL_US: u64 = 100_000;
 /// Latency assumed before any host answered, in microseconds.
 const LATENCY_PRIOR_US: f64 = 5_000.0;
@@ -145,7 +146,8 @@
 }
 
 /// Chooses the candidate that serves a request at `now`. Returns `None` if
-/// there is no candidate or all of them are leaving.
+/// there is no candidate, or if all of them are leaving and none is due for a
+/// probe.
 pub fn choose<R: Rng>(
     context: &Context<'_>,
     now: Duration,
@@ -158,7 +160,11 @@
     }
     let pick = |rng: &mut R| usable[rng.random_range(0..usable.len())];
     let index = match context.policy {
-        Policy::Savorylane => return Some(choose_by_cost(context, now, rng, candidates, &usable)),
+        Policy::Savorylane => {
+            let choice = choose_by_cost(context, now, rng, candidates, &usable);
+            candidates[choice.index].estimate.record_recheck(now);
+            return Some(choice);
+        }
         Policy::Random => pick(rng),
         Policy::RoundRobin => usable[context.turn.fetch_add(1, Ordering::Relaxed) % usable.len()],
         Policy::LeastOutstanding => {
@@ -171,11 +177,14 @@
             }
         }
     };
+    candidates[index].estimate.record_recheck(now);
     Some(Choice { index, hedge: None })
 }
 
 /// Returns the indices of the candidates that are neither leaving nor backed
-/// off. If all are backed off, returns all that are not leaving.
+/// off. If all are backed off, returns all that are not leaving. If all are
+/// leaving, returns the one that is due for a probe, if any: a service must not
+/// be refused on the strength of old reports alone.
 ///
 /// Under [`Policy::Savorylane`], hosts in slow start are included at random,
 /// in proportion to their share.
@@ -186,8 +195,11 @@
     policy: Policy,
 ) -> Vec<usize> {
     let not_leaving = (0..candidates.len())
-        .filter(|index| !candidates[*index].estimate.leaving())
+        .filter(|index| !candidates[*index].estimate.must_avoid_leaving(now))
         .collect::<Vec<_>>();
+    if not_leaving.is_empty() {
+        return due_leaving_index(now, candidates).into_iter().collect();
+    }
     let healthy = not_leaving
         .iter()
         .copied()
@@ -216,6 +228,17 @@
         .collect()
 }
 
+/// Returns the leaving candidate whose report is the oldest among those that
+/// are due for a probe.
+fn due_leaving_index(now: Duration, candidates: &[Candidate<'_>]) -> Option<usize> {
+    (0..candidates.len())
+        .filter(|index| {
+            let estimate = candidates[*index].estimate;
+            estimate.may_recheck(now, PROBE_INTERVAL_US)
+        })
+        .min_by_key(|index| candidates[*index].estimate.reported_us())
+}
+
 /// Chooses by expected cost, or probes a slow host that is due for a probe.
 fn choose_by_cost<R: Rng>(
     context: &Context<'_>,
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -200,6 +200,56 @@
     }
 }
 
+/// Guards against a host that is avoided for good because it reported that it
+/// is leaving: its daemon was replaced since, and no request showed that. Also
+/// guards against a burst of requests while that is not known.
+#[test]
+fn returns_to_a_host_whose_report_that_it_leaves_is_old() {
+    let mut fleet = Fleet::new(3);
+    let leaving = Load {
+        leaving: true,
+        ..load(0, 1)
+    };
+    fleet.hosts[0].record_load(ms(10_000), &leaving);
+    assert_eq!(fleet.shares(10_900)[0], 0, "the report is recent");
+    let mut now = 11_000;
+    while fleet.choose(now, Policy::Savorylane, false).unwrap().index != 0 {
+        now += 1;
+        assert!(now < 11_100, "the host is avoided for good");
+    }
+    let ticket = fleet.hosts[0].begin(ms(now), Length::Short);
+    assert_eq!(fleet.shares(now + 1_500)[0], 0, "its answer is not known");
+    fleet.hosts[0].record_load(ms(now + 1_500), &load(0, 2));
+    fleet.hosts[0].end(ms(now + 1_500), ticket, Outcome::Answered);
+    assert!(fleet.shares(now + 6_500)[0] > 200);
+}
+
+/// Guards against a service that is refused as a whole because all of its hosts
+/// reported that they are leaving, as in a rolling restart of their daemons,
+/// and against more than one request at a time that finds out.
+#[test]
+fn probes_a_leaving_host_if_there_is_no_other() {
+    let mut fleet = Fleet::new(3);
+    let leaving = Load {
+        leaving: true,
+        ..load(0, 1)
+    };
+    for host in [1, 0, 2] {
+        let at = 10_000 + 10 * host as u64;
+        fleet.hosts[host].record_load(ms(at), &leaving);
+    }
+    assert_eq!(fleet.choose(10_050, Policy::Savorylane, true), None);
+    let chosen: Vec<Option<usize>> = (0..5)
+        .map(|_| fleet.choose(10_200, Policy::Savorylane, true))
+        .map(|choice| choice.map(|choice| choice.index))
+        .collect();
+    assert_eq!(chosen, [Some(0), Some(1), Some(2), None, None]);
+    let ticket = fleet.hosts[1].begin(ms(10_200), Length::Short);
+    fleet.hosts[1].record_load(ms(10_220), &load(0, 2));
+    fleet.hosts[1].end(ms(10_220), ticket, Outcome::Answered);
+    assert_eq!(fleet.shares(10_220), [0, 1_000, 0]);
+}
+
 /// Guards against a burst at a host that has just restarted, and against late
 /// reports of its earlier incarnation.
 #[test]
