hosts: ignore an odd entry alone

Cause: the reader put a list in force without a check, and every other daemon refused that list, and all later ones, for the name in one host.

Ruled out: a reader that stops on the entry (it had the newer list).

Both write a line and count.

--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -36,11 +36,13 @@
     Admitted,
     /// A request that a gatekeeper refused, or that failed at its upstream.
     Rejected,
+    /// A host that no host list may contain.
+    HostIgnored,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Answered,
         Self::Failed,
         Self::RetryDenied,
@@ -49,6 +51,7 @@
         Self::AttemptFailed,
         Self::Admitted,
         Self::Rejected,
+        Self::HostIgnored,
     ];
 
     /// Returns the maximum number of lines written per second. Of successes a
@@ -56,7 +59,11 @@
     /// a fifth of a core can refuse requests.
     fn lines_per_second(self) -> u64 {
         match self {
-            Self::Answered | Self::AttemptAnswered | Self::Admitted | Self::Suspected => 20,
+            Self::Answered
+            | Self::AttemptAnswered
+            | Self::Admitted
+            | Self::Suspected
+            | Self::HostIgnored => 20,
             Self::Failed | Self::RetryDenied | Self::AttemptFailed | Self::Rejected => 200,
         }
     }
@@ -72,6 +79,7 @@
             Self::AttemptFailed => "attempted",
             Self::Admitted => "admitted",
             Self::Rejected => "rejected",
+            Self::HostIgnored => "ignored-host",
         }
     }
 }
@@ -304,6 +312,15 @@
     );
 }
 
+/// Logs that a host of `source` is left out of the host list, alone.
+pub fn log_ignored_host(source: &str, id: &str, reason: &str) {
+    log::warn!(
+        target: "hosts",
+        event = "ignored", from = source, id = id;
+        "{reason}"
+    );
+}
+
 fn outcome_name(verdict: Verdict) -> &'static str {
     verdict.as_str()
 }
--- a/crates/daemon/src/distribution/long_poll.rs
+++ b/crates/daemon/src/distribution/long_poll.rs
@@ -14,7 +14,7 @@
 use savorylane_wire::control::{Candidate, Poll, poll};
 use savorylane_wire::rpc::Payload;
 
-use super::{millis, numbers_in_force, offer_host_list, without_departed};
+use super::{accept_checked, millis, numbers_in_force, offer_host_list, without_departed};
 use crate::audit::Event;
 use crate::kernel::Context;
 
@@ -319,16 +319,10 @@
     let Some(content) = decode(context, host, payload) else {
         return false;
     };
-    let list = lists::decode(&content).and_then(|content| match content {
-        lists::Content::List(list) => Ok(list),
-        lists::Content::Delta(delta) => {
-            let known = context.config.list().unwrap_or_default();
-            delta.apply(&known)
-        }
-    });
-    match list {
-        Ok(list) => {
-            let known = context.config.list().unwrap_or_default();
+    let known = context.config.list().unwrap_or_default();
+    match lists::decode(&content).and_then(|content| content.resolve(&known)) {
+        Ok(checked) => {
+            let list = accept_checked(context, host, checked);
             let list = without_departed(context, list);
             let list = context.distribution.cut_off.merge_if_cut_off(&known, list);
             offer_host_list(context, list, host);
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -20,9 +20,10 @@
 use savorylane_distribution::age::{Numbers, STALE_AFTER};
 use savorylane_distribution::source::Location;
 use savorylane_distribution::{Age, Source, pace};
-use savorylane_intent::hosts::{self, Host, List};
+use savorylane_intent::hosts::{self, Checked, Host, List};
 use tokio::sync::{Notify, watch};
 
+use crate::decisions::{self, Kind};
 use crate::kernel::Context;
 use crate::peers;
 use crate::settings::Settings;
@@ -226,6 +227,18 @@
         .on_host_list(now, confirmed_at, own);
 }
 
+/// Returns the list that `host` sent, after logging and counting the hosts that
+/// were dropped from it.
+pub fn accept_checked(context: &Context, host: &str, checked: Checked) -> List {
+    for fault in &checked.dropped {
+        context.metrics.count_ignored_host("peer");
+        if context.decisions.allow(Kind::HostIgnored, context.now()) {
+            decisions::log_ignored_host("peer", host, &fault.to_string());
+        }
+    }
+    checked.list
+}
+
 /// Returns another daemon's list without the hosts that have left as far as
 /// this daemon knows, provided that its knowledge is not stale.
 fn without_departed(context: &Context, list: List) -> List {
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -8,10 +8,12 @@
 use savorylane_intent::hosts::{Host, List};
 use savorylane_intent::registry::{Instance, Registry};
 use savorylane_membership::backoff::Delay;
+use savorylane_platform::entry;
 use savorylane_platform::store::{Batch, Client, Consistency, Fault, Keyspace, Update};
 
 use super::{Store, log_batch};
 use crate::config::PLATFORM_SOURCE;
+use crate::decisions::{self, Kind};
 use crate::distribution;
 use crate::kernel::Context;
 use crate::settings::Adapter;
@@ -144,9 +146,8 @@
 
     fn publish_batch(&mut self, batch: Batch) {
         log_batch(&batch);
-        let now = self.now();
-        let at = batch.revision;
-        record_changes(&mut self.registry, now, batch);
+        let (now, at) = (self.now(), batch.revision);
+        record_changes(&self.store.context, self.adapter, &mut self.registry, batch);
         let number = self.registry.advance(now, at);
         publish(&self.store.context, self.adapter, &self.registry, number);
         self.store.on_answer(Keyspace::Entries);
@@ -154,16 +155,44 @@
 }
 
 /// Records the changes of a batch in the registry.
-fn record_changes(registry: &mut Registry, now: Duration, batch: Batch) {
+fn record_changes(context: &Context, adapter: &Adapter, registry: &mut Registry, batch: Batch) {
     for change in batch.changes {
         match change.update {
-            Update::Entry(id, instance) => registry.put(change.revision, &id, instance),
-            Update::Removed(id) => registry.remove(now, change.revision, &id),
+            Update::Entry(id, decoded) => {
+                let instance = accept(context, adapter, &id, decoded);
+                registry.put(change.revision, &id, instance);
+            }
+            Update::Removed(id) => registry.remove(context.now(), change.revision, &id),
             Update::Config(_) => {}
         }
     }
 }
 
+/// Returns the upstream of an entry that a host list may contain. Any other
+/// entry is ignored alone, with a line and a count.
+///
+/// What passes here passes the checks of all other daemons, so that a list with
+/// it is in force everywhere or nowhere.
+fn accept(
+    context: &Context,
+    adapter: &Adapter,
+    id: &str,
+    decoded: Result<Instance, entry::Fault>,
+) -> Option<Instance> {
+    let reason = match decoded {
+        Ok(instance) => match host_of(context, adapter, &instance).check(id) {
+            Ok(()) => return Some(instance),
+            Err(fault) => fault.to_string(),
+        },
+        Err(fault) => fault.to_string(),
+    };
+    context.metrics.count_ignored_host("store");
+    if context.decisions.allow(Kind::HostIgnored, context.now()) {
+        decisions::log_ignored_host("store", id, &reason);
+    }
+    None
+}
+
 /// Reads entries page by page until one of the own data centre is found, and
 /// returns the locations of their hosts. Returns an empty list if no host is in
 /// the own data centre. The locations are used to find other daemons; the hosts
@@ -184,7 +213,7 @@
         let page = client.page(Keyspace::Entries, &after, consistency).await?;
         let entries = page.changes.iter();
         locations.extend(entries.filter_map(|change| match &change.update {
-            Update::Entry(_, Some(instance)) => Some(location(context, instance)),
+            Update::Entry(_, Ok(instance)) => Some(location(context, instance)),
             _ => None,
         }));
         if locations
@@ -213,10 +242,10 @@
 
 /// Puts the entries of a complete read in force as a host list.
 pub(super) fn publish_all(context: &Context, adapter: &Adapter, batch: Batch) {
-    let (now, at) = (context.now(), batch.revision);
+    let at = batch.revision;
     let mut registry = Registry::default();
-    record_changes(&mut registry, now, batch);
-    let number = registry.advance(now, at);
+    record_changes(context, adapter, &mut registry, batch);
+    let number = registry.advance(context.now(), at);
     publish(context, adapter, &registry, number);
 }
 
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -35,6 +35,7 @@
     knowledge_age: Gauge<u64>,
     reader: Gauge<u64>,
     polls: Gauge<u64>,
+    ignored_hosts: Counter<u64>,
 }
 
 /// Bucket boundaries of the latency histograms in seconds.
@@ -121,6 +122,10 @@
                 .u64_gauge("savorylane_polls")
                 .with_description("Polls that this daemon has sent to other daemons")
                 .build(),
+            ignored_hosts: meter
+                .u64_counter("savorylane_ignored_hosts")
+                .with_description("Hosts and entries left out of host lists, by source")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -134,6 +139,13 @@
         self.requests.add(1, &[class, verdict]);
     }
 
+    /// Counts a host that was left out of a host list; `source` is `store` or
+    /// `peer`.
+    pub fn count_ignored_host(&self, source: &'static str) {
+        let source = KeyValue::new("source", source);
+        self.ignored_hosts.add(1, &[source]);
+    }
+
     /// Counts an additional attempt of a request; `kind` is `retry` or `hedge`.
     pub fn count_extra_attempt(&self, kind: &'static str) {
         self.extra_attempts.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/daemon/src/peers/fetch.rs
+++ b/crates/daemon/src/peers/fetch.rs
@@ -12,6 +12,7 @@
 
 use super::control_address;
 use crate::audit::Event;
+use crate::distribution;
 use crate::edge::control::client;
 use crate::kernel::Context;
 
@@ -93,7 +94,7 @@
     let answer = tokio::time::timeout(FETCH_TIMEOUT, client.hosts(after)).await;
     let content = decode(&unwrap_answer(answer, "host list", source)?.content)?;
     let fault = match hosts::unpack(&content) {
-        Ok(list) => return Some(list),
+        Ok(checked) => return Some(distribution::accept_checked(context, source, checked)),
         Err(fault) => fault,
     };
     context.trail.record(Event::Refused {
--- a/crates/intent/src/hosts/delta.rs
+++ b/crates/intent/src/hosts/delta.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Host, List, check_list, deflate, inflate, malformed};
+use super::{Checked, Host, List, check_peer_list, deflate, inflate, malformed};
 use crate::fault::Fault;
 use crate::version::Hash;
 
@@ -65,12 +65,13 @@
         }
     }
 
-    /// Applies the delta to `base` and returns the checked result.
+    /// Applies the delta to `base`. The hosts of the result are not checked; see
+    /// [`Content::resolve`].
     ///
     /// # Errors
     ///
     /// Returns [`Fault::Mismatch`] if `base` or the result does not have the
-    /// hash that the delta states, or the first [`Fault`] found in the result.
+    /// hash that the delta states.
     pub fn apply(&self, base: &List) -> Result<List, Fault> {
         check_hash("base list", self.base, hash(base))?;
         let mut hosts: BTreeMap<&str, &Host> = BTreeMap::new();
@@ -85,7 +86,23 @@
             hosts: hosts.into_values().cloned().collect(),
         };
         check_hash("host list", self.hash, hash(&list))?;
-        check_list(list)
+        Ok(list)
+    }
+}
+
+impl Content {
+    /// Returns the list that this content makes of `known`, the list in force,
+    /// without the hosts that may not be in a list.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Fault`] if a delta does not apply to `known`, or if the
+    /// result has too many hosts.
+    pub fn resolve(self, known: &List) -> Result<Checked, Fault> {
+        match self {
+            Self::List(list) => check_peer_list(list),
+            Self::Delta(delta) => check_peer_list(delta.apply(known)?),
+        }
     }
 }
 
@@ -125,18 +142,13 @@
     deflate(&serde_json::to_vec(content).expect("content can be written as JSON"))
 }
 
-/// Decodes content of a peer. A complete list is checked; a delta is checked
-/// when it is applied.
+/// Decodes content of a peer. Its hosts are not checked; see
+/// [`Content::resolve`].
 ///
 /// # Errors
 ///
 /// Returns [`Fault::Malformed`] if the content is truncated or corrupted or
-/// inflates to more than [`MAX_LIST_BYTES`](super::MAX_LIST_BYTES), or the
-/// first [`Fault`] found in a complete list.
+/// inflates to more than [`MAX_LIST_BYTES`](super::MAX_LIST_BYTES).
 pub fn decode(bytes: &[u8]) -> Result<Content, Fault> {
-    let json = inflate(bytes)?;
-    match serde_json::from_slice(&json).map_err(|error| malformed(&error))? {
-        Content::List(list) => Ok(Content::List(check_list(list)?)),
-        delta => Ok(delta),
-    }
+    serde_json::from_slice(&inflate(bytes)?).map_err(|error| malformed(&error))
 }
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -103,8 +103,13 @@
         ]
     }
 
-    /// Checks the fields of the host; `field` is its path in error messages.
-    fn check(&self, field: &str) -> Result<(), Fault> {
+    /// Checks that a list may contain the host; `field` is its path in error
+    /// messages.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`Fault`] found.
+    pub fn check(&self, field: &str) -> Result<(), Fault> {
         bound::check_name(format_args!("{field}.name"), &self.name)?;
         bound::check_name(format_args!("{field}.region"), &self.region)?;
         bound::check_name(format_args!("{field}.data_centre"), &self.data_centre)?;
@@ -152,31 +157,81 @@
 fn check_list(mut list: List) -> Result<List, Fault> {
     bound::check_range("number", list.number, &bound::LIST_NUMBERS)?;
     bound::check_count("hosts", list.hosts.len(), bound::MAX_HOSTS)?;
-    let mut regions = BTreeMap::new();
-    for (index, host) in list.hosts.iter().enumerate() {
-        host.check(&format!("hosts[{index}]"))?;
-        let region = regions.entry(&host.data_centre).or_insert(&host.region);
-        if *region != &host.region {
-            return Err(Fault::value(
-                format_args!("hosts[{index}].region"),
-                bound::quote(&host.region),
-                format!(
-                    "expected `{region}`, the region of an earlier host in data centre `{}`",
-                    host.data_centre
-                ),
-            ));
-        }
+    match drop_faulty(&mut list.hosts).into_iter().next() {
+        Some(fault) => Err(fault),
+        None => Ok(list),
     }
-    list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
-    for pair in list.hosts.windows(2) {
-        if pair[0].name == pair[1].name {
-            return Err(Fault::Duplicate {
+}
+
+/// A list of a peer without the hosts that may not be in a list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Checked {
+    /// The list with all other hosts, sorted by name.
+    pub list: List,
+    /// Fault of each host that was dropped.
+    pub dropped: Vec<Fault>,
+}
+
+/// Drops each host of a peer's list that may not be in a list, so that one such
+/// host does not keep the others, and all later lists, from this daemon.
+///
+/// # Errors
+///
+/// Returns a [`Fault`] if the list has too many hosts.
+fn check_peer_list(mut list: List) -> Result<Checked, Fault> {
+    bound::check_count("hosts", list.hosts.len(), bound::MAX_HOSTS)?;
+    let dropped = drop_faulty(&mut list.hosts);
+    Ok(Checked { list, dropped })
+}
+
+/// Sorts hosts by name and drops those that may not be in one list. Returns the
+/// fault of each. Of hosts with one name, the first remains.
+fn drop_faulty(hosts: &mut Vec<Host>) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut regions = BTreeMap::new();
+    let mut index = 0;
+    hosts.retain(|host| {
+        let checked = check_host(host, &format!("hosts[{index}]"), &mut regions);
+        index += 1;
+        checked.map_err(|fault| faults.push(fault)).is_ok()
+    });
+    hosts.sort_by(|a, b| a.name.cmp(&b.name));
+    hosts.dedup_by(|later, earlier| {
+        let duplicate = later.name == earlier.name;
+        if duplicate {
+            faults.push(Fault::Duplicate {
                 field: "hosts".into(),
-                name: pair[0].name.clone(),
+                name: later.name.clone(),
             });
         }
+        duplicate
+    });
+    faults
+}
+
+/// Checks a host and that its data centre is in one region; `regions` has the
+/// regions of the hosts before it.
+fn check_host(
+    host: &Host,
+    field: &str,
+    regions: &mut BTreeMap<String, String>,
+) -> Result<(), Fault> {
+    host.check(field)?;
+    let Some(region) = regions.get(&host.data_centre) else {
+        regions.insert(host.data_centre.clone(), host.region.clone());
+        return Ok(());
+    };
+    if *region == host.region {
+        return Ok(());
     }
-    Ok(list)
+    Err(Fault::value(
+        format_args!("{field}.region"),
+        bound::quote(&host.region),
+        format!(
+            "expected `{region}`, the region of an earlier host in data centre `{}`",
+            host.data_centre
+        ),
+    ))
 }
 
 /// Returns another daemon's `newer` list, extended by the live hosts that only
@@ -243,14 +298,15 @@
     deflate(&serde_json::to_vec(list).expect("a list can be written as JSON"))
 }
 
-/// Decodes and checks a list of a peer.
+/// Decodes a list of a peer, and drops the hosts that may not be in a list.
 ///
 /// # Errors
 ///
-/// Returns the first [`Fault`] found, or [`Fault::Malformed`] if the list
-/// inflates to more than [`MAX_LIST_BYTES`].
-pub fn unpack(bytes: &[u8]) -> Result<List, Fault> {
-    parse(&inflate(bytes)?)
+/// Returns [`Fault::Malformed`] if the list is truncated or corrupted or
+/// inflates to more than [`MAX_LIST_BYTES`], or another [`Fault`] if it has too
+/// many hosts.
+pub fn unpack(bytes: &[u8]) -> Result<Checked, Fault> {
+    check_peer_list(bound::parse(&inflate(bytes)?)?)
 }
 
 fn deflate(json: &[u8]) -> Vec<u8> {
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -19,6 +19,8 @@
 /// These bits hold a flag and a step, since lists also change between two
 /// revisions, when lapsed entries expire.
 const STEP_BITS: u32 = 8;
+/// Maximum revision of a store: that of the greatest number of a list.
+pub const MAX_REVISION: u64 = u64::MAX >> STEP_BITS;
 /// Flag in the number of a list that holds no lapsed entries.
 ///
 /// Of two lists of one revision, the one without lapsed entries therefore has
--- a/crates/intent/tests/suite/lists.rs
+++ b/crates/intent/tests/suite/lists.rs
@@ -140,3 +140,60 @@
         platform.hosts
     );
 }
+
+/// Returns a list of two hosts with faulty ones among them.
+fn list_with_faulty_hosts() -> List {
+    let mut service = host(3, 2);
+    service.service = "Batch Jobs".into();
+    let mut region = host(4, 2);
+    region.region = "other".into();
+    let mut duplicate = host(1, 4);
+    duplicate.instance = Some("i-second".into());
+    let mut port = host(5, 2);
+    port.control.set_port(0);
+    List {
+        number: 7,
+        hosts: vec![host(1, 2), duplicate, host(2, 2), service, region, port],
+    }
+}
+
+/// Guards against a host of a peer's list that no list may contain and that
+/// costs this daemon the whole list, as a complete list, as a delta and at a
+/// start.
+#[test]
+fn a_faulty_host_costs_a_list_only_that_host() {
+    let faulty = list_with_faulty_hosts();
+    let base = List {
+        number: 6,
+        hosts: vec![host(1, 2)],
+    };
+    // A list that a delta describes has no two hosts of one name.
+    let mut unique = faulty.clone();
+    unique.hosts.remove(1);
+    let delta = Delta::between(&base, &unique);
+    let names = ["10.0.0.1", "10.0.0.2"];
+    let received = [
+        (4, Content::List(faulty.clone()).resolve(&base)),
+        (4, hosts::unpack(&hosts::pack(&faulty))),
+        (3, Content::Delta(delta).resolve(&base)),
+    ];
+    for (dropped, received) in received {
+        let received = received.expect("the list is not refused");
+        let hosts = received.list.hosts.iter();
+        assert_eq!(received.dropped.len(), dropped, "{:?}", received.dropped);
+        assert_eq!(hosts.map(|host| &host.name).collect::<Vec<_>>(), names);
+        assert_eq!(received.list.number, 7);
+    }
+}
+
+/// Guards against a store whose counter is so high that other daemons refuse the
+/// numbers of the lists made of it.
+#[test]
+fn a_list_of_a_peer_may_have_any_number() {
+    let list = List {
+        number: u64::MAX,
+        hosts: vec![host(1, 2)],
+    };
+    let received = hosts::unpack(&hosts::pack(&list)).expect("the number is accepted");
+    assert_eq!(received.list, list);
+}
