registry: one upstream for each IP address

Cause: hosts are named by their IP address, but the registry kept one upstream for each address with its port. The reader's list had two hosts of one name, which all other daemons refused, with every later list.

Ruled out: the names of the entry, which pass every check.

Change: one upstream for each IP address; the entry at the upstreams' port holds, which the daemon's own settings state, then the instance that started last. A list at a follower would otherwise keep whichever host comes first.

--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -41,11 +41,15 @@
         let context = &store.context;
         let age = context.distribution.age.at(context.now());
         let list = context.config.list().unwrap_or_default();
-        let instances = list.hosts.iter().filter_map(instance_of).collect();
+        let port = context.settings.upstream.port();
+        let instances = list.hosts.iter();
+        let instances = instances
+            .filter_map(|host| instance_of(host, port))
+            .collect();
         Self {
             store,
             adapter,
-            registry: Registry::seeded(list.number, instances),
+            registry: Registry::seeded(list.number, instances).with_port(port),
             delay: Delay::default(),
             may_have_lapsed: age.is_some_and(|age| age > STALE_AFTER),
         }
@@ -243,7 +247,7 @@
 /// Puts the entries of a complete read in force as a host list.
 pub(super) fn publish_all(context: &Context, adapter: &Adapter, batch: Batch) {
     let at = batch.revision;
-    let mut registry = Registry::default();
+    let mut registry = Registry::default().with_port(context.settings.upstream.port());
     record_changes(context, adapter, &mut registry, batch);
     let number = registry.advance(context.now(), at);
     publish(context, adapter, &registry, number);
@@ -291,12 +295,12 @@
     }
 }
 
-/// Returns the upstream of a listed host, if the list describes it.
-fn instance_of(host: &Host) -> Option<Instance> {
+/// Returns the upstream of a listed host, at the port `port`, if the list
+/// describes it.
+fn instance_of(host: &Host, port: u16) -> Option<Instance> {
     Some(Instance {
         id: host.instance.clone()?,
-        // Only the IP address of a known upstream is used, not the port.
-        address: host.data,
+        address: SocketAddr::new(host.data.ip(), port),
         service: host.service.clone(),
         data_centre: host.data_centre.clone(),
         slots: host.slots?,
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -6,7 +6,7 @@
 //! grace period.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use crate::hosts::State;
@@ -61,6 +61,14 @@
     expires_at: Option<Duration>,
 }
 
+/// Precedence among the entries that share an IP address.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Precedence {
+    at_upstream_port: bool,
+    started_ms: u64,
+    revision: u64,
+}
+
 /// Upstreams that the store lists, and lapsed upstreams, by id.
 ///
 /// Invariant: an entry changes only to a greater revision, so that a delayed
@@ -79,6 +87,8 @@
     step: u64,
     /// End of the grace period. Removals before it may result from an outage.
     grace_until: Duration,
+    /// Port of the upstreams, if it is the same on all hosts.
+    port: Option<u16>,
 }
 
 impl Registry {
@@ -104,6 +114,13 @@
         }
     }
 
+    /// Returns the registry of a deployment whose upstreams have the port `port`
+    /// on all hosts.
+    pub fn with_port(self, port: u16) -> Self {
+        let port = Some(port);
+        Self { port, ..self }
+    }
+
     /// Starts the grace period at the end of an outage of the store.
     pub fn start_grace_period(&mut self, now: Duration) {
         self.grace_until = now + REREGISTRATION_GRACE;
@@ -195,26 +212,29 @@
         self.revision
     }
 
-    /// Returns the upstreams: for each address, the instance that started last.
+    /// Returns the upstreams, one for each IP address.
+    ///
+    /// A host has one upstream, and is named by its IP address. Of entries that
+    /// share one, the entry at [the upstreams' port](Self::with_port) holds, and
+    /// among those the instance that started last: an entry at another port
+    /// belongs to a program that only shares the host.
     pub fn instances(&self) -> Vec<&Instance> {
-        let mut by_address: BTreeMap<SocketAddr, (&Instance, u64)> = BTreeMap::new();
+        let mut by_ip: BTreeMap<IpAddr, (Precedence, &Instance)> = BTreeMap::new();
         for entry in self.entries.values() {
             let Some(instance) = &entry.instance else {
                 continue;
             };
-            let recency = |instance: &Instance, revision| (instance.started_ms, revision);
-            let known = by_address.get(&instance.address);
-            if known.is_some_and(|(known, revision)| {
-                recency(known, *revision) >= recency(instance, entry.revision)
-            }) {
-                continue;
+            let precedence = Precedence {
+                at_upstream_port: Some(instance.address.port()) == self.port,
+                started_ms: instance.started_ms,
+                revision: entry.revision,
+            };
+            let known = by_ip.get(&instance.address.ip());
+            if known.is_none_or(|(known, _)| *known < precedence) {
+                by_ip.insert(instance.address.ip(), (precedence, instance));
             }
-            by_address.insert(instance.address, (instance, entry.revision));
         }
-        by_address
-            .into_values()
-            .map(|(instance, _)| instance)
-            .collect()
+        by_ip.into_values().map(|(_, instance)| instance).collect()
     }
 
     /// Returns whether the store removed an upstream that is kept for the grace
--- a/crates/intent/tests/suite/registry.rs
+++ b/crates/intent/tests/suite/registry.rs
@@ -149,3 +149,23 @@
     assert!(expired_number >= complete_number);
     assert!(expired_number < without_lapsed.advance(SECOND, 4));
 }
+
+/// Guards against two hosts of one name in a list, because an entry of another
+/// program shares the address of a host, and against an upstream that gives way
+/// to that entry.
+#[test]
+fn an_ip_address_has_one_upstream() {
+    let mut registry = Registry::default().with_port(80);
+    registry.put(1, "a", Some(instance("a", "10.0.0.1:80", 1)));
+    registry.put(2, "other", Some(instance("other", "10.0.0.1:9100", 9)));
+    registry.put(3, "b", Some(instance("b", "10.0.0.2:9100", 1)));
+    registry.advance(SECOND, 3);
+    assert_eq!(ids(&registry), ["a", "b"]);
+    registry.put(4, "c", Some(instance("c", "10.0.0.1:80", 2)));
+    registry.advance(SECOND, 4);
+    assert_eq!(ids(&registry), ["c", "b"]);
+    registry.remove(SECOND, 5, "c");
+    registry.remove(SECOND, 6, "a");
+    registry.advance(SECOND, 6);
+    assert_eq!(ids(&registry), ["other", "b"]);
+}
