suspects: replace an owner that is gone or has no outcome

Cause: only the gatekeeper beside the lost upstream may try a suspect, and it was gone too. Nothing else ended the belief but its retention.

Evidence: both other gatekeepers had the report, refused 640 requests of one entry with it, and no line of suspects followed. Ruled out: a ban (503, not 403) and an unknown route (the gatekeepers refused, not the entries).

Change: a gatekeeper takes over from an owner that is not listed as live, or that has no outcome 3 s after the first refusal; which one follows from a hash. A crash there confirms the suspect as before. On the adapted platform an owner waits 5 s for a silent gatekeeper's acknowledgement; it waited for as long as that host was listed. The report of the first owner, once more, confirms nothing.

--- a/crates/daemon/src/suspects/mod.rs
+++ b/crates/daemon/src/suspects/mod.rs
@@ -152,6 +152,7 @@
         return Ok(None);
     }
     let (admission, owner) = suspects.with_list(|list| {
+        replace_owner(context, list, fingerprint);
         let admission = list.admit(context.now(), fingerprint);
         (admission, list.owner(fingerprint).map(str::to_owned))
     });
@@ -178,6 +179,26 @@
     })
 }
 
+/// Replaces the owner of a suspicion that is gone or has had no outcome for too
+/// long.
+fn replace_owner(context: &Context, list: &mut List, fingerprint: &Hash) {
+    let Some(owner) = list.owner(fingerprint).map(str::to_owned) else {
+        return;
+    };
+    let hosts = context.config.list().unwrap_or_default();
+    let live = push::live_gatekeepers(context, &hosts);
+    let Some(next) = list.replace_owner(context.now(), fingerprint, &live) else {
+        return;
+    };
+    if context.decisions.allow(Kind::Suspected, context.now()) {
+        log::warn!(
+            target: "suspects", event = "owner", from = owner.as_str(), to = next.as_str(),
+            listed = live.contains(&owner.as_str());
+            "{fingerprint} has another owner: the first one is gone or has no outcome"
+        );
+    }
+}
+
 /// Records that this host's upstream crashed with the requests `in_flight`.
 /// Returns once all reachable gatekeepers of the service have acknowledged the
 /// suspicion, or after the time limit of the push.
--- a/crates/daemon/src/suspects/push.rs
+++ b/crates/daemon/src/suspects/push.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use savorylane_intent::Hash;
+use savorylane_intent::hosts::{Host, List, State};
 use savorylane_wire::control::{Suspect, Suspicion, suspicion};
 use savorylane_wire::rpc::ControlClient;
 
@@ -25,7 +26,7 @@
 /// Time after which a daemon that does not answer, and that is unreachable
 /// according to membership, no longer has to acknowledge. Without this limit, a
 /// host that is lost permanently would block all suspects, including harmless
-/// ones.
+/// ones. The adapted platform has no membership; there the time alone decides.
 const UNREACHABLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Reports that the other daemons have not acknowledged yet, by host.
@@ -73,6 +74,18 @@
         .collect()
 }
 
+/// Returns the hosts of the service whose gatekeepers can try a suspect, this
+/// host among them if it is listed.
+pub(super) fn live_gatekeepers<'a>(context: &Context, list: &'a List) -> Vec<&'a str> {
+    let can_try = |host: &&Host| {
+        host.service == context.settings.service
+            && host.state == State::Live
+            && context.peers.is_routable(&host.name)
+    };
+    let hosts = list.hosts.iter().filter(can_try);
+    hosts.map(|host| host.name.as_str()).collect()
+}
+
 /// Sends a message to all other daemons of the service. Returns once all have
 /// acknowledged it, or after [`PUSH_TIMEOUT`]; the remaining deliveries
 /// continue in the background.
@@ -118,8 +131,9 @@
         if context.stop.is_cancelled() {
             return;
         }
-        let unreachable =
-            control_address(&context, &host).is_none() || !context.peers.is_routable(&host);
+        let unreachable = context.settings.adapter.is_some()
+            || control_address(&context, &host).is_none()
+            || !context.peers.is_routable(&host);
         if unreachable && start.elapsed() > UNREACHABLE_TIMEOUT {
             context
                 .suspects
--- a/crates/ledger/src/suspect/mod.rs
+++ b/crates/ledger/src/suspect/mod.rs
@@ -10,8 +10,11 @@
 //!   the same time.
 //! - A crash with the request at a second gatekeeper confirms the suspect
 //!   without a trial.
-//! - Until the owner has an outcome, and while it is unreachable, all other
-//!   gatekeepers refuse the request.
+//! - Until the owner has an outcome, all other gatekeepers refuse the request.
+//! - A gatekeeper that is gone, or that has no outcome [`OWNER_TIMEOUT`] after
+//!   another one first refused the request, is replaced as the owner. The
+//!   gatekeepers of the service take over in the order of a hash, so that they
+//!   agree on the next owner without a message.
 //!
 //! A request crashes at most two upstreams among gatekeepers that receive each
 //! other's suspicions before the caller sends the request again. Each
@@ -28,6 +31,9 @@
 
 /// Time for which a suspect is remembered after the last report of it.
 pub const RETENTION: Duration = Duration::from_secs(600);
+/// Time after the first refusal of a suspect within which its owner must have
+/// an outcome. An owner that is reachable tries the suspect at that refusal.
+pub const OWNER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum number of suspects that a gatekeeper remembers.
 pub const MAX_SUSPECTS: usize = 1024;
 /// Number of bytes at the start of a body that enter the fingerprint.
@@ -79,6 +85,10 @@
     state: State,
     /// Time at which the suspect is forgotten, except during its trial.
     expires: Duration,
+    /// Host of the other gatekeeper that reported the suspect, if any.
+    reporter: Option<String>,
+    /// Time of the first refusal for want of an outcome of the present owner.
+    refused_since: Option<Duration>,
 }
 
 /// State of a suspect, as one gatekeeper knows it.
@@ -244,6 +254,38 @@
         }
     }
 
+    /// Replaces the owner of a suspicion that another gatekeeper owns, if the
+    /// owner is not among `live`, or has no outcome [`OWNER_TIMEOUT`] after the
+    /// first call of this method for it. Returns the new owner, which may be
+    /// this gatekeeper.
+    ///
+    /// `live` are the hosts of the service's live gatekeepers. To be called
+    /// before [`List::admit`].
+    pub fn replace_owner(
+        &mut self,
+        now: Duration,
+        fingerprint: &Hash,
+        live: &[&str],
+    ) -> Option<String> {
+        let Some(State::OwnedBy(owner)) = self.current_state(now, fingerprint) else {
+            return None;
+        };
+        let entry = self.entries.get_mut(fingerprint)?;
+        let since = *entry.refused_since.get_or_insert(now);
+        if live.contains(&owner.as_str()) && now < since + OWNER_TIMEOUT {
+            return None;
+        }
+        let next = successor(fingerprint, &owner, live)?.to_owned();
+        let state = match next == self.me.host {
+            true => State::Owned {
+                unacknowledged: BTreeSet::new(),
+            },
+            false => State::OwnedBy(next.clone()),
+        };
+        self.set_state(now, *fingerprint, state);
+        Some(next)
+    }
+
     /// Returns the host of the other gatekeeper that owns a suspicion, if any.
     pub fn owner(&self, fingerprint: &Hash) -> Option<&str> {
         match &self.entries.get(fingerprint)?.state {
@@ -258,6 +300,9 @@
     fn merge(&mut self, now: Duration, from: &str, suspect: &Suspect) -> Option<Reported> {
         let fingerprint = suspect.fingerprint;
         let state = self.current_state(now, &fingerprint);
+        let reporter = self.entries.get(&fingerprint);
+        let reporter = reporter.and_then(|entry| entry.reporter.as_deref());
+        let repeated = reporter == Some(from);
         let next = match (suspect.state, state) {
             (_, Some(State::Confirmed)) => return Some(Reported::Confirmed),
             (Reported::Confirmed, _) => State::Confirmed,
@@ -267,13 +312,20 @@
                 self.entries.remove(&fingerprint);
                 return None;
             }
+            // The report whose suspicion this gatekeeper took over arrives again.
+            (Reported::Suspect, Some(State::Owned { .. } | State::Trial)) if repeated => {
+                return None;
+            }
             // Upstreams of two gatekeepers crashed with the request.
             (Reported::Suspect, Some(State::Owned { .. } | State::Trial)) => State::Confirmed,
-            (Reported::Suspect, Some(State::OwnedBy(owner))) if owner != from => State::Confirmed,
+            (Reported::Suspect, Some(State::OwnedBy(_))) if !repeated => State::Confirmed,
             (Reported::Suspect, _) => State::OwnedBy(from.to_string()),
         };
         let reply = (next == State::Confirmed).then_some(Reported::Confirmed);
         self.set_state(now, fingerprint, next);
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.reporter = Some(from.to_string());
+        }
         reply
     }
 
@@ -316,11 +368,34 @@
                 self.entries.remove(&oldest);
             }
         }
-        let expires = now + RETENTION;
-        self.entries.insert(fingerprint, Entry { state, expires });
+        let known = self.entries.remove(&fingerprint);
+        let entry = Entry {
+            state,
+            expires: now + RETENTION,
+            reporter: known.and_then(|entry| entry.reporter),
+            refused_since: None,
+        };
+        self.entries.insert(fingerprint, entry);
         assert!(
             self.entries.len() <= MAX_SUSPECTS,
             "more than {MAX_SUSPECTS} suspects"
         );
     }
 }
+
+/// Returns the host that takes a suspicion over from `owner`: the next one after
+/// it in the order of a hash, if there is another one.
+fn successor<'a>(fingerprint: &Hash, owner: &str, live: &[&'a str]) -> Option<&'a str> {
+    let rank = |host: &str| {
+        let mut hasher = blake3::Hasher::new();
+        hash_field(&mut hasher, &fingerprint.0);
+        hash_field(&mut hasher, host.as_bytes());
+        *hasher.finalize().as_bytes()
+    };
+    let own = rank(owner);
+    let others = live.iter().copied().filter(|host| *host != owner);
+    others.min_by_key(|host| {
+        let rank = rank(host);
+        (rank < own, rank)
+    })
+}
--- a/crates/ledger/tests/suspect.rs
+++ b/crates/ledger/tests/suspect.rs
@@ -5,10 +5,13 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
 use savorylane_intent::Hash;
-use savorylane_ledger::suspect::{Admission, List, MAX_SUSPECTS, RETENTION, Reason, fingerprint};
+use savorylane_ledger::suspect::{
+    Admission, List, MAX_SUSPECTS, OWNER_TIMEOUT, RETENTION, Reason, fingerprint,
+};
 use savorylane_wire::Incarnation;
 use savorylane_wire::control::{Sender, Suspicion, suspicion};
 
+const SECOND: Duration = Duration::from_secs(1);
 const NAMES: [&str; 4] = ["a", "b", "c", "d"];
 
 fn list(host: &str) -> List {
@@ -234,3 +237,82 @@
         Admission::Refuse(Reason::Confirmed)
     );
 }
+
+/// Returns the lists of `b` and `c` after they learnt that `a` crashed with
+/// request 0.
+fn lists_with_owner_a() -> (Suspicion, [List; 2]) {
+    let mut a = list("a");
+    let suspicion = a.on_upstream_crash(Duration::ZERO, &[request(0)], &["b", "c"]);
+    let mut others = [list("b"), list("c")];
+    for other in &mut others {
+        other.on_suspicion(Duration::ZERO, &suspicion);
+    }
+    (suspicion, others)
+}
+
+/// Returns which of `b` and `c` may run request 0, after each was asked.
+fn owners(now: Duration, lists: &mut [List; 2], live: &[&str]) -> Vec<&'static str> {
+    let mut owners = Vec::new();
+    for (name, list) in ["b", "c"].into_iter().zip(lists) {
+        list.replace_owner(now, &request(0), live);
+        if list.admit(now, &request(0)) == Admission::RunAlone {
+            owners.push(name);
+        }
+    }
+    owners
+}
+
+/// Guards against a request that is refused until its suspicion expires, because
+/// the gatekeeper that owns the suspicion is gone with its upstream.
+#[test]
+fn the_suspicion_of_a_gone_owner_is_taken_over_by_one_gatekeeper() {
+    let (_, mut lists) = lists_with_owner_a();
+    let owners = owners(Duration::ZERO, &mut lists, &["b", "c"]);
+    let [owner] = owners[..] else {
+        panic!("{owners:?} run the request");
+    };
+    let [b, c] = &mut lists;
+    let (list, other) = if owner == "b" { (b, c) } else { (c, b) };
+    assert_eq!(other.owner(&request(0)), Some(owner), "names the new owner");
+    let cleared = list.on_completed(SECOND, &request(0)).unwrap();
+    other.on_suspicion(SECOND, &cleared);
+    for list in [list, other] {
+        assert_eq!(list.admit(SECOND, &request(0)), Admission::Run);
+    }
+}
+
+/// Guards against the same if the owner is listed but never answers: no event
+/// ends the belief then, only time does.
+#[test]
+fn the_suspicion_of_a_silent_owner_is_taken_over_after_a_timeout() {
+    let (_, mut lists) = lists_with_owner_a();
+    let live = ["a", "b", "c"];
+    for now in [10 * SECOND, 10 * SECOND + OWNER_TIMEOUT - SECOND / 100] {
+        assert!(owners(now, &mut lists, &live).is_empty(), "{now:?}");
+        assert_eq!(lists[0].owner(&request(0)), Some("a"));
+    }
+    let now = 10 * SECOND + OWNER_TIMEOUT;
+    assert_eq!(owners(now, &mut lists, &live).len(), 1);
+}
+
+/// Guards against a third crash after a takeover, and against a ban because the
+/// report of the first owner is delivered once more.
+#[test]
+fn a_crash_after_a_takeover_confirms_the_suspect() {
+    let (suspicion, mut lists) = lists_with_owner_a();
+    let owner = owners(Duration::ZERO, &mut lists, &["b", "c"])[0];
+    let [b, c] = &mut lists;
+    let (list, other) = if owner == "b" { (b, c) } else { (c, b) };
+    for list in [&mut *list, &mut *other] {
+        let reply = list.on_suspicion(SECOND, &suspicion);
+        assert!(reply.suspects.is_empty(), "confirmed by a repeated report");
+    }
+    let crashed = list.on_upstream_crash(SECOND, &[request(0)], &["c"]);
+    assert_eq!(crashed.suspects[0].state, suspicion::State::Confirmed);
+    other.on_suspicion(SECOND, &crashed);
+    other.replace_owner(SECOND, &request(0), &["b", "c"]);
+    assert_eq!(
+        other.admit(SECOND, &request(0)),
+        Admission::Refuse(Reason::Confirmed)
+    );
+}
