distribution: what a cut-off daemon keeps stays with it

Cause: a daemon that is cut off from the store cannot tell an upstream that left from one whose entry lapsed, and adds both to the lists that it learns. The result was its list in force, with a number made from that of the true list (one more or one less), and so it went to its followers: in poll answers, in differences, and in fetches after a hint. A follower took an added host if it had the host as live, which is true of each host that has just left, and the number, one more than that of the newest list, could hide that list.

The list of the store and what a daemon adds are apart now. config::Store has the platform's list, with its number and hash, which is all that other daemons get, and a list in force that also has the hosts that this daemon keeps. No number is computed from another one any more. Who is cut off bears the doubt; each daemon decides for itself, by an answer of the store. A daemon that started without an answer of the store, does not find its own host and gets none either asks for the hosts that others keep (Poll::wants_kept), so that a data centre which is cut off outlives a restart of its reader.

Ruled out: a stricter guard at the follower. No event tells a host that has just left from one that has just lapsed, and it would have to hold at each of three ways. A follower whose departure was not passed to its gatekeeper: its list itself has the upstream, and the gatekeeper logs no leave.

--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -4,12 +4,14 @@
 //! writers, which replace the snapshot.
 
 use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use arc_swap::ArcSwapOption;
 use savorylane_intent::adopt::{self, Outcome};
 use savorylane_intent::hosts::delta;
+use savorylane_intent::hosts::{Host, List};
 use savorylane_intent::transfer::Content;
 use savorylane_intent::{Hash, Manifest, Snapshot, Version, hosts};
 use tokio::sync::watch;
@@ -30,6 +32,8 @@
 
 /// Source in the audit trail of documents and lists read from the platform.
 pub const PLATFORM_SOURCE: &str = "platform";
+/// Source in the audit trail of changes to the hosts that this daemon keeps.
+const KEPT_SOURCE: &str = "kept";
 
 /// Maximum number of host lists that are kept as bases of deltas.
 const MAX_LISTS: usize = 8;
@@ -42,21 +46,29 @@
     /// Hash of the list.
     pub hash: Hash,
     /// The list, with its hosts sorted by name.
-    pub list: Arc<hosts::List>,
+    pub list: Arc<List>,
 }
 
 /// Store of the configuration in force.
 ///
+/// The host list in force is the platform's list, and the hosts that this
+/// daemon keeps although that list lacks them. The number of the list is the
+/// platform's, and only the platform's list is sent to other daemons.
+///
 /// Invariant: neither the version nor the number of the host list ever
 /// decreases while the process runs. An assertion checks this at each
 /// replacement.
 #[derive(Debug)]
 pub struct Store {
     snapshot: ArcSwapOption<Snapshot>,
-    list: ArcSwapOption<hosts::List>,
+    /// The host list in force.
+    list: ArcSwapOption<List>,
     latest: Mutex<adopt::Store>,
-    /// The list in force and previous lists, the latest first.
+    /// The platform's latest list and previous ones, the latest first.
     lists: Mutex<VecDeque<Hosts>>,
+    /// Whether live hosts that the platform removes are kept. Changes only
+    /// while `latest` is locked.
+    keeps_hosts: AtomicBool,
     /// Adoption time and number of the version in force and of previous
     /// versions, the latest first.
     adoptions: Mutex<VecDeque<(Instant, u64)>>,
@@ -70,6 +82,7 @@
             list: ArcSwapOption::empty(),
             latest: Mutex::default(),
             lists: Mutex::default(),
+            keeps_hosts: AtomicBool::default(),
             adoptions: Mutex::default(),
             current: watch::Sender::default(),
         }
@@ -82,20 +95,21 @@
         self.snapshot.load_full()
     }
 
-    /// Returns the host list in force, if there is one. It may be in force
-    /// before a document.
-    pub fn list(&self) -> Option<Arc<hosts::List>> {
+    /// Returns the host list in force, with the hosts that this daemon keeps, if
+    /// there is one. It may be in force before a document.
+    pub fn list(&self) -> Option<Arc<List>> {
         self.list.load_full()
     }
 
-    /// Returns the host list in force with its hash, if there is one.
-    pub fn hashed_list(&self) -> Option<Hosts> {
+    /// Returns the platform's latest list, without the hosts that this daemon
+    /// keeps, if there is one.
+    pub fn platform_list(&self) -> Option<Hosts> {
         lock(&self.lists).front().cloned()
     }
 
-    /// Returns the host list with the hash `hash`, if it is among the lists
-    /// that are kept.
-    pub fn list_by_hash(&self, hash: Hash) -> Option<Arc<hosts::List>> {
+    /// Returns the platform's list with the hash `hash`, if it is among the
+    /// latest ones.
+    pub fn list_by_hash(&self, hash: Hash) -> Option<Arc<List>> {
         let lists = lock(&self.lists);
         let found = lists.iter().find(|hosts| hosts.hash == hash);
         found.map(|hosts| Arc::clone(&hosts.list))
@@ -166,15 +180,86 @@
         outcome
     }
 
-    /// Puts a host list in force if its number is greater than that of the list
-    /// in force. Returns whether it is.
-    pub fn offer_list(&self, trail: &Trail, mut list: hosts::List, source: &str) -> bool {
+    /// Puts a list of the platform in force if its number is greater than that
+    /// of the list in force. Returns whether it is.
+    pub fn offer_list(&self, trail: &Trail, mut list: List, source: &str) -> bool {
         list.hosts.sort_by(|a, b| a.name.cmp(&b.name));
         let latest = self.lock();
         let known = self.current.borrow().list_number;
         if list.number <= known {
             return false;
         }
+        let list = Arc::new(list);
+        let hash = delta::hash(&list);
+        let mut lists = lock(&self.lists);
+        lists.push_front(Hosts {
+            hash,
+            list: Arc::clone(&list),
+        });
+        lists.truncate(MAX_LISTS);
+        drop(lists);
+        let list = match (self.keeps_hosts(), self.list()) {
+            (true, Some(known)) => Arc::new(hosts::merge(&known, List::clone(&list))),
+            _ => list,
+        };
+        self.put_list(&latest, trail, list, source);
+        true
+    }
+
+    /// Adds the live hosts of `known` to the list in force, and from now on
+    /// keeps each live host that the platform removes, until
+    /// [`drop_kept_hosts`](Self::drop_kept_hosts). Returns whether the list
+    /// changed.
+    pub fn keep_hosts(&self, trail: &Trail, known: &List) -> bool {
+        let latest = self.lock();
+        self.keeps_hosts.store(true, Ordering::Relaxed);
+        let Some(list) = self.list() else {
+            return false;
+        };
+        let merged = hosts::merge(known, List::clone(&list));
+        if merged.hosts.len() == list.hosts.len() {
+            return false;
+        }
+        self.put_list(&latest, trail, Arc::new(merged), KEPT_SOURCE);
+        true
+    }
+
+    /// Puts the platform's list in force without any other host. Returns whether
+    /// the list changed.
+    pub fn drop_kept_hosts(&self, trail: &Trail) -> bool {
+        let latest = self.lock();
+        self.keeps_hosts.store(false, Ordering::Relaxed);
+        let Some(platform) = self.platform_list() else {
+            return false;
+        };
+        if self
+            .list()
+            .is_none_or(|list| list.hosts == platform.list.hosts)
+        {
+            return false;
+        }
+        self.put_list(&latest, trail, platform.list, KEPT_SOURCE);
+        true
+    }
+
+    /// Returns whether live hosts that the platform removes are kept.
+    pub fn keeps_hosts(&self) -> bool {
+        self.keeps_hosts.load(Ordering::Relaxed)
+    }
+
+    /// Returns the hosts that this daemon keeps although the platform's list
+    /// lacks them.
+    pub fn kept_hosts(&self) -> Vec<Host> {
+        let _latest = self.lock();
+        let (Some(list), Some(platform)) = (self.list(), self.platform_list()) else {
+            return Vec::new();
+        };
+        let kept = list.hosts_missing_in(&platform.list).into_iter();
+        kept.cloned().collect()
+    }
+
+    /// Puts `list` in force.
+    fn put_list(&self, latest: &adopt::Store, trail: &Trail, list: Arc<List>, source: &str) {
         let lapsed = list.hosts.iter().filter(|host| host.lapsed);
         trail.record(Event::Hosts {
             number: list.number,
@@ -185,16 +270,9 @@
                 .take(MAX_NAMED_HOSTS)
                 .collect(),
         });
-        let list = Arc::new(list);
-        let hash = delta::hash(&list);
-        self.list.store(Some(Arc::clone(&list)));
-        let mut lists = lock(&self.lists);
-        lists.push_front(Hosts { hash, list });
-        lists.truncate(MAX_LISTS);
-        drop(lists);
+        self.list.store(Some(list));
         let read_from_platform = self.current.borrow().read_from_platform;
-        self.publish(&latest, read_from_platform);
-        true
+        self.publish(latest, read_from_platform);
     }
 
     /// Replaces the snapshot and notifies the receivers of
--- a/crates/daemon/src/distribution/cut_off.rs
+++ b/crates/daemon/src/distribution/cut_off.rs
@@ -1,5 +1,5 @@
-//! Keeps hosts in force that the store removed from its list only because they
-//! are cut off from the store.
+//! Keeps hosts in force at this daemon that the store removed from its list only
+//! because they are cut off from the store.
 //!
 //! The store removes the entries of upstreams that it does not hear from. A
 //! host that is cut off from the store still learns of the removal from other
@@ -7,16 +7,23 @@
 //! are cut off together with it, although all of them can serve requests. A
 //! daemon whose own upstream was removed therefore calls the store itself: if
 //! the store does not answer, the daemon keeps the hosts that were listed
-//! before.
+//! before, and those that are removed later, until the store answers.
+//!
+//! A daemon that is cut off cannot tell a host that is cut off as well from one
+//! that has left. It therefore keeps hosts for itself only: other daemons get
+//! the store's list from it, and decide for themselves. The exception is a
+//! daemon that started while it was cut off and asks for the hosts that others
+//! keep, because it has never known its own data centre.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use savorylane_intent::hosts::{self, List};
 use tokio::sync::Notify;
 
+use super::change_host_list;
 use crate::kernel::Context;
 
 /// Maximum time between the removals of hosts that are cut off together: the
@@ -38,26 +45,30 @@
     cut_off: AtomicBool,
     /// Hosts to keep if this host turns out to be cut off.
     known: ArcSwapOption<Known>,
-    /// Notified when a list no longer contains this daemon's host.
-    removal: Notify,
-    /// Number of the newest list that was merged into the one in force; 0 if
-    /// there is none.
-    newest_merged: AtomicU64,
+    /// Whether the store has not answered this daemon since its start.
+    started_without_store: AtomicBool,
+    /// Notified when this host may be cut off.
+    suspicion: Notify,
 }
 
 impl State {
-    /// Waits until a list no longer contains this daemon's upstream.
-    pub async fn wait_for_removal(&self) {
-        self.removal.notified().await;
+    /// Waits until this host may be cut off from the store.
+    pub async fn wait_for_suspicion(&self) {
+        self.suspicion.notified().await;
+    }
+
+    /// Records that the store did not answer this daemon at its start.
+    pub fn on_start_without_store(&self) {
+        self.started_without_store.store(true, Ordering::Relaxed);
     }
 
     /// Records a list that is in force from `now` on. `own` is the name of this
     /// daemon's host.
     pub(super) fn on_host_list(&self, now: Duration, own: &str, list: &List) {
         let previous = self.known.load();
-        if !list.hosts.iter().any(|host| host.name == own) {
-            if previous.is_some() {
-                self.removal.notify_one();
+        if !list.contains(own) {
+            if previous.is_some() || self.started_without_store.load(Ordering::Relaxed) {
+                self.suspicion.notify_one();
             }
             return;
         }
@@ -70,61 +81,62 @@
         };
         self.known.store(Some(Arc::new(Known { at, list })));
     }
-
-    /// Records that the store answered, so that its list is adopted as it is
-    /// again.
-    pub fn on_store_answered(&self) {
-        self.cut_off.store(false, Ordering::Relaxed);
-        self.newest_merged.store(0, Ordering::Relaxed);
-        self.known.store(None);
-    }
-
-    /// Returns the number of the newest list that was merged into the one in
-    /// force; 0 if there is none. It exceeds the number of the list in force: a
-    /// poll with the latter would get the same list again and again.
-    pub(super) fn newest_merged(&self) -> u64 {
-        self.newest_merged.load(Ordering::Relaxed)
-    }
-
-    /// Returns the list to adopt when the list `newer` arrives: `newer` itself,
-    /// or its merge with `own` while this host is cut off.
-    pub(super) fn merge_if_cut_off(&self, own: &List, newer: List) -> List {
-        if !self.cut_off.load(Ordering::Relaxed) {
-            return newer;
-        }
-        self.newest_merged
-            .fetch_max(newer.number, Ordering::Relaxed);
-        merge_below(own, newer)
-    }
 }
 
-/// Records that the store removed this daemon's upstream and does not answer
-/// this daemon, and merges the hosts known before into the list in force.
+/// Records that the store does not answer this daemon, whose host may be cut
+/// off, and keeps the hosts known before.
 pub fn on_store_silent(context: &Context) {
     let state = &context.distribution.cut_off;
-    let (Some(known), Some(list)) = (state.known.load_full(), context.config.list()) else {
-        return;
-    };
     if state.cut_off.swap(true, Ordering::Relaxed) {
         return;
     }
     log::warn!(
         target: "dependency", dependency = "store", outcome = "cut-off";
-        "the store removed this host from the list and does not answer it; \
+        "the store no longer lists this host and does not answer it; \
          keeping the hosts known before"
     );
-    let number = list.number + 1;
-    let list = hosts::merge(&known.list, List::clone(&list));
-    let list = List { number, ..list };
-    let own = context.settings.host.as_str();
-    super::offer_host_list(context, list, own);
+    let known = state.known.load_full();
+    let list = known.map(|known| known.list.clone()).unwrap_or_default();
+    keep_hosts(context, &list);
+}
+
+/// Records that the store answered, so that the daemon keeps no host that the
+/// store does not list.
+pub fn on_store_answered(context: &Context) {
+    let state = &context.distribution.cut_off;
+    state.started_without_store.store(false, Ordering::Relaxed);
+    let was_cut_off = state.cut_off.swap(false, Ordering::Relaxed);
+    let kept = context.config.kept_hosts().len();
+    change_host_list(context, |config| config.drop_kept_hosts(&context.trail));
+    state.known.store(None);
+    if let Some(list) = context.config.list() {
+        state.on_host_list(context.now(), &context.settings.host, &list);
+    }
+    if was_cut_off {
+        log::info!(
+            target: "dependency", dependency = "store", outcome = "reached", kept = kept as u64;
+            "the store answers this host again; it keeps no host any more"
+        );
+    }
+}
+
+/// Returns whether this daemon is cut off and does not know its own host, so
+/// that it must learn from others which hosts serve in its data centre.
+pub(super) fn wants_kept_hosts(context: &Context) -> bool {
+    let cut_off = context.distribution.cut_off.cut_off.load(Ordering::Relaxed);
+    let list = context.config.list();
+    cut_off && list.is_none_or(|list| !list.contains(&context.settings.host))
+}
+
+/// Keeps the hosts that another daemon keeps, if this daemon wants them.
+pub(super) fn on_kept_hosts(context: &Context, kept: &List) {
+    if wants_kept_hosts(context) {
+        keep_hosts(context, kept);
+    }
 }
 
-/// Merges the list `newer` with the hosts that only `own` contains. The number
-/// of the result is below that of `newer`, so that `newer` replaces the result
-/// as soon as it is offered without a merge.
-fn merge_below(own: &List, newer: List) -> List {
-    let number = newer.number.saturating_sub(1);
-    let merged = hosts::merge(own, newer);
-    List { number, ..merged }
+/// Adds the live hosts of `known` to the list in force, and keeps hosts that are
+/// removed from now on.
+fn keep_hosts(context: &Context, known: &List) {
+    change_host_list(context, |config| config.keep_hosts(&context.trail, known));
 }
--- a/crates/daemon/src/distribution/follow.rs
+++ b/crates/daemon/src/distribution/follow.rs
@@ -97,11 +97,12 @@
 /// Calls [`on_host_list`] for each host list that comes into force.
 async fn watch_host_lists(context: &Arc<Context>) {
     let mut current = context.config.subscribe();
-    let mut known = 0;
+    let mut known = None;
     loop {
-        let number = current.borrow_and_update().list_number;
-        if number != known {
-            known = number;
+        current.borrow_and_update();
+        let list = context.config.list();
+        if list.as_ref().map(Arc::as_ptr) != known.as_ref().map(Arc::as_ptr) {
+            known = list;
             on_host_list(context);
         }
         if current.changed().await.is_err() {
--- a/crates/daemon/src/distribution/long_poll.rs
+++ b/crates/daemon/src/distribution/long_poll.rs
@@ -9,12 +9,12 @@
 use base64::engine::general_purpose::STANDARD;
 use savorylane_distribution::age::Numbers;
 use savorylane_distribution::source::{self, Answer, Request};
-use savorylane_intent::hosts::delta as lists;
+use savorylane_intent::hosts::{self, List, delta as lists};
 use savorylane_intent::{Hash, Version, transfer};
 use savorylane_wire::control::{Candidate, Poll, poll};
 use savorylane_wire::rpc::Payload;
 
-use super::{accept_checked, millis, numbers_in_force, offer_host_list, without_departed};
+use super::{accept_checked, cut_off, millis, numbers_in_force, offer_host_list, without_departed};
 use crate::audit::Event;
 use crate::kernel::Context;
 
@@ -54,7 +54,7 @@
 /// Returns the message for a poll that the source requested.
 pub(super) fn compose_poll(context: &Context, request: &Request) -> Poll {
     let now = context.now();
-    let listed = context.config.hashed_list();
+    let listed = context.config.platform_list();
     let reading = context.distribution.lock().reading_time(now);
     Poll {
         from: context.sender(),
@@ -63,16 +63,14 @@
         needs: request.needs,
         reading_ms: reading.map(millis),
         version: context.config.version(),
-        list: listed
-            .as_ref()
-            .map_or(0, |listed| listed.list.number)
-            .max(context.distribution.cut_off.newest_merged()),
+        list: listed.as_ref().map_or(0, |listed| listed.list.number),
         list_hash: listed.map(|listed| listed.hash),
         wait_ms: millis(request.wait),
         version_after_ms: match request.wait.is_zero() {
             true => 0,
             false => millis(context.distribution.adoption_pause(now)),
         },
+        wants_kept: cut_off::wants_kept_hosts(context),
     }
 }
 
@@ -200,6 +198,9 @@
     if own.list > known.list {
         answer.list = list_payload(context, message.list_hash);
     }
+    if message.wants_kept {
+        answer.kept = kept_payload(context);
+    }
     answer
 }
 
@@ -219,10 +220,10 @@
     })
 }
 
-/// Returns the list in force, as a delta to the list with the hash `base` if
+/// Returns the platform's list, as a delta to the list with the hash `base` if
 /// possible.
 fn list_payload(context: &Context, base: Option<Hash>) -> Option<Payload> {
-    let listed = context.config.hashed_list()?;
+    let listed = context.config.platform_list()?;
     let cache = &context.distribution.payloads;
     let text = cache.get((base, listed.hash), || {
         let base = base.and_then(|hash| context.config.list_by_hash(hash));
@@ -235,6 +236,19 @@
     })
 }
 
+/// Returns the hosts that this daemon keeps, if there are any.
+fn kept_payload(context: &Context) -> Option<Payload> {
+    let hosts = context.config.kept_hosts();
+    if hosts.is_empty() {
+        return None;
+    }
+    let number = numbers_in_force(context).list;
+    Some(Payload {
+        version: None,
+        content: STANDARD.encode(hosts::pack(&List { number, hosts })),
+    })
+}
+
 /// Arrival of an answer relative to the timeout of its poll.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Arrival {
@@ -261,6 +275,9 @@
     // services that are as new as the document.
     let payload = message.list.as_ref();
     let complete = payload.is_none_or(|list| adopt_host_list(context, host, list));
+    if let Some(kept) = &message.kept {
+        adopt_kept_hosts(context, host, kept);
+    }
     if let Some(document) = message.document {
         adopt_document(context, host, document).await;
     }
@@ -319,34 +336,49 @@
     let Some(content) = decode(context, host, payload) else {
         return false;
     };
-    let known = context.config.list().unwrap_or_default();
+    let known = context.config.platform_list();
+    let known = known.map(|known| known.list).unwrap_or_default();
     match lists::decode(&content).and_then(|content| content.resolve(&known)) {
         Ok(checked) => {
             let list = accept_checked(context, host, checked);
-            let list = without_departed(context, list);
-            let list = context.distribution.cut_off.merge_if_cut_off(&known, list);
-            offer_host_list(context, list, host);
+            offer_host_list(context, without_departed(context, list), host);
             true
         }
         Err(fault) => {
-            context.trail.record(Event::Refused {
-                source: host.into(),
-                reason: fault.to_string(),
-            });
+            refuse(context, host, fault.to_string());
             false
         }
     }
 }
 
+/// Adopts the hosts that another daemon keeps.
+fn adopt_kept_hosts(context: &Context, host: &str, payload: &Payload) {
+    let Some(content) = decode(context, host, payload) else {
+        return;
+    };
+    match hosts::unpack(&content) {
+        Ok(checked) => {
+            let kept = accept_checked(context, host, checked);
+            cut_off::on_kept_hosts(context, &kept);
+        }
+        Err(fault) => refuse(context, host, fault.to_string()),
+    }
+}
+
 /// Decodes the content of a payload. Records in the audit trail that invalid
 /// content was refused.
 fn decode(context: &Context, host: &str, payload: &Payload) -> Option<Vec<u8>> {
     let decoded = STANDARD.decode(&payload.content);
     if let Err(error) = &decoded {
-        context.trail.record(Event::Refused {
-            source: host.into(),
-            reason: error.to_string(),
-        });
+        refuse(context, host, error.to_string());
     }
     decoded.ok()
 }
+
+/// Records in the audit trail that content of `host` was refused.
+fn refuse(context: &Context, host: &str, reason: String) {
+    context.trail.record(Event::Refused {
+        source: host.into(),
+        reason,
+    });
+}
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -4,8 +4,8 @@
 //! This module contains the state that the edges share. [`follow`] polls other
 //! daemons, [`long_poll`] composes and handles polls and their answers,
 //! [`hint`] acts on the numbers that requests and answers between daemons
-//! carry, and [`cut_off`] keeps hosts in force while this host is cut off from
-//! the store.
+//! carry, and [`cut_off`] keeps hosts in force at this daemon while its host is
+//! cut off from the store.
 
 pub mod cut_off;
 pub mod follow;
@@ -23,6 +23,7 @@
 use savorylane_intent::hosts::{self, Checked, Host, List};
 use tokio::sync::{Notify, watch};
 
+use crate::config;
 use crate::decisions::{self, Kind};
 use crate::kernel::Context;
 use crate::peers;
@@ -56,8 +57,8 @@
     polls_sent: AtomicU64,
     /// Whether this host is cut off from the store.
     pub cut_off: cut_off::State,
-    /// Held while a host list is offered, so that lists keep their order.
-    offers: Mutex<()>,
+    /// Held while the host list changes, so that lists keep their order.
+    list_changes: Mutex<()>,
 }
 
 impl Distribution {
@@ -81,7 +82,7 @@
             payloads: long_poll::Cache::default(),
             polls_sent: AtomicU64::new(0),
             cut_off: cut_off::State::default(),
-            offers: Mutex::default(),
+            list_changes: Mutex::default(),
         }
     }
 
@@ -203,17 +204,24 @@
     }
 }
 
-/// Offers a host list for adoption, and passes the entry of this daemon's host
-/// to the gatekeeper at once.
+/// Offers a host list of the platform for adoption.
 pub fn offer_host_list(context: &Context, list: List, source: &str) {
+    change_host_list(context, |config| {
+        config.offer_list(&context.trail, list, source)
+    });
+}
+
+/// Calls `change`, which returns whether it changed the host list in force, and
+/// passes the entry of this daemon's host to the gatekeeper at once.
+fn change_host_list(context: &Context, change: impl FnOnce(&config::Store) -> bool) {
     let distribution = &context.distribution;
     // The gatekeeper must get the lists in the order in which they come into
     // force.
-    let offers = &distribution.offers;
-    let _guard = offers.lock().unwrap_or_else(PoisonError::into_inner);
+    let changes = &distribution.list_changes;
+    let _guard = changes.lock().unwrap_or_else(PoisonError::into_inner);
     let now = context.now();
     let confirmed_at = now.saturating_sub(distribution.age.at(now).unwrap_or_default());
-    if !context.config.offer_list(&context.trail, list, source) {
+    if !change(&context.config) {
         return;
     }
     let Some(list) = context.config.list() else {
@@ -243,9 +251,9 @@
 /// this daemon knows, provided that its knowledge is not stale.
 fn without_departed(context: &Context, list: List) -> List {
     let age = context.distribution.age.at(context.now());
-    match age.is_some_and(|age| age <= STALE_AFTER) {
-        true => hosts::without_departed(&context.config.list().unwrap_or_default(), list),
-        false => list,
+    match (age, context.config.platform_list()) {
+        (Some(age), Some(own)) if age <= STALE_AFTER => hosts::without_departed(&own.list, list),
+        _ => list,
     }
 }
 
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -133,10 +133,11 @@
     }
 
     async fn hosts(&self, after: u64) -> RpcResult<Option<Payload>> {
-        let list = self.0.config.list().filter(|list| list.number > after);
-        Ok(list.map(|list| Payload {
+        let listed = self.0.config.platform_list();
+        let newer = listed.filter(|listed| listed.list.number > after);
+        Ok(newer.map(|listed| Payload {
             version: None,
-            content: STANDARD.encode(hosts::pack(&list)),
+            content: STANDARD.encode(hosts::pack(&listed.list)),
         }))
     }
 
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -36,11 +36,12 @@
 }
 
 impl<'a> Follower<'a> {
-    /// Returns a follower that starts from the hosts of the list in force.
+    /// Returns a follower that starts from the hosts of the known list.
     pub(super) fn new(store: &'a Store, adapter: &'a Adapter) -> Self {
         let context = &store.context;
         let age = context.distribution.age.at(context.now());
-        let list = context.config.list().unwrap_or_default();
+        let listed = context.config.platform_list();
+        let list = listed.map(|listed| listed.list).unwrap_or_default();
         let port = context.settings.upstream.port();
         let instances = list.hosts.iter();
         let instances = instances
@@ -253,8 +254,7 @@
     publish(context, adapter, &registry, number);
 }
 
-/// Puts the entries in force as a host list, if they differ from the list in
-/// force.
+/// Puts the entries in force as a host list, if they differ from the known list.
 fn publish(context: &Context, adapter: &Adapter, registry: &Registry, number: u64) {
     let mut hosts: Vec<Host> = registry
         .instances()
@@ -265,8 +265,8 @@
         })
         .collect();
     hosts.sort_by(|a, b| a.name.cmp(&b.name));
-    let known = context.config.list();
-    if known.is_some_and(|known| known.hosts == hosts) {
+    let known = context.config.platform_list();
+    if known.is_some_and(|known| known.list.hosts == hosts) {
         return;
     }
     let list = List { number, hosts };
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -88,6 +88,7 @@
                     target: "dependency", dependency = "store", outcome = "lost";
                     "cannot read the entries of the store at the start: {fault}"
                 );
+                context.distribution.cut_off.on_start_without_store();
                 break;
             }
         }
@@ -104,13 +105,14 @@
     context.distribution.wake();
 }
 
-/// Probes the store whenever the own upstream was removed from the host list.
-/// If the store does not answer, this host is cut off from the store, and the
-/// removal does not show that the upstream has left.
+/// Probes the store whenever the host list may lack hosts that are cut off from
+/// the store together with this host, such as when it lacks this host. If the
+/// store does not answer, this host is cut off from it, and a removal does not
+/// show that an upstream has left.
 async fn confirm_removals(context: &Arc<Context>, adapter: &Adapter, client: &Client) {
     let cut_off = &context.distribution.cut_off;
     loop {
-        cut_off.wait_for_removal().await;
+        cut_off.wait_for_suspicion().await;
         let mut delay = Delay::default();
         let mut lost = false;
         while !confirm(context, adapter, client, lost).await {
@@ -142,7 +144,7 @@
     let Ok(batch) = read else {
         return false;
     };
-    context.distribution.cut_off.on_store_answered();
+    cut_off::on_store_answered(context);
     if let Some(batch) = batch {
         entries::publish_all(context, adapter, batch);
     }
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -1,6 +1,6 @@
 //! Host lists: the platform's view of the hosts and their services.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 
@@ -26,6 +26,22 @@
     pub hosts: Vec<Host>,
 }
 
+impl List {
+    /// Returns whether the list has a host with the name `name`.
+    pub fn contains(&self, name: &str) -> bool {
+        self.hosts.iter().any(|host| host.name == name)
+    }
+
+    /// Returns the hosts whose names `other` lacks.
+    pub fn hosts_missing_in(&self, other: &Self) -> Vec<&Host> {
+        let names: BTreeSet<&str> = other.hosts.iter().map(|host| host.name.as_str()).collect();
+        let missing = self.hosts.iter();
+        missing
+            .filter(|host| !names.contains(host.name.as_str()))
+            .collect()
+    }
+}
+
 /// State of a host as the platform reports it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -68,9 +84,10 @@
     /// Number of requests that the upstream runs concurrently.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slots: Option<u32>,
-    /// Whether the platform no longer lists the host, but the daemon that made
-    /// this list keeps the host for a short time, since its lease may have
-    /// lapsed during an outage.
+    /// Whether the platform no longer lists the host, although the host may
+    /// still serve: its lease may have lapsed during an outage, or while the
+    /// host was cut off from the platform together with the daemon that uses
+    /// this list.
     #[serde(default, skip_serializing_if = "is_false")]
     pub lapsed: bool,
 }
@@ -239,20 +256,20 @@
 ///
 /// A platform removes a host that is cut off from it, although the host still
 /// serves. Daemons that are cut off together with the host lose nothing by
-/// trying it, and adopt the platform's list once they reach the platform again.
-/// The mark prevents daemons that do reach the platform from adding the host
-/// back.
+/// trying it, and return to the platform's list once they reach the platform
+/// again. They cannot tell such a host from one that has left, so the result is
+/// only for the daemon that is cut off: a daemon that gets it cannot either.
 pub fn merge(own: &List, newer: List) -> List {
+    let missing = own.hosts_missing_in(&newer).into_iter();
+    let live = missing.filter(|host| host.state == State::Live);
+    let added: Vec<Host> = live
+        .map(|host| Host {
+            lapsed: true,
+            ..host.clone()
+        })
+        .collect();
     let mut merged = newer;
-    for host in &own.hosts {
-        let known = merged.hosts.iter().any(|other| other.name == host.name);
-        if !known && host.state == State::Live {
-            merged.hosts.push(Host {
-                lapsed: true,
-                ..host.clone()
-            });
-        }
-    }
+    merged.hosts.extend(added);
     merged.hosts.sort_by(|a, b| a.name.cmp(&b.name));
     merged
 }
--- a/crates/wire/src/control/poll.rs
+++ b/crates/wire/src/control/poll.rs
@@ -40,6 +40,10 @@
     /// adopted one, in milliseconds.
     #[serde(default)]
     pub version_after_ms: u64,
+    /// Whether the sender is cut off from the store and wants the hosts that the
+    /// receiver keeps, because it does not know its own data centre.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub wants_kept: bool,
 }
 
 /// A host that may read the store.
@@ -93,4 +97,8 @@
     /// receiver's list.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub list: Option<Payload>,
+    /// Hosts that the sender keeps although the store removed them, if the
+    /// receiver [wants](Poll::wants_kept) them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub kept: Option<Payload>,
 }
--- a/crates/wire/src/rpc/mod.rs
+++ b/crates/wire/src/rpc/mod.rs
@@ -63,7 +63,8 @@
     #[method(name = "fetch")]
     async fn fetch(&self, message: Fetch) -> RpcResult<Option<Payload>>;
 
-    /// Returns the host list in force if its number is greater than `after`.
+    /// Returns the platform's list, as the daemon knows it, if its number is
+    /// greater than `after`.
     #[method(name = "hosts")]
     async fn hosts(&self, after: u64) -> RpcResult<Option<Payload>>;
 
