hint: keep hosts of old knowledge beside the fetched list

A daemon whose knowledge is older than 5 s and that fetches a list after a hint may be cut off together with hosts that the list lacks, and keeps them. It put them into the fetched list under the number of that list, so that its followers took them as listed by the store, and neither they nor the daemon itself ever took the true list of that number.

They are kept beside the list now, like those of a daemon that is cut off, and only until the store has answered a probe; before, they stayed until the next list. If the list lacks no known host, nothing is probed.

--- a/crates/daemon/src/distribution/cut_off.rs
+++ b/crates/daemon/src/distribution/cut_off.rs
@@ -135,6 +135,23 @@
     }
 }
 
+/// Offers a list to a daemon whose knowledge is so old that its host may be cut
+/// off. The daemon keeps the hosts that the list lacks until the store has
+/// answered a probe.
+pub(super) fn offer_host_list(context: &Context, list: List, source: &str) {
+    let state = &context.distribution.cut_off;
+    keep_hosts(context, &List::default());
+    super::offer_host_list(context, list, source);
+    if state.cut_off.load(Ordering::Relaxed) {
+        return;
+    }
+    if context.config.kept_hosts().is_empty() {
+        change_host_list(context, |config| config.drop_kept_hosts(&context.trail));
+    } else {
+        state.suspicion.notify_one();
+    }
+}
+
 /// Adds the live hosts of `known` to the list in force, and keeps hosts that are
 /// removed from now on.
 fn keep_hosts(context: &Context, known: &List) {
--- a/crates/daemon/src/distribution/hint.rs
+++ b/crates/daemon/src/distribution/hint.rs
@@ -11,9 +11,8 @@
 
 use savorylane_distribution::age::Numbers;
 use savorylane_intent::adopt::Outcome;
-use savorylane_intent::hosts;
 
-use super::{numbers_in_force, offer_host_list, without_departed};
+use super::{cut_off, numbers_in_force, offer_host_list, without_departed};
 use crate::kernel::Context;
 use crate::peers::fetch;
 
@@ -85,15 +84,14 @@
 
 /// Fetches a list and offers it. A daemon whose knowledge is older than
 /// [`CUT_OFF_AFTER`] may be cut off from the store together with hosts that the
-/// store no longer lists, and keeps those hosts.
+/// store no longer lists, and keeps those hosts until the store has answered it.
 async fn fetch_host_list(context: &Arc<Context>, control: SocketAddr, source: &str) {
     let Some(list) = fetch::host_list(context, control, source).await else {
         return;
     };
     let age = context.distribution.age.at(context.now());
-    let list = match age.is_none_or(|age| age <= CUT_OFF_AFTER) {
-        true => without_departed(context, list),
-        false => hosts::merge(&context.config.list().unwrap_or_default(), list),
-    };
-    offer_host_list(context, list, source);
+    match age.is_none_or(|age| age <= CUT_OFF_AFTER) {
+        true => offer_host_list(context, without_departed(context, list), source),
+        false => cut_off::offer_host_list(context, list, source),
+    }
 }
