cut_off: keep the first host whose entry lapses, too

Hosts that are cut off together lapse one after the other, up to 2 s apart. A daemon remembered the hosts of the lists of the last 2 s for that. But the list before the first removal was older than that as a rule and was dropped with it, so that the daemon kept all hosts that lapsed before its own but the first one: a data centre that lost the store went on without a host that served. What counts is when a host was removed, not how old the list is that had it.

--- a/crates/daemon/src/distribution/cut_off.rs
+++ b/crates/daemon/src/distribution/cut_off.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
-use savorylane_intent::hosts::{self, List};
+use savorylane_intent::hosts::{self, Host, List};
 use tokio::sync::Notify;
 
 use super::change_host_list;
@@ -30,12 +30,46 @@
 /// time within which their entries lapse at the store.
 const MAX_LAPSE_SPREAD: Duration = Duration::from_secs(2);
 
-/// Hosts of the recent lists that contain this daemon's host.
-#[derive(Debug)]
+/// Hosts that were listed at the same time as this daemon's host, or at most
+/// [`MAX_LAPSE_SPREAD`] before.
+#[derive(Clone, Debug, Default)]
 struct Known {
-    /// Time at which the first of these lists came into force.
-    at: Duration,
+    /// The latest list that contains this daemon's host.
     list: List,
+    /// Hosts that earlier lists contained, with the times of their removal.
+    removed: Vec<(Duration, Host)>,
+    /// Time at which this daemon's host was removed; `None` if it is listed.
+    removed_at: Option<Duration>,
+}
+
+impl Known {
+    /// Replaces the list by `list`, which is in force from `now` on.
+    fn update(&self, now: Duration, list: &List) -> Self {
+        let earlier = self.removed.iter().cloned();
+        let earlier = earlier.filter(|(at, _)| now.saturating_sub(*at) <= MAX_LAPSE_SPREAD);
+        let missing = self.list.hosts_missing_in(list).into_iter();
+        Self {
+            list: list.clone(),
+            removed: earlier
+                .chain(missing.map(|host| (now, host.clone())))
+                .collect(),
+            removed_at: None,
+        }
+    }
+
+    /// Returns the hosts to keep if this daemon's host is cut off.
+    fn hosts_to_keep(&self) -> List {
+        let until = self.removed_at.unwrap_or(Duration::MAX);
+        let recent = self.removed.iter().rev();
+        let recent = recent.filter(|(at, _)| until.saturating_sub(*at) <= MAX_LAPSE_SPREAD);
+        let mut removed = List::default();
+        for (_, host) in recent {
+            if !removed.contains(&host.name) {
+                removed.hosts.push(host.clone());
+            }
+        }
+        hosts::merge(&removed, self.list.clone())
+    }
 }
 
 /// Whether this host is cut off from the store, and the hosts to keep in that
@@ -65,21 +99,22 @@
     /// Records a list that is in force from `now` on. `own` is the name of this
     /// daemon's host.
     pub(super) fn on_host_list(&self, now: Duration, own: &str, list: &List) {
-        let previous = self.known.load();
-        if !list.contains(own) {
-            if previous.is_some() || self.started_without_store.load(Ordering::Relaxed) {
-                self.suspicion.notify_one();
-            }
+        let previous = self.known.load_full();
+        if list.contains(own) {
+            let known = previous.unwrap_or_default().update(now, list);
+            self.known.store(Some(Arc::new(known)));
             return;
         }
-        let recent = previous
-            .as_ref()
-            .filter(|known| now.saturating_sub(known.at) < MAX_LAPSE_SPREAD);
-        let (at, list) = match recent {
-            Some(known) => (known.at, hosts::merge(&known.list, list.clone())),
-            None => (now, list.clone()),
-        };
-        self.known.store(Some(Arc::new(Known { at, list })));
+        if previous.is_some() || self.started_without_store.load(Ordering::Relaxed) {
+            self.suspicion.notify_one();
+        }
+        if let Some(known) = previous.filter(|known| known.removed_at.is_none()) {
+            let known = Known {
+                removed_at: Some(now),
+                ..Known::clone(&known)
+            };
+            self.known.store(Some(Arc::new(known)));
+        }
     }
 }
 
@@ -96,8 +131,8 @@
          keeping the hosts known before"
     );
     let known = state.known.load_full();
-    let list = known.map(|known| known.list.clone()).unwrap_or_default();
-    keep_hosts(context, &list);
+    let known = known.map(|known| known.hosts_to_keep());
+    keep_hosts(context, &known.unwrap_or_default());
 }
 
 /// Records that the store answered, so that the daemon keeps no host that the
