intent: homes of classes, cold starts of services, evacuated and cold hosts

Both fields are left out of messages where they are not set, so that documents and lists of the deployments so far have the bytes and hashes that they had.

--- a/crates/client/src/command/target/mod.rs
+++ b/crates/client/src/command/target/mod.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use savorylane_intent::Document;
-use savorylane_intent::document::Service;
+use savorylane_intent::document::{Class, Service};
 use snafu::ResultExt;
 
 use crate::fault::{Fault, RefusedSnafu};
@@ -69,11 +69,9 @@
             }
             let is_listed = document.services.iter().any(|s| s.name == class.service);
             if *add_service && !is_listed {
-                document.services.push(Service {
-                    name: class.service.clone(),
-                });
+                document.services.push(Service::new(class.service.clone()));
             }
-            document.classes.push(class.clone());
+            document.classes.push(Class::clone(class));
         }
         Edit::Change(change) => {
             let index = require(position)?;
--- a/crates/client/src/settings/mod.rs
+++ b/crates/client/src/settings/mod.rs
@@ -117,7 +117,7 @@
     /// Adds a class.
     Set {
         /// Class to add.
-        class: Class,
+        class: Box<Class>,
         /// Whether to add the service of the class if the document lacks it.
         add_service: bool,
     },
@@ -224,7 +224,7 @@
             add_service,
             ..
         } => Edit::Set {
-            class: Change::check(&fields)?.into_class(&class)?,
+            class: Box::new(Change::check(&fields)?.into_class(&class)?),
             add_service: parse("--add-service", &add_service, EXPECTED_BOOL)?.unwrap_or(false),
         },
         ChangeFields { fields, .. } => {
@@ -340,6 +340,7 @@
             split: Vec::new(),
             timeout_ms: None,
             attempts: None,
+            homes: Vec::new(),
         })
     }
 }
@@ -364,6 +365,7 @@
         split: Vec::new(),
         timeout_ms: None,
         attempts: None,
+        homes: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -321,6 +321,7 @@
             split: Vec::new(),
             timeout_ms: None,
             attempts: None,
+            homes: Vec::new(),
         };
         let ms = parse_header::<u64>(&head.headers, header::TIMEOUT_MS)?.unwrap_or(0);
         let mut headers = head.headers.clone();
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -292,6 +292,8 @@
         instance: Some(instance.id.clone()),
         slots: Some(instance.slots),
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     }
 }
 
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -388,6 +388,8 @@
         instance: None,
         slots: None,
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     }
 }
 
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -97,6 +97,8 @@
             instance: None,
             slots: None,
             lapsed: false,
+            evacuated: false,
+            cold_ms: 0,
         }
     }
 }
@@ -114,9 +116,7 @@
         number,
         deployment: "test".into(),
         limits: None,
-        services: vec![Service {
-            name: "stock".into(),
-        }],
+        services: vec![Service::new("stock")],
         classes: vec![Class {
             name: "check".into(),
             service: "stock".into(),
@@ -134,6 +134,7 @@
             split: Vec::new(),
             timeout_ms: None,
             attempts: None,
+            homes: Vec::new(),
         }],
     }
 }
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -65,6 +65,8 @@
             instance: None,
             slots: None,
             lapsed: false,
+            evacuated: false,
+            cold_ms: 0,
         };
         Self {
             handle,
@@ -264,7 +266,7 @@
 /// Returns [`document`] with a second service, which changes its hash.
 pub(crate) fn document_with_service(number: u64, name: &str) -> Document {
     let mut document = document(number);
-    document.services.push(Service { name: name.into() });
+    document.services.push(Service::new(name));
     document
 }
 
--- a/crates/daemon/tests/in_process/mod.rs
+++ b/crates/daemon/tests/in_process/mod.rs
@@ -217,6 +217,8 @@
             instance: None,
             slots: None,
             lapsed: false,
+            evacuated: false,
+            cold_ms: 0,
         };
         Member {
             name: name.into(),
@@ -286,13 +288,12 @@
         split: Vec::new(),
         timeout_ms: None,
         attempts: None,
+        homes: Vec::new(),
     };
     Document {
         number: 1,
         deployment: "test".into(),
-        services: vec![Service {
-            name: "stock".into(),
-        }],
+        services: vec![Service::new("stock")],
         classes: vec![
             class("check", "/stock/", &["GET", "PUT"], true),
             class("order", "/orders/", &["POST"], false),
--- a/crates/daemon/tests/kept_hosts.rs
+++ b/crates/daemon/tests/kept_hosts.rs
@@ -22,6 +22,8 @@
         instance: Some(instance.into()),
         slots: Some(1),
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     }
 }
 
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -119,11 +119,12 @@
         split: Vec::new(),
         timeout_ms: None,
         attempts: None,
+        homes: Vec::new(),
     }
 }
 
 fn document() -> Document {
-    let service = |name: &str| Service { name: name.into() };
+    let service = |name: &str| Service::new(name);
     Document {
         number: 1,
         deployment: "test".into(),
@@ -187,6 +188,8 @@
             instance: None,
             slots: None,
             lapsed: false,
+            evacuated: false,
+            cold_ms: 0,
         });
         daemons.push(daemon);
     }
--- a/crates/intent/src/bound/mod.rs
+++ b/crates/intent/src/bound/mod.rs
@@ -60,6 +60,12 @@
 /// Accepted maximum numbers of upstreams to which one request may be sent.
 pub const ATTEMPT_LIMITS: RangeInclusive<u32> = 1..=100;
 
+/// Accepted numbers of requests that a cold upstream tolerates in one second.
+pub const COLD_REQUESTS_PER_S: RangeInclusive<u32> = 1..=1_000_000;
+
+/// Maximum number of regions in which the requests of a class may run.
+pub const MAX_HOMES: usize = 64;
+
 /// Number of steps between 0 and 1 for quantiles and success shares, which have
 /// at most 6 decimals.
 ///
--- a/crates/intent/src/delta/mod.rs
+++ b/crates/intent/src/delta/mod.rs
@@ -22,6 +22,9 @@
     pub deployment: String,
     /// Services that only the result contains.
     pub added_services: Vec<Service>,
+    /// Services that differ between the base and the result, as in the result.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changed_services: Vec<Service>,
     /// Names of the services that only the base contains.
     pub removed_services: Vec<String>,
     /// Classes that only the result contains.
@@ -52,6 +55,7 @@
             version: next_version,
             deployment: next.deployment.clone(),
             added_services: Vec::new(),
+            changed_services: Vec::new(),
             removed_services: Vec::new(),
             added_classes: Vec::new(),
             changed_classes: Vec::new(),
@@ -60,7 +64,9 @@
         };
         for pair in pairs(&base.services, &next.services, |service| &service.name) {
             match pair {
-                (Some(_), Some(_)) | (None, None) => {}
+                (None, None) => {}
+                (Some(old), Some(new)) if old == new => {}
+                (Some(_), Some(new)) => delta.changed_services.push(new.clone()),
                 (None, Some(new)) => delta.added_services.push(new.clone()),
                 (Some(old), None) => delta.removed_services.push(old.name.clone()),
             }
@@ -117,6 +123,13 @@
         for name in &self.removed_services {
             check_present("removed_services", name, services.remove(name.as_str()))?;
         }
+        for service in &self.changed_services {
+            check_present(
+                "changed_services",
+                &service.name,
+                services.insert(&service.name, service),
+            )?;
+        }
         for service in &self.added_services {
             check_absent(
                 "added_services",
--- a/crates/intent/src/document/mod.rs
+++ b/crates/intent/src/document/mod.rs
@@ -66,6 +66,34 @@
 pub struct Service {
     /// Unique name.
     pub name: String,
+    /// How the service's upstreams take requests after a cold start; `None` if
+    /// they take as many as at any other time.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStart>,
+}
+
+impl Service {
+    /// Returns a service whose upstreams need no time after a start.
+    pub fn new(name: impl Into<String>) -> Self {
+        Self {
+            name: name.into(),
+            cold_start: None,
+        }
+    }
+}
+
+/// Limits of an upstream that is cold, as it is after a start.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// Time after a start for which the upstream is cold, in milliseconds.
+    pub duration_ms: u32,
+    /// Number of requests that a cold upstream tolerates in one second, at
+    /// least 1.
+    pub requests_per_s: u32,
+    /// Path at which the upstream answers how long it stays cold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub health_path: Option<String>,
 }
 
 /// Expected duration of a class's requests.
@@ -118,6 +146,9 @@
     /// the document sets no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub attempts: Option<u32>,
+    /// Regions whose upstreams may run the requests; all regions if empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<String>,
 }
 
 /// Latency and success rate with which a class must be served.
@@ -185,6 +216,9 @@
         let mut services = BTreeSet::new();
         for (index, service) in self.services.iter().enumerate() {
             bound::check_name(format_args!("services[{index}].name"), &service.name)?;
+            if let Some(cold_start) = &service.cold_start {
+                cold_start.check(format_args!("services[{index}].cold_start"))?;
+            }
             if !services.insert(service.name.as_str()) {
                 return Err(Fault::Duplicate {
                     field: "services".into(),
@@ -232,6 +266,27 @@
     }
 }
 
+impl ColdStart {
+    /// Checks the ranges of the limits; `field` is their path in error
+    /// messages.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first [`Fault`] found.
+    pub fn check(&self, field: fmt::Arguments<'_>) -> Result<(), Fault> {
+        bound::check_range(
+            format_args!("{field}.duration_ms"),
+            self.duration_ms,
+            &bound::DURATIONS_MS,
+        )?;
+        bound::check_range(
+            format_args!("{field}.requests_per_s"),
+            self.requests_per_s,
+            &bound::COLD_REQUESTS_PER_S,
+        )
+    }
+}
+
 impl Class {
     /// Checks the fields of the class; `field` is its path in error messages.
     ///
@@ -304,6 +359,7 @@
             let field = format_args!("{field}.attempts");
             bound::check_range(field, attempts, &bound::ATTEMPT_LIMITS)?;
         }
+        bound::check_count("homes", self.homes.len(), bound::MAX_HOMES)?;
         if !self.split.is_empty() && self.split.iter().all(|share| share.weight == 0) {
             return Err(Fault::value(
                 format_args!("{field}.split"),
@@ -314,6 +370,11 @@
         Ok(())
     }
 
+    /// Returns whether upstreams in `region` may run the requests of the class.
+    pub fn is_home(&self, region: &str) -> bool {
+        self.homes.is_empty() || self.homes.iter().any(|home| home == region)
+    }
+
     /// Returns whether requests with `method` belong to the class.
     pub fn accepts_method(&self, method: &str) -> bool {
         self.methods.is_empty() || self.methods.iter().any(|accepted| accepted == method)
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -90,6 +90,20 @@
     /// this list.
     #[serde(default, skip_serializing_if = "is_false")]
     pub lapsed: bool,
+    /// Whether operators evacuate the data centre of the host, so that its
+    /// upstream must get no requests.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub evacuated: bool,
+    /// Time for which the upstream stayed cold when the reader of the platform
+    /// learned it, in milliseconds; 0 if it is warm or nothing limits the
+    /// requests to a cold one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub cold_ms: u32,
+}
+
+/// Returns whether `value` is zero, in which case a field is not serialized.
+fn is_zero(value: &u32) -> bool {
+    *value == 0
 }
 
 /// Returns whether `value` is false, in which case a field is not serialized.
--- a/crates/intent/tests/suite/limits.rs
+++ b/crates/intent/tests/suite/limits.rs
@@ -57,6 +57,8 @@
         instance: None,
         slots: None,
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     };
     List {
         number: 1,
--- a/crates/intent/tests/suite/lists.rs
+++ b/crates/intent/tests/suite/lists.rs
@@ -29,6 +29,8 @@
         instance: Some(format!("i-{number}")),
         slots: Some(slots),
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     }
 }
 
--- a/crates/intent/tests/suite/sample/mod.rs
+++ b/crates/intent/tests/suite/sample/mod.rs
@@ -40,6 +40,7 @@
         split: Vec::new(),
         timeout_ms: None,
         attempts: None,
+        homes: Vec::new(),
     }
 }
 
@@ -75,9 +76,7 @@
 /// Returns the services with the given numbers.
 fn services_named(used: BTreeSet<usize>) -> Vec<Service> {
     used.into_iter()
-        .map(|at| Service {
-            name: format!("s{at}"),
-        })
+        .map(|at| Service::new(format!("s{at}")))
         .collect()
 }
 
--- a/crates/ledger/tests/drain.rs
+++ b/crates/ledger/tests/drain.rs
@@ -44,6 +44,8 @@
         instance: None,
         slots: None,
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     };
     let mut list = List {
         number,
--- a/crates/ledger/tests/ring.rs
+++ b/crates/ledger/tests/ring.rs
@@ -32,6 +32,8 @@
         instance: None,
         slots: None,
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     };
     List {
         number,
--- a/crates/membership/tests/fleet/mod.rs
+++ b/crates/membership/tests/fleet/mod.rs
@@ -38,6 +38,8 @@
         instance: None,
         slots: None,
         lapsed: false,
+        evacuated: false,
+        cold_ms: 0,
     }
 }
 
--- a/crates/standin/src/deployment/mod.rs
+++ b/crates/standin/src/deployment/mod.rs
@@ -84,6 +84,8 @@
             instance: None,
             slots: None,
             lapsed: false,
+            evacuated: false,
+            cold_ms: 0,
         }
     }
 }
@@ -150,7 +152,7 @@
     slots: usize,
     caller_connections: usize,
 ) -> Deployment {
-    let services = services.map(|name| Service { name: name.into() });
+    let services = services.map(Service::new);
     Deployment {
         data_centres: data_centres
             .map(|[name, region]| DataCentre { name, region })
@@ -216,6 +218,7 @@
         split: Vec::new(),
         timeout_ms: None,
         attempts: None,
+        homes: Vec::new(),
     }
 }
 
