wire: a hop as a short text, and no headers that the receiver can derive

Each forwarded request carried its attributes as JSON with field names, and the sender, the caller's address, the timeout and the date in headers of their own; header compression does not help, since most pairs of hosts exchange less than one request in the 1.5 s for which a connection stays open.

The hop is now a list of values and has the timeout; the gatekeeper takes the caller's address from the connection; daemons send no dates to each other.

--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -293,17 +293,9 @@
         }
     }
 
-    /// Parses a call that an entry of the adapted platform forwarded.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal that names the malformed header.
-    pub fn parse_forwarded(
-        head: &http::request::Parts,
-        hop: Hop,
-        caller: IpAddr,
-        now: Instant,
-    ) -> Result<Self, Refusal> {
+    /// Returns a call that the entry of the adapted platform at `entry`
+    /// forwarded. Callers connect from the host of their entry.
+    pub fn from_hop(head: &http::request::Parts, hop: Hop, entry: IpAddr, now: Instant) -> Self {
         let class = Class {
             name: hop.class,
             service: hop.service.clone(),
@@ -323,13 +315,11 @@
             attempts: None,
             homes: Vec::new(),
         };
-        let ms = parse_header::<u64>(&head.headers, header::TIMEOUT_MS)?.unwrap_or(0);
         let mut headers = head.headers.clone();
-        headers.remove(header::TIMEOUT_MS);
         for name in header::INTERNAL {
             headers.remove(name);
         }
-        Ok(Self {
+        Self {
             id: platform::request_id(&headers).map(str::to_owned),
             service: hop.service,
             route: Some(Route {
@@ -341,9 +331,9 @@
                     list: hop.list,
                 },
             }),
-            deadline: now + Duration::from_millis(ms),
-            ..Self::base(head, class, headers, caller, now)
-        })
+            deadline: now + Duration::from_millis(hop.timeout_ms),
+            ..Self::base(head, class, headers, entry, now)
+        }
     }
 
     /// Returns a call without the attributes that only some callers send.
@@ -381,13 +371,14 @@
             class: self.class.name.clone(),
             service: self.service.clone(),
             origin: route.origin.clone(),
-            instance: route.instance.clone(),
             slots: route.slots,
             idempotent: self.class.idempotent,
             shed_order: self.class.shed_order,
+            timeout_ms: (self.remaining(now).as_millis() as u64).max(1),
             slack_ms: self.slack(now).as_millis() as u32,
             version: route.numbers.version,
             list: route.numbers.list,
+            instance: route.instance.clone(),
         })
     }
 
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -485,13 +485,15 @@
 
 /// Returns the headers that name this daemon and, if known, the incarnation of
 /// the host that a request is meant for. Another incarnation refuses it.
+///
+/// Requests for a listed instance have none of them: they name the instance.
 fn incarnation_headers(context: &Context, host: &Host, estimate: &Estimate) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    let from = format!("{}/{}", context.settings.host, context.incarnation());
-    headers.insert(header::FROM, header_value(&from));
     if host.instance.is_some() {
         return headers;
     }
+    let from = format!("{}/{}", context.settings.host, context.incarnation());
+    headers.insert(header::FROM, header_value(&from));
     let run = estimate.incarnation();
     if run.started_ms != 0 {
         headers.insert(header::TO, header_value(&format!("{}/{run}", host.name)));
--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -178,20 +178,17 @@
     *request.version_mut() = http::Version::HTTP_2;
     let mut headers = call.headers.clone();
     headers.extend(extra);
-    headers.insert(
-        header::TIMEOUT_MS,
-        HeaderValue::from((remaining.as_millis() as u64).max(1)),
-    );
     match call.hop(Instant::now()) {
         Some(hop) => {
-            let hop = serde_json::to_string(&hop).unwrap_or_default();
-            headers.insert(header::HOP, header_value(&hop));
+            headers.insert(header::HOP, header_value(&hop.to_string()));
         }
         None => {
+            let timeout_ms = (remaining.as_millis() as u64).max(1);
+            headers.insert(header::TIMEOUT_MS, HeaderValue::from(timeout_ms));
             headers.insert(header::CLASS, header_value(&call.class.name));
+            headers.insert(header::CALLER, header_value(&call.caller.to_string()));
         }
     }
-    headers.insert(header::CALLER, header_value(&call.caller.to_string()));
     *request.headers_mut() = headers;
     request
 }
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -154,19 +154,17 @@
     hop: &str,
     peer: SocketAddr,
 ) -> Result<Response<Body>, Refusal> {
-    let Ok(hop) = serde_json::from_str::<Hop>(hop) else {
+    let Ok(hop) = hop.parse::<Hop>() else {
         let reason = "malformed header savorylane-hop";
         return Err(Refusal::not_run(StatusCode::BAD_REQUEST, reason));
     };
-    let caller: IpAddr =
-        call::parse_header(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
     let sender = Numbers {
         version: hop.version,
         list: hop.list,
     };
     hint::on_request(context, peer, sender);
     route::check(context, head, sender.version)?;
-    let call = Call::parse_forwarded(head, hop, caller, Instant::now())?;
+    let call = Call::from_hop(head, hop, peer.ip(), Instant::now());
     if head.headers.contains_key(header::RESERVE) {
         let reservation_id = reservation::reserve(context, &call).await?;
         let mut answer = Response::new(body::empty());
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -99,6 +99,9 @@
     pub max_resets: usize,
     /// Flow-control window of one HTTP/2 stream in bytes.
     pub stream_window: u32,
+    /// Whether the server adds the date to HTTP/2 answers. Daemons do not use
+    /// it, and links between them are paid by the byte.
+    pub dates: bool,
 }
 
 /// Protocols that a server accepts.
@@ -121,6 +124,7 @@
         protocol: Protocol::Any,
         max_resets: MAX_DAEMON_RESETS,
         stream_window: STREAM_WINDOW_BYTES,
+        dates: true,
     };
 
     /// Limits of connections from callers and from the platform on an adapted
@@ -182,6 +186,7 @@
             protocol: Protocol::Any,
             max_resets: MAX_RESETS,
             stream_window: STREAM_WINDOW_BYTES,
+            dates: true,
         }
     }
 
@@ -191,6 +196,7 @@
         Self {
             max_resets: MAX_DAEMON_RESETS,
             stream_window: stream_window(link_mbps),
+            dates: false,
             ..self
         }
     }
@@ -395,7 +401,8 @@
         .max_header_list_size(limits.max_header_bytes)
         .max_pending_accept_reset_streams(limits.max_resets)
         .max_local_error_reset_streams(limits.max_resets)
-        .max_concurrent_streams(MAX_STREAMS);
+        .max_concurrent_streams(MAX_STREAMS)
+        .auto_date_header(limits.dates);
     builder
 }
 
--- a/crates/wire/src/header/mod.rs
+++ b/crates/wire/src/header/mod.rs
@@ -31,7 +31,7 @@
 /// holder's run, the ring of the key and a time of the holder's clock; between
 /// daemons.
 pub const HOLD: &str = "savorylane-hold";
-/// [`Hop`](crate::Hop) of a request, as JSON; between daemons.
+/// [`Hop`](crate::Hop) of a request; between daemons.
 pub const HOP: &str = "savorylane-hop";
 /// Marks a refusal that the upstream itself made; on answers between daemons.
 pub const ARRIVED: &str = "savorylane-arrived";
