policy: compare hosts by their pace within a class, and keep work near

The entry now compares each answer with the mean of its class, counts the time to connect, and keeps a request near while the near host has room and is expected to take less than half of the time to the target.

--- a/crates/daemon/src/dispatch/choice.rs
+++ b/crates/daemon/src/dispatch/choice.rs
@@ -63,6 +63,7 @@
             && may_hedge(call.class.idempotent, call.class.work)
             && class.hedge.available(),
         slack: call.slack(Instant::now()),
+        mean: context.dispatcher.table.mean(&call.class.name).get(),
     };
     let mut choice = route::choose(&route, now, &mut rand::rng(), &candidates)?;
     choice.index = indices[choice.index];
@@ -109,7 +110,7 @@
 }
 
 /// Returns how far `host` is from this daemon.
-fn distance(context: &Context, host: &Host) -> Distance {
+pub(super) fn distance(context: &Context, host: &Host) -> Distance {
     let settings = &context.settings;
     if host.name == settings.host {
         Distance::Host
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -25,7 +25,7 @@
 use crate::distribution::hint;
 use crate::kernel::Context;
 use crate::peers;
-use choice::{choose, estimate, refuse_without_host};
+use choice::{choose, distance, estimate, refuse_without_host};
 use link::Monitor;
 use race::{Attempt, mark_may_have_run, race};
 use remote::{Clients, Reply, header_value};
@@ -380,7 +380,11 @@
         let call = call_for_host(call, host);
         let start = Instant::now();
         let view = estimate.observe(context.now());
-        let ticket = estimate.begin(context.now(), call.class.work);
+        let mean = context.dispatcher.table.mean(&call.class.name);
+        let round_trip = distance(&context, host).round_trip();
+        let ticket = estimate
+            .begin(context.now(), call.class.work)
+            .with_mean(mean.get(), round_trip);
         let mut guard = Guard {
             context: Arc::clone(&context),
             estimate,
@@ -421,6 +425,7 @@
         log_attempt(&context, &call, host, number, &view, start, &reply.result);
         if reply.result.is_ok() {
             class.latency().record(context.now(), start.elapsed());
+            mean.record(start.elapsed(), round_trip);
         }
         reply.result
     })
--- a/crates/daemon/src/dispatch/table.rs
+++ b/crates/daemon/src/dispatch/table.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use savorylane_policy::retry::{Budget, Latency, Settings};
-use savorylane_policy::route::Estimate;
+use savorylane_policy::route::{Estimate, Mean};
 
 /// Copy-on-write map: reads take no lock, and adding a key copies the map.
 #[derive(Debug)]
@@ -79,6 +79,8 @@
 pub struct Table {
     estimates: Map<Estimate>,
     classes: Map<Class>,
+    /// Mean times of answers by the name of a class.
+    means: Map<Mean>,
     budgets: Settings,
 }
 
@@ -102,6 +104,12 @@
         self.classes.get(class, || Class::new(&self.budgets))
     }
 
+    /// Returns the mean time of answers to requests of a class, which is created
+    /// if it is missing.
+    pub fn mean(&self, class: &str) -> Arc<Mean> {
+        self.means.get(class, Mean::default)
+    }
+
     /// Removes the hosts and classes for which `keep_host` or `keep_class`
     /// returns false.
     pub fn retain<H, C>(&self, keep_host: H, keep_class: C)
--- a/crates/daemon/src/keepalive/mod.rs
+++ b/crates/daemon/src/keepalive/mod.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use savorylane_policy::route::CONNECTION_IDLE_TIMEOUT;
+
 /// Interval of the pings that the client side of a connection sends while
 /// requests are unanswered.
 pub const PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -20,4 +22,4 @@
 /// A failed idle connection is detected only by a request that gets no answer.
 /// Pings on all idle connections of a large mesh would cost more than such
 /// requests.
-pub const IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const IDLE_TIMEOUT: Duration = CONNECTION_IDLE_TIMEOUT;
--- a/crates/policy/examples/model/world.rs
+++ b/crates/policy/examples/model/world.rs
@@ -261,6 +261,7 @@
                 length,
                 may_probe: first && retry::may_hedge(true, length) && entry_state.hedge.available(),
                 slack: (self.requests[request].arrived + TARGET).saturating_sub(self.now),
+                mean: None,
             },
             self.now,
             &mut self.rng,
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -6,6 +6,9 @@
 use savorylane_intent::document;
 use savorylane_wire::{Incarnation, Load};
 
+use super::CONNECTION_IDLE_TIMEOUT;
+use super::pace::Pace;
+
 /// Maximum number of unanswered short requests whose start times are kept.
 /// With more in flight, the age of the oldest kept request is a lower bound of
 /// the age of the oldest one.
@@ -76,6 +79,22 @@
     /// Index of the start time in [`Estimate::starts`], if it is kept.
     start_index: Option<usize>,
     length: document::Work,
+    round_trip_us: u64,
+    /// Mean of the class in microseconds; 0 if unknown.
+    mean_us: u64,
+}
+
+impl Ticket {
+    /// Returns the ticket of a request whose class is answered in `mean` on
+    /// average and whose round trip takes `round_trip`, so that its response
+    /// time counts for the pace of the host.
+    pub fn with_mean(self, mean: Option<Duration>, round_trip: Duration) -> Self {
+        Self {
+            round_trip_us: round_trip.as_micros() as u64,
+            mean_us: mean.map_or(0, micros),
+            ..self
+        }
+    }
 }
 
 /// Estimated load and latency of one host, from a daemon's own requests and
@@ -103,6 +122,7 @@
     incarnation_nonce: AtomicU32,
     short_response_us: AtomicU64,
     long_response_us: AtomicU64,
+    pace: Pace,
     /// Start times of unanswered short requests; 0 marks a free entry.
     starts: [AtomicU64; MAX_START_TIMES],
     /// Failures since the last answer.
@@ -146,6 +166,8 @@
             started_us,
             start_index,
             length,
+            round_trip_us: 0,
+            mean_us: 0,
         }
     }
 
@@ -163,6 +185,13 @@
         in_flight.fetch_sub(1, Ordering::Relaxed);
         let sample = now_us.saturating_sub(ticket.started_us).max(1);
         let known = smoothed.load(Ordering::Relaxed);
+        let is_slower = sample > known;
+        if ticket.mean_us > 0
+            && (outcome == Outcome::Answered || outcome == Outcome::Cancelled && is_slower)
+        {
+            let passed = sample.saturating_sub(ticket.round_trip_us);
+            self.pace.record(passed, ticket.mean_us);
+        }
         match outcome {
             Outcome::Answered => {
                 smoothed.store(smooth(known, sample), Ordering::Relaxed);
@@ -230,6 +259,7 @@
         if restarted {
             self.short_response_us.store(0, Ordering::Relaxed);
             self.long_response_us.store(0, Ordering::Relaxed);
+            self.pace.reset();
             self.failures.store(0, Ordering::Relaxed);
             self.first_seen_us.store(micros(now), Ordering::Relaxed);
         }
@@ -294,6 +324,12 @@
         (us > 0).then(|| Duration::from_micros(us))
     }
 
+    /// Returns the time in microseconds that the host takes for a request of a
+    /// class with the mean `mean`, if its pace is known.
+    pub(super) fn paced_us(&self, mean: Duration) -> Option<f64> {
+        self.pace.expected_us(mean)
+    }
+
     /// Returns the age of the oldest unanswered short request whose start time
     /// is kept.
     pub fn oldest_age(&self, now: Duration) -> Option<Duration> {
@@ -327,6 +363,14 @@
         micros(now) > self.answered_us.load(Ordering::Relaxed) + MAX_LATENCY_AGE_US
     }
 
+    /// Returns whether a connection to the host is open, as far as the requests
+    /// of this daemon show.
+    pub(super) fn is_connected(&self, now: Duration) -> bool {
+        let idle_us = CONNECTION_IDLE_TIMEOUT.as_micros() as u64;
+        let answered_us = self.answered_us.load(Ordering::Relaxed);
+        self.in_flight() > 0 || (answered_us > 0 && micros(now) < answered_us + idle_us)
+    }
+
     /// Returns the share of the requests that the host may receive during slow
     /// start: a twentieth when the host is first seen, growing to 1.
     pub(super) fn slow_start_share(&self, now: Duration) -> f64 {
@@ -369,7 +413,7 @@
 }
 
 /// Returns `known` moved towards `sample`, or `sample` if nothing is known.
-fn smooth(known: u64, sample: u64) -> u64 {
+pub(super) fn smooth(known: u64, sample: u64) -> u64 {
     if known == 0 {
         sample
     } else if sample > known {
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -1,6 +1,7 @@
 //! Selection of the host that serves a request.
 
 mod estimate;
+mod pace;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -11,6 +12,7 @@
 
 use estimate::micros;
 pub use estimate::{Estimate, Observation, Outcome, Ticket};
+pub use pace::Mean;
 
 /// Ratio of a host's latency to the median above which the host is slow.
 const SLOW_RATIO: f64 = 2.5;
@@ -25,6 +27,15 @@
 const LATENCY_PRIOR_US: f64 = 5_000.0;
 /// Concurrency limit assumed before the first load report of a host.
 const LIMIT_PRIOR: f64 = 4.0;
+/// Time for which an idle connection to a host stays open. A request to a host
+/// without one waits a round trip longer.
+pub const CONNECTION_IDLE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Share of the time until the target that a near host may be expected to take
+/// for a request to stay near even if a farther host would answer sooner. Links
+/// between data centres are paid by the byte, and callers gain nothing from an
+/// answer that is in time either way. The other half covers the variance of
+/// waits and service times.
+const COMFORTABLE_SHARE: f64 = 0.5;
 /// Share of the near host's cost that a farther host must save, in addition to
 /// [`MIN_SPILL_GAIN_US`], for a request to spill over to it.
 const MIN_SPILL_GAIN_SHARE: f64 = 0.25;
@@ -109,6 +120,9 @@
     pub may_probe: bool,
     /// Time left until the request misses the latency target of its class.
     pub slack: Duration,
+    /// Mean time in which hosts answer requests of the class, less the round
+    /// trip; `None` before the first answer.
+    pub mean: Option<Duration>,
 }
 
 /// Chosen host of a request.
@@ -140,6 +154,8 @@
     index: usize,
     rank: u8,
     cost: f64,
+    /// Whether fewer requests wait at the host than half of its slots.
+    has_room: bool,
     /// Whether the expected service time exceeds the median, or a request to
     /// the host failed since its last answer.
     slow: bool,
@@ -284,9 +300,16 @@
     }
 }
 
-/// Returns the measured response time less the round trip, at least 100, in
-/// microseconds; `None` if no response time was measured.
+/// Returns the time that the host is expected to take for a request of the
+/// class, at least 100, in microseconds: by its pace, or else by its response
+/// time less the round trip. Returns `None` if neither was measured.
 fn latency_us(context: &Context<'_>, candidate: &Candidate<'_>) -> Option<f64> {
+    let paced = context
+        .mean
+        .and_then(|mean| candidate.estimate.paced_us(mean));
+    if let Some(us) = paced {
+        return Some(us.max(100.0));
+    }
     let response = candidate.estimate.response_time(context.length)?;
     let latency = response.saturating_sub(candidate.distance.round_trip());
     Some((latency.as_micros() as f64).max(100.0))
@@ -306,7 +329,12 @@
     known[(known.len() - 1) / 2]
 }
 
-/// Returns the expected cost of one candidate: round trip, wait and service.
+/// Returns the expected cost of one candidate: round trip, wait and service,
+/// and another round trip if no connection to the host is open.
+///
+/// The time to connect also keeps the spill-over of an entry on the few far
+/// hosts that it used last, under a load at which each pair of hosts exchanges
+/// less than one request in [`CONNECTION_IDLE_TIMEOUT`].
 fn expected_cost(
     context: &Context<'_>,
     now: Duration,
@@ -316,6 +344,10 @@
 ) -> Cost {
     let estimate = candidate.estimate;
     let round_trip = candidate.distance.round_trip().as_micros() as f64;
+    let connect = match estimate.is_connected(now) {
+        true => 0.0,
+        false => round_trip,
+    };
     let mut service = median;
     // A host is assumed to be as fast as the median unless it is clearly slow,
     // so that noise in single answers does not unbalance the load.
@@ -338,7 +370,8 @@
     Cost {
         index,
         rank: candidate.distance.rank(),
-        cost: round_trip + wait + service,
+        has_room: queued <= limit / 2.0,
+        cost: connect + round_trip + wait + service,
         slow,
     }
 }
@@ -360,10 +393,13 @@
     chosen.unwrap_or(costs[0])
 }
 
-/// Returns `far` if its cost is lower by both margins or if only `far` meets
-/// the target, else `near`. `slack` is the time until the target in
-/// microseconds.
+/// Returns `near` if it has room and is expected to meet the target comfortably.
+/// Otherwise returns `far` if its cost is lower by both margins or if only `far` meets the
+/// target, else `near`. `slack` is the time until the target in microseconds.
 fn near_or_far(near: Cost, far: Cost, slack: f64) -> Cost {
+    if near.has_room && near.cost <= slack * COMFORTABLE_SHARE {
+        return near;
+    }
     let saves = far.cost < near.cost * (1.0 - MIN_SPILL_GAIN_SHARE)
         && far.cost + MIN_SPILL_GAIN_US < near.cost;
     let rescues = near.cost > slack && far.cost <= slack;
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -35,6 +35,7 @@
     distance: Vec<Distance>,
     rng: ChaCha8Rng,
     turn: AtomicUsize,
+    mean: Option<Duration>,
 }
 
 impl Fleet {
@@ -46,6 +47,7 @@
             distance: vec![Distance::DataCentre; hosts],
             rng: ChaCha8Rng::seed_from_u64(1),
             turn: AtomicUsize::new(0),
+            mean: None,
         };
         for host in 0..hosts {
             fleet.hosts[host].mark_seen(ms(1));
@@ -78,6 +80,7 @@
             length: Length::Short,
             may_probe,
             slack: ms(100),
+            mean: self.mean,
         };
         choose(&context, ms(now), &mut self.rng, &candidates)
     }
@@ -273,3 +276,85 @@
     assert!(early < later && later < full, "{early} {later} {full}");
     assert!((200..300).contains(&full), "full {full}");
 }
+
+/// Answers of one class at two hosts of a service that also serves long work:
+/// the near host got both, the far one only calls.
+fn answer_class(fleet: &Fleet, host: usize, from: u64, took: u64, mean: u64) {
+    let round_trip = fleet.distance[host].round_trip();
+    let ticket = fleet.hosts[host]
+        .begin(ms(from), Length::Short)
+        .with_mean(Some(ms(mean)), round_trip);
+    fleet.hosts[host].record_load(ms(from + took), &load(0, 1));
+    fleet.hosts[host].end(ms(from + took), ticket, Outcome::Answered);
+}
+
+/// Guards against calls that leave their data centre because its host also
+/// serves longer work, which makes it look slow: calls of 20 ms beside orders
+/// of 150 ms.
+#[test]
+fn calls_stay_near_a_host_that_serves_longer_work_as_well() {
+    let mut fleet = Fleet::new(2);
+    fleet.distance = vec![Distance::DataCentre, Distance::Region];
+    for number in 0..20 {
+        let at = 10_000 + number * 10;
+        answer_class(&fleet, 0, at, 150, 150);
+        answer_class(&fleet, 0, at, 20, 20);
+        answer_class(&fleet, 1, at, 23, 20);
+    }
+    fleet.mean = Some(ms(20));
+    assert_eq!(fleet.shares(10_400), [1_000, 0]);
+}
+
+/// Guards against a host that is slow for all classes and is taken for one that
+/// serves longer work.
+#[test]
+fn calls_leave_a_host_that_is_slow_for_every_class() {
+    let mut fleet = Fleet::new(3);
+    for number in 0..20 {
+        let at = 10_000 + number * 10;
+        answer_class(&fleet, 0, at, 200, 20);
+        answer_class(&fleet, 1, at, 20, 20);
+        answer_class(&fleet, 2, at, 150, 150);
+    }
+    fleet.mean = Some(ms(20));
+    assert_eq!(fleet.shares(10_400)[0], 0);
+}
+
+/// Guards against spill-over that gains callers nothing: bytes between data
+/// centres are paid, and both answers would be in time.
+#[test]
+fn a_request_that_is_comfortably_in_time_stays_near() {
+    let mut fleet = Fleet::new(2);
+    fleet.distance = vec![Distance::DataCentre, Distance::Region];
+    // The target is 100 ms away. With two waiting requests of 10 ms on six slots
+    // the near host answers in less than half of that.
+    fleet.hosts[0].record_load(ms(10_000), &load(8, 1));
+    assert_eq!(fleet.shares(10_000), [1_000, 0]);
+    fleet.hosts[0].record_load(ms(10_000), &load(12, 1));
+    assert_eq!(fleet.shares(10_000), [0, 1_000]);
+}
+
+/// Guards against spill-over that opens a connection to another far host for
+/// each request.
+#[test]
+fn spill_over_stays_on_a_far_host_with_an_open_connection() {
+    let mut fleet = Fleet::new(4);
+    fleet.distance = vec![
+        Distance::DataCentre,
+        Distance::Far,
+        Distance::Far,
+        Distance::Far,
+    ];
+    fleet.mean = Some(ms(10));
+    answer_class(&fleet, 0, 10_000, 10, 10);
+    for host in 1..4 {
+        answer_class(&fleet, host, 10_000, 50, 10);
+    }
+    answer_class(&fleet, 2, 11_900, 50, 10);
+    fleet.hosts[0].record_load(ms(12_000), &load(90, 1));
+    assert_eq!(fleet.shares(12_000), [0, 0, 1_000, 0]);
+    // After the connection has closed, all far hosts are equal again.
+    fleet.hosts[0].record_load(ms(14_000), &load(90, 1));
+    let shares = fleet.shares(14_000);
+    assert!(shares[1] > 0 && shares[3] > 0, "{shares:?}");
+}
