server: start pipelined idempotent requests before their turn

The HTTP library serves the requests of an HTTP/1.1 connection one after the other. A request that a caller sent before the answer ahead of it waited for all answers before it, and its time ran from its turn. While the library held unread bytes it did not read on, so a caller that left was not noticed until the answer was written.

The callers' connections now read ahead while a request without a body waits for its answer. The library still parses the same bytes in order and then takes the answer that was started.

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -17,7 +17,7 @@
 use crate::body::{self, Body, Observer, Replay, Watched};
 use crate::call::{Call, Cause, Refusal, Route};
 use crate::decisions::{self, Kind, Versions};
-use crate::edge::server::{self, Limits};
+use crate::edge::server::{self, Early, Limits};
 use crate::holder;
 use crate::kernel::{Context, Plugin, Port};
 use crate::peers;
@@ -55,8 +55,26 @@
                 Limits::current(&context, Limits::CALLERS, max_connections)
             }
         };
+        let early = early(&context);
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
-        server::serve(listener, limits, stop, handle).await;
+        server::serve_early(listener, limits, early, stop, handle).await;
+    })
+}
+
+/// Returns the rules for requests that start before their turn: those of
+/// idempotent classes.
+fn early(context: &Arc<Context>) -> Arc<Early> {
+    let rules = Arc::clone(context);
+    let may_start = move |head: &http::request::Parts| {
+        let (method, path) = (head.method.as_str(), head.uri.path());
+        rules.config.snapshot().is_some_and(|snapshot| {
+            let class = snapshot.class(authority(head), method, path);
+            class.is_some_and(|class| class.idempotent)
+        })
+    };
+    let context = Arc::clone(context);
+    Early::new(may_start, move |event| {
+        context.metrics.count_pipelined(event)
     })
 }
 
--- a/crates/daemon/src/edge/server/drain.rs
+++ b/crates/daemon/src/edge/server/drain.rs
@@ -1,6 +1,8 @@
 //! Drains request bodies that are still arriving when the answer is complete.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -20,13 +22,15 @@
 /// and the reset can reach the caller before an early answer does.
 pub(super) struct Drained {
     inner: Body,
-    ended: bool,
+    /// Set once the body was read to its end.
+    ended: Arc<AtomicBool>,
 }
 
 impl Drained {
-    /// Wraps the body of an HTTP/1.1 request.
-    pub(super) fn wrap(inner: Body) -> Body {
-        let ended = inner.is_end_stream();
+    /// Wraps the body of an HTTP/1.1 request. Sets `ended` once the body was
+    /// read to its end.
+    pub(super) fn wrap(inner: Body, ended: Arc<AtomicBool>) -> Body {
+        ended.store(inner.is_end_stream(), Ordering::Relaxed);
         Self { inner, ended }.boxed_unsync()
     }
 }
@@ -40,7 +44,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        self.ended |= matches!(&polled, Poll::Ready(None | Some(Err(_))));
+        if matches!(&polled, Poll::Ready(None | Some(Err(_)))) || self.inner.is_end_stream() {
+            self.ended.store(true, Ordering::Relaxed);
+        }
         polled
     }
 
@@ -55,7 +61,7 @@
 
 impl Drop for Drained {
     fn drop(&mut self) {
-        if self.ended || self.inner.is_end_stream() {
+        if self.ended.load(Ordering::Relaxed) || self.inner.is_end_stream() {
             return;
         }
         let Ok(runtime) = tokio::runtime::Handle::try_current() else {
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -1,22 +1,23 @@
 //! HTTP server that all listening edges share.
 
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::error::Error;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
-use std::pin::pin;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::task::Poll;
 use std::time::Duration;
 
+use futures::future::Either;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use hyper_util::server::conn::auto;
 use savorylane_intent::document;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,8 +28,14 @@
 use crate::keepalive::{PING_TIMEOUT, SERVER_PING_INTERVAL};
 use crate::kernel::Context;
 use drain::Drained;
+use permit::{Open, Permit};
+use pipeline::{Pipeline, Starter, Step};
 
 mod drain;
+mod permit;
+mod pipeline;
+
+pub use pipeline::{Early, Event, MAX_STARTED};
 
 /// Time within which a caller must send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
@@ -222,9 +229,39 @@
     L: Fn() -> Limits + Send,
     H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_connections(listener, limits, None, stop, handle).await;
+}
+
+/// Serves as [`serve`] does. On connections that accept only HTTP/1.1, starts
+/// pipelined requests before their turn as `early` allows.
+pub async fn serve_early<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    early: Arc<Early>,
+    stop: CancellationToken,
+    handle: H,
+) where
+    L: Fn() -> Limits + Send,
+    H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_connections(listener, limits, Some(early), stop, handle).await;
+}
+
+async fn serve_connections<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    early: Option<Arc<Early>>,
+    stop: CancellationToken,
+    handle: H,
+) where
+    L: Fn() -> Limits + Send,
+    H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
-    let open: Arc<Mutex<HashMap<IpAddr, usize>>> = Arc::default();
+    let open = Open::default();
     let accept = |stream: TcpStream, peer: SocketAddr| {
         let limits = limits();
         let Some(permit) = Permit::acquire(&open, peer.ip(), limits.max_connections) else {
@@ -235,7 +272,13 @@
             return;
         };
         let _ = stream.set_nodelay(true);
-        let served = serve_connection(stream, peer, limits, stop.clone(), handle.clone());
+        let early = match limits.protocol {
+            Protocol::Any => None,
+            Protocol::Http1 => early.clone(),
+        };
+        let starter = early.map(|early| Starter::new(early, peer, stop.clone(), handle.clone()));
+        let pipeline = Pipeline::new(stream, starter);
+        let served = serve_connection(pipeline, peer, limits, stop.clone(), handle.clone());
         connections.spawn(async move {
             let _permit = permit;
             served.await;
@@ -290,7 +333,7 @@
 /// Serves one connection until it ends or, after `stop`, until its accepted
 /// requests are answered.
 async fn serve_connection<H, F>(
-    stream: TcpStream,
+    pipeline: Pipeline,
     peer: SocketAddr,
     limits: Limits,
     stop: CancellationToken,
@@ -304,30 +347,37 @@
     let is_http2 = Arc::new(AtomicBool::new(false));
     let http2 = Arc::clone(&is_http2);
     let stopped = stop.clone();
+    let turns = pipeline.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         seen.store(true, Ordering::Relaxed);
         let version = request.version();
         http2.store(version == Version::HTTP_2, Ordering::Relaxed);
+        let started = turns.begin(&request);
         let request = request.map(|body| {
             let body = body.map_err(Into::into).boxed_unsync();
             match version {
                 Version::HTTP_2 => body,
-                _ => Packed::wrap(Drained::wrap(body)),
+                _ => Packed::wrap(Drained::wrap(body, turns.body_ended())),
             }
         });
-        let answer = handle(request, peer);
+        let answer = match started {
+            Some(answer) => Either::Left(answer),
+            None => Either::Right(handle(request, peer)),
+        };
         let stop = stopped.clone();
+        let turns = turns.clone();
         async move {
             let mut answer = answer.await;
             if stop.is_cancelled() && version == Version::HTTP_11 {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
+            turns.end(&answer);
             Ok::<_, Infallible>(answer)
         }
     });
     let builder = builder(&limits);
-    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut connection = pin!(builder.serve_connection(pipeline.stream(), service));
     // The library's timeout starts only after it has detected the protocol, so
     // a connection that sends nothing would hold its permit forever.
     let no_request = async {
@@ -341,14 +391,14 @@
         tokio::time::sleep(STOP_GRACE).await;
     };
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = drive(connection.as_mut(), &pipeline) => ended,
         () = no_request => {
             log::debug!("closed a connection from {peer}: no request arrived within the head timeout");
             return;
         }
         () = closing => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            drive(connection, &pipeline).await
         }
     };
     if let Err(error) = ended {
@@ -356,6 +406,28 @@
     }
 }
 
+/// Drives a connection and the requests that were started before their turn.
+/// Returns when the connection ends, also if the caller closes it while the
+/// library does not read.
+async fn drive<C>(mut connection: Pin<&mut C>, pipeline: &Pipeline) -> C::Output
+where
+    C: Future<Output = Result<(), Box<dyn Error + Send + Sync>>>,
+{
+    poll_fn(|cx| {
+        loop {
+            if let Poll::Ready(ended) = connection.as_mut().poll(cx) {
+                return Poll::Ready(ended);
+            }
+            match pipeline.poll(cx) {
+                Step::Wait => return Poll::Pending,
+                Step::Again => {}
+                Step::End => return Poll::Ready(Ok(())),
+            }
+        }
+    })
+    .await
+}
+
 /// Logs that a connection ended with an error.
 ///
 /// An unanswered keep-alive ping aborts all requests on the connection and is
@@ -398,40 +470,3 @@
         .max_concurrent_streams(MAX_STREAMS);
     builder
 }
-
-/// Permit for one connection, which counts against the limit of its address.
-struct Permit {
-    open: Arc<Mutex<HashMap<IpAddr, usize>>>,
-    address: IpAddr,
-}
-
-impl Permit {
-    fn acquire(
-        open: &Arc<Mutex<HashMap<IpAddr, usize>>>,
-        address: IpAddr,
-        max: usize,
-    ) -> Option<Self> {
-        let mut counts = open.lock().unwrap_or_else(PoisonError::into_inner);
-        let count = counts.entry(address).or_default();
-        if *count >= max {
-            return None;
-        }
-        *count += 1;
-        Some(Self {
-            open: Arc::clone(open),
-            address,
-        })
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let mut counts = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = counts.get_mut(&self.address) {
-            *count -= 1;
-            if *count == 0 {
-                counts.remove(&self.address);
-            }
-        }
-    }
-}
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::decisions::{Decisions, Kind};
 use crate::distribution::Distribution;
+use crate::edge::server::Event;
 use crate::logs;
 use crate::reservation;
 
@@ -36,6 +37,7 @@
     reader: Gauge<u64>,
     polls: Gauge<u64>,
     ignored_hosts: Counter<u64>,
+    pipelined: Counter<u64>,
 }
 
 /// Bucket boundaries of the latency histograms in seconds.
@@ -126,6 +128,10 @@
                 .u64_counter("savorylane_ignored_hosts")
                 .with_description("Hosts and entries left out of host lists, by source")
                 .build(),
+            pipelined: meter
+                .u64_counter("savorylane_pipelined_requests")
+                .with_description("Requests that started before their turn, by event")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -146,6 +152,12 @@
         self.ignored_hosts.add(1, &[source]);
     }
 
+    /// Counts an event of a pipelined request.
+    pub fn count_pipelined(&self, event: Event) {
+        self.pipelined
+            .add(1, &[KeyValue::new("event", event.name())]);
+    }
+
     /// Counts an additional attempt of a request; `kind` is `retry` or `hedge`.
     pub fn count_extra_attempt(&self, kind: &'static str) {
         self.extra_attempts.add(1, &[KeyValue::new("kind", kind)]);
