dispatch: bound what is held of an answer that is read slowly

The connections to other daemons had the library's windows: 2 MB a stream and 5 MB a connection. An entry held whole answers for callers that did not read them, and eleven such answers of 500 KB blocked all others on the connection to a host.

A stream now has 128 KiB, and the connection room for 64 streams.

--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -23,6 +23,13 @@
 /// region. A partitioned host does not refuse connections, so each attempt
 /// there costs a request this much time before another host can serve it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Flow-control window of one answer in bytes: what this host holds of an
+/// answer whose caller does not read. An answer is transferred at one window
+/// per round trip, which is 3 MB per second from another region.
+const STREAM_WINDOW_BYTES: u32 = 131_072;
+/// Number of answers on one connection whose callers may not read before they
+/// block the other answers on it. Hosts commonly have fewer slots.
+const CONNECTION_WINDOW_STREAMS: u32 = 64;
 /// Maximum number of bytes read of the body of a refusal.
 const MAX_REFUSAL_BYTES: usize = 4096;
 
@@ -270,6 +277,8 @@
         .http2_keep_alive_interval(PING_INTERVAL)
         .http2_keep_alive_timeout(PING_TIMEOUT)
         .http2_keep_alive_while_idle(false)
+        .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .http2_initial_connection_window_size(CONNECTION_WINDOW_STREAMS * STREAM_WINDOW_BYTES)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .build(Connector::new(connector))
 }
