policy: conditions for the use of an upstream, with homes of classes

Homes of a class were decoded but bound nothing: a retry, a hedge or the attempt at the owner of a suspicion could leave them. One pure module now says which upstreams a request may use and what rules out the others, and every plan of an attempt passes it. Evacuated hosts are among the conditions. After a refusal for load, a retry stays in the region of its entry unless that region is no home or evacuated. A gatekeeper refuses what an older version sent to it against the newer homes. Homes without hosts are logged once per version.

The reason of a refusal counts two more conditions, so the fixture of a service without hosts has them too.

--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -13,7 +13,7 @@
 use savorylane_intent::hosts::delta;
 use savorylane_intent::hosts::{Host, List};
 use savorylane_intent::transfer::Content;
-use savorylane_intent::{Hash, Manifest, Snapshot, Version, hosts};
+use savorylane_intent::{Hash, Manifest, Snapshot, Version, homes, hosts};
 use tokio::sync::watch;
 
 use crate::audit::{Event, MAX_NAMED_HOSTS, Trail};
@@ -37,6 +37,8 @@
 
 /// Maximum number of host lists that are kept as bases of deltas.
 const MAX_LISTS: usize = 8;
+/// Maximum number of log lines about homes without hosts for each version.
+const MAX_NAMED_GAPS: usize = 16;
 /// Maximum number of versions whose adoption time is kept.
 const MAX_ADOPTIONS: usize = 32;
 
@@ -72,6 +74,8 @@
     /// Adoption time and number of the version in force and of previous
     /// versions, the latest first.
     adoptions: Mutex<VecDeque<(Instant, u64)>>,
+    /// Version whose homes were compared with a host list.
+    homes_checked: Mutex<Option<Version>>,
     current: watch::Sender<Current>,
 }
 
@@ -84,6 +88,7 @@
             lists: Mutex::default(),
             keeps_hosts: AtomicBool::default(),
             adoptions: Mutex::default(),
+            homes_checked: Mutex::default(),
             current: watch::Sender::default(),
         }
     }
@@ -300,11 +305,26 @@
                     list,
                 ),
             };
+            self.log_gaps_in_homes(&snapshot);
             self.snapshot.store(Some(Arc::new(snapshot)));
         }
         self.current.send_replace(current);
     }
 
+    /// Logs once for each version, with the first list that has a host, which
+    /// homes of its classes no listed host serves.
+    fn log_gaps_in_homes(&self, snapshot: &Snapshot) {
+        let mut checked = lock(&self.homes_checked);
+        if snapshot.list.hosts.is_empty() || *checked == Some(snapshot.version) {
+            return;
+        }
+        *checked = Some(snapshot.version);
+        let gaps = homes::gaps(snapshot);
+        for gap in gaps.iter().take(MAX_NAMED_GAPS) {
+            log::warn!(target: "homes", event = "gap", gaps = gaps.len() as u64; "{gap}");
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, adopt::Store> {
         lock(&self.latest)
     }
--- a/crates/daemon/src/dispatch/choice.rs
+++ b/crates/daemon/src/dispatch/choice.rs
@@ -5,7 +5,8 @@
 
 use http::StatusCode;
 use savorylane_intent::Snapshot;
-use savorylane_intent::hosts::{Host, State};
+use savorylane_intent::hosts::Host;
+use savorylane_policy::eligibility::{self, Exclusion, Tally, is_region_barred};
 use savorylane_policy::retry::may_hedge;
 use savorylane_policy::route::{self, Candidate, Distance, Estimate};
 
@@ -13,9 +14,9 @@
 use crate::call::{Call, Refusal};
 use crate::kernel::Context;
 
-/// Chooses among the routable hosts that are not in `tried`; with
-/// `same_region`, only among those in this daemon's region. Indices refer to
-/// the hosts of the snapshot's list.
+/// Chooses among the eligible hosts that are not in `tried`; with
+/// `same_region`, only among those in this daemon's region, unless that region
+/// is barred to the call. Indices refer to the hosts of the snapshot's list.
 pub(super) fn choose(
     context: &Context,
     snapshot: &Snapshot,
@@ -24,12 +25,16 @@
     tried: &[usize],
     same_region: bool,
 ) -> Option<route::Choice> {
+    let own_region = context.settings.region.as_str();
+    let same_region =
+        same_region && !is_region_barred(&call.class, own_region, snapshot.hosts(&call.service));
+    let newer = newer_snapshot(context, snapshot);
+    let is_routable = |host: &Host| context.peers.is_routable(&host.name);
     let usable = |index: &usize| {
         let host = &snapshot.list.hosts[*index];
         !tried.contains(index)
-            && is_listed_live(host)
-            && context.peers.is_routable(&host.name)
-            && (!same_region || host.region == context.settings.region)
+            && (!same_region || host.region == own_region)
+            && check_host(newer.as_deref(), call, host, is_routable(host)).is_ok()
     };
     let indices: Vec<usize> = snapshot
         .host_indices(&call.service)
@@ -72,31 +77,49 @@
     Some(choice)
 }
 
-/// Returns whether the host list lets the host take requests. Without an
-/// instance, membership decides that.
-fn is_listed_live(host: &Host) -> bool {
-    host.instance.is_none() || host.state == State::Live
+/// Returns the snapshot in force if its host list is not that of `snapshot`, by
+/// which a request is routed from start to end.
+pub(super) fn newer_snapshot(context: &Context, snapshot: &Snapshot) -> Option<Arc<Snapshot>> {
+    if context.config.current().list_number == snapshot.list.number {
+        return None;
+    }
+    context.config.snapshot()
+}
+
+/// Checks that a call may use the upstream of `host`; `routable` states whether
+/// membership finds the host reachable. An evacuation in `newer` counts as well,
+/// since the attempts of a request may span many seconds.
+///
+/// # Errors
+///
+/// Returns the [`Exclusion`] that rules the upstream out.
+pub(super) fn check_host(
+    newer: Option<&Snapshot>,
+    call: &Call,
+    host: &Host,
+    routable: bool,
+) -> Result<(), Exclusion> {
+    eligibility::check(&call.class, host, routable)?;
+    match newer.and_then(|newer| newer.host(&host.name)) {
+        Some(host) if host.evacuated => Err(Exclusion::Evacuated),
+        _ => Ok(()),
+    }
 }
 
 /// Returns the refusal of a call for which no host was chosen, with the number
-/// of hosts that each belief rules out.
+/// of hosts that each exclusion rules out.
 pub(super) fn refuse_without_host(context: &Context, snapshot: &Snapshot, call: &Call) -> Refusal {
-    let indices = snapshot.host_indices(&call.service);
-    let hosts = || indices.iter().map(|&index| &snapshot.list.hosts[index]);
-    let not_live = hosts().filter(|host| !is_listed_live(host)).count();
-    let unroutable = hosts()
-        .filter(|host| !context.peers.is_routable(&host.name))
-        .count();
-    let leaving = hosts()
-        .filter(|host| estimate(context, host).leaving())
-        .count();
+    let mut tally = Tally::default();
+    let mut leaving = 0;
+    for host in snapshot.hosts(&call.service) {
+        tally.add(&call.class, host, context.peers.is_routable(&host.name));
+        leaving += usize::from(estimate(context, host).leaving());
+    }
     Refusal::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         format!(
-            "service {} has no host that takes work: {} listed, {not_live} of them not live, \
-             {unroutable} not routable, {leaving} reported to leave",
+            "service {} has no host that takes work: {tally}, {leaving} reported to leave",
             call.service,
-            indices.len(),
         ),
     )
 }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 pub mod link;
+mod plan;
 mod race;
 pub mod remote;
 mod room;
@@ -9,13 +10,13 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use http::{HeaderMap, Response, StatusCode};
 use savorylane_distribution::age::Numbers;
 use savorylane_intent::Snapshot;
 use savorylane_intent::hosts::Host;
-use savorylane_policy::retry::{self, attempts_allowed, may_hedge, may_retry};
+use savorylane_policy::retry::{self, attempts_allowed, may_retry};
 use savorylane_policy::route::{Estimate, Observation, Outcome, Ticket};
 use savorylane_wire::{Load, Verdict, header};
 
@@ -27,6 +28,7 @@
 use crate::peers;
 use choice::{choose, estimate, refuse_without_host};
 use link::Monitor;
+use plan::{Plan, concurrent_retry_host, plan, plan_for_owner};
 use race::{Attempt, mark_may_have_run, race};
 use remote::{Clients, Reply, header_value};
 use room::{measure_body, needs_reservation};
@@ -55,25 +57,6 @@
 /// retries after refusals by gatekeepers spend no retry budget.
 const MAX_ADAPTED_ATTEMPTS: usize = 4;
 
-/// Host of the next attempt, and when and where to hedge it.
-struct Plan {
-    host: usize,
-    hedge: Option<Hedge>,
-    /// Whether the limits of the call allow a second concurrent attempt: one
-    /// more upstream may get the call, and one more host may be tried.
-    second_allowed: bool,
-}
-
-/// A second request, sent if the first is not answered within `delay`.
-struct Hedge {
-    /// Host of the second request; chosen when the hedge is sent if `None`.
-    host: Option<usize>,
-    delay: Duration,
-    /// Whether the first request probes a slow host. It is then not cancelled
-    /// when the second is answered, so that its latency is measured.
-    probe: bool,
-}
-
 /// Sends a call to hosts of its service until one answers.
 ///
 /// # Errors
@@ -113,7 +96,7 @@
     let mut last = Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "");
     while tried.len() < max_attempts {
         let next = match last.cause {
-            Cause::Suspect => plan_for_owner(snapshot, &last, &tried),
+            Cause::Suspect => plan_for_owner(context, snapshot, call, &last, &tried),
             cause => {
                 // An overloaded service must refuse quickly, and a round trip
                 // to another region takes 40 ms.
@@ -158,19 +141,6 @@
     Err(last)
 }
 
-/// Plans an attempt at the owner of a suspicion, unless it was tried before.
-fn plan_for_owner(snapshot: &Snapshot, last: &Refusal, tried: &[usize]) -> Option<Plan> {
-    let owner = last.owner.as_deref()?;
-    let hosts = snapshot.list.hosts.iter();
-    let host = hosts.into_iter().position(|host| host.name == owner)?;
-    let untried = !tried.contains(&host);
-    untried.then_some(Plan {
-        host,
-        hedge: None,
-        second_allowed: false,
-    })
-}
-
 /// Returns whether to retry a refused call, and spends retry budget if needed.
 fn grant_retry(
     context: &Context,
@@ -287,62 +257,6 @@
     result
 }
 
-/// Returns the host for a retry that runs while the first attempt waits on a
-/// silent connection, and spends retry budget: an untried host, or the same
-/// host over a new connection if there is none.
-fn concurrent_retry_host(
-    context: &Context,
-    snapshot: &Snapshot,
-    call: &Call,
-    class: &Class,
-    body: &Replay,
-    plan: &Plan,
-    tried: &[usize],
-) -> Option<usize> {
-    let expired = call.remaining(Instant::now()).is_zero();
-    if expired || !call.class.idempotent || !plan.second_allowed || !body.is_buffered() {
-        return None;
-    }
-    let other = choose(context, snapshot, call, class, tried, false);
-    class
-        .retry
-        .try_spend()
-        .then(|| other.map_or(plan.host, |other| other.index))
-}
-
-/// Plans an attempt at a host that is not in `tried`.
-fn plan(
-    context: &Context,
-    snapshot: &Snapshot,
-    call: &Call,
-    class: &Class,
-    body: &Replay,
-    tried: &[usize],
-    same_region: bool,
-) -> Option<Plan> {
-    let choice = choose(context, snapshot, call, class, tried, same_region)?;
-    let mut hedge = None;
-    if may_hedge(call.class.idempotent, call.class.work) && body.is_buffered() {
-        hedge = match choice.hedge {
-            Some(probe) => Some(Hedge {
-                host: Some(probe.index),
-                delay: probe.after,
-                probe: true,
-            }),
-            None => class.latency().hedge_delay().map(|delay| Hedge {
-                host: None,
-                delay,
-                probe: false,
-            }),
-        };
-    }
-    Some(Plan {
-        host: choice.index,
-        hedge,
-        second_allowed: false,
-    })
-}
-
 /// Counts a request as running in its host's estimate until the head of its
 /// answer arrives or the attempt is dropped.
 struct Guard {
--- a/crates/daemon/src/edge/data/route.rs
+++ b/crates/daemon/src/edge/data/route.rs
@@ -22,7 +22,7 @@
 /// # Errors
 ///
 /// Returns a [`Refusal`] if the route no longer exists or no longer includes
-/// the service of this host.
+/// the service of this host, or if its homes exclude this host's region.
 pub(super) fn check(
     context: &Arc<Context>,
     head: &http::request::Parts,
@@ -49,7 +49,8 @@
     let own = &context.settings.service;
     let routes_here = class.is_some_and(|class| {
         let parts = class.split.iter().map(|share| &share.service);
-        parts.chain([&class.service]).any(|service| service == own)
+        class.is_home(&context.settings.region)
+            && parts.chain([&class.service]).any(|service| service == own)
     });
     if routes_here {
         return Ok(());
--- a/crates/daemon/src/suspects/push.rs
+++ b/crates/daemon/src/suspects/push.rs
@@ -80,6 +80,7 @@
     let can_try = |host: &&Host| {
         host.service == context.settings.service
             && host.state == State::Live
+            && !host.evacuated
             && context.peers.is_routable(&host.name)
     };
     let hosts = list.hosts.iter().filter(can_try);
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`delta`] and [`transfer`]: updates of documents between daemons.
 //! - [`hosts`] and [`registry`]: host lists, and upstreams in a store.
 //! - [`snapshot`]: the immutable view by which requests are routed.
+//! - [`homes`]: homes of classes that no listed host serves.
 //!
 //! The crate does no I/O. The result of a validation depends only on the
 //! document, so that all daemons accept or refuse the same versions.
@@ -16,6 +17,7 @@
 pub mod delta;
 pub mod document;
 pub mod fault;
+pub mod homes;
 pub mod hosts;
 pub mod manifest;
 pub mod registry;
--- a/crates/intent/tests/suite/main.rs
+++ b/crates/intent/tests/suite/main.rs
@@ -1,6 +1,7 @@
-//! Tests of documents, host lists, deltas, transfers, adoption, snapshots and
-//! the registry.
+//! Tests of documents, host lists, deltas, transfers, adoption, snapshots,
+//! homes and the registry.
 
+mod homes;
 mod limits;
 mod lists;
 mod properties;
