keyed store: evacuations of data centres, and a store that comes back

Evacuations: nothing read the operators' items, so that requests went on into a data centre that they empty. The watch of the configuration now covers all their items; a reader reads the evacuations once before its first list, and marks the hosts. A changed evacuation puts the known entries in force at once, under a number that is greater than those of all lists before. Gatekeepers of an evacuated data centre refuse as not run what still arrives. Audit lines, and the gauge savorylane_evacuated_hosts.

Eras: a store that comes back from an older copy gives revisions out again, which daemons refused as an older state for good. Revisions now have the era in their high bits, which orders all comparisons; a watch never continues across eras. The first read of a new era keeps upstreams and evacuations that the copy lacks for a time, and holds upstreams that had left. Numbers are unchanged for a store that states no era.

Both change the client of the store and the readers' registry, so they come together.

--- a/crates/daemon/src/audit/mod.rs
+++ b/crates/daemon/src/audit/mod.rs
@@ -52,6 +52,25 @@
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         lapsed: Vec<String>,
     },
+    /// The operators evacuate a data centre: its upstreams get no requests.
+    Evacuated {
+        /// The data centre.
+        data_centre: String,
+        /// Number of its listed hosts.
+        hosts: usize,
+        /// Age of this daemon's knowledge before the list that shows it, in
+        /// milliseconds. The evacuation began within this time. `None` if this
+        /// is the first list.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        knowledge_age_ms: Option<u64>,
+    },
+    /// An evacuated data centre is used again.
+    Reopened {
+        /// The data centre.
+        data_centre: String,
+        /// Time for which this daemon knew of the evacuation, in milliseconds.
+        evacuated_ms: u64,
+    },
     /// This host is leaving.
     Leaving {
         /// Originator of the request to leave.
@@ -109,6 +128,8 @@
             Self::Offer { .. } => "offer",
             Self::Refused { .. } => "refused",
             Self::Hosts { .. } => "hosts",
+            Self::Evacuated { .. } => "evacuated",
+            Self::Reopened { .. } => "reopened",
             Self::Leaving { .. } => "leaving",
             Self::Banned { .. } => "banned",
             Self::Paused { .. } => "paused",
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -8,6 +8,7 @@
 //! cut off from the store.
 
 pub mod cut_off;
+pub mod evacuation;
 pub mod follow;
 pub mod hint;
 pub mod long_poll;
@@ -57,6 +58,8 @@
     polls_sent: AtomicU64,
     /// Whether this host is cut off from the store.
     pub cut_off: cut_off::State,
+    /// Evacuated data centres of the list in force.
+    evacuations: evacuation::Observer,
     /// Held while the host list changes, so that lists keep their order.
     list_changes: Mutex<()>,
 }
@@ -82,6 +85,7 @@
             payloads: long_poll::Cache::default(),
             polls_sent: AtomicU64::new(0),
             cut_off: cut_off::State::default(),
+            evacuations: evacuation::Observer::default(),
             list_changes: Mutex::default(),
         }
     }
@@ -220,7 +224,8 @@
     let changes = &distribution.list_changes;
     let _guard = changes.lock().unwrap_or_else(PoisonError::into_inner);
     let now = context.now();
-    let confirmed_at = now.saturating_sub(distribution.age.at(now).unwrap_or_default());
+    let age = distribution.age.at(now);
+    let confirmed_at = now.saturating_sub(age.unwrap_or_default());
     if !change(&context.config) {
         return;
     }
@@ -229,10 +234,14 @@
     };
     let mut hosts = list.hosts.iter();
     let own = hosts.find(|host| host.name == context.settings.host);
-    context
-        .gatekeeper
-        .departures
-        .on_host_list(now, confirmed_at, own);
+    let gatekeeper = &context.gatekeeper;
+    gatekeeper.departures.on_host_list(now, confirmed_at, own);
+    let data_centre = &context.settings.data_centre;
+    gatekeeper
+        .evacuation
+        .on_host_list(now, age, data_centre, &list);
+    let evacuations = &distribution.evacuations;
+    evacuations.on_host_list(now, age, &list, &context.trail);
 }
 
 /// Returns the list that `host` sent, after logging and counting the hosts that
--- a/crates/daemon/src/edge/keyed_store/config.rs
+++ b/crates/daemon/src/edge/keyed_store/config.rs
@@ -1,4 +1,5 @@
-//! Follower of the configuration in the store.
+//! Follower of what the operators write into the store: the configuration and
+//! the evacuations.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,16 +9,18 @@
 use savorylane_intent::Document;
 use savorylane_intent::adopt::{self, Outcome};
 use savorylane_membership::backoff::Delay;
-use savorylane_platform::store::{Batch, Fault, Keyspace, Update};
+use savorylane_platform::store::{Batch, Change, Fault, Keyspace, Update};
 
-use super::{Store, log_batch};
+use super::{Part, Store, log_batch};
 use crate::audit::Event;
 use crate::config::PLATFORM_SOURCE;
+use crate::settings::Adapter;
 
 /// Reads new versions of the configuration from the store and offers them for
-/// adoption.
+/// adoption, and passes evacuations to the follower of the entries.
 pub(super) struct Follower<'a> {
     store: &'a Store,
+    adapter: &'a Adapter,
     /// Revision up to which all versions are known; 0 if none is.
     revision: u64,
     pace: Pace,
@@ -27,12 +30,13 @@
 impl<'a> Follower<'a> {
     /// Returns a follower that resumes from the revision that the daemon knows,
     /// unless its knowledge is older than [`MAX_RESUME_AGE`].
-    pub(super) fn new(store: &'a Store) -> Self {
+    pub(super) fn new(store: &'a Store, adapter: &'a Adapter) -> Self {
         let distribution = &store.context.distribution;
         let age = distribution.age.at(store.context.now());
         let can_resume = age.is_some_and(|age| age <= MAX_RESUME_AGE);
         Self {
             store,
+            adapter,
             revision: if can_resume {
                 distribution.revision()
             } else {
@@ -53,34 +57,46 @@
         loop {
             let client = &self.store.config;
             let answer = match read_newest {
-                true => client.read(Keyspace::Config).await,
+                true => client.read(Keyspace::Operator).await,
                 false => {
                     let wait = match first {
                         true => Duration::ZERO,
                         false => self.store.watch_timeout(),
                     };
-                    client.watch(Keyspace::Config, self.revision, wait).await
+                    client.watch(Keyspace::Operator, self.revision, wait).await
                 }
             };
             match answer.and_then(|batch| batch.at_least(self.revision)) {
                 Ok(batch) => {
                     first = false;
+                    self.apply_evacuations(&batch, read_newest);
                     read_newest = self.apply(batch).await;
                 }
-                Err(Fault::Compacted) => {
-                    log::info!(
-                        "the store compacted the history of the configuration; reading the newest version"
-                    );
+                Err(fault @ (Fault::Compacted | Fault::Restored { .. })) => {
+                    log::info!("reading the newest version of the configuration: {fault}");
                     read_newest = true;
                 }
                 Err(fault) => {
                     let (store, delay) = (self.store, &mut self.delay);
-                    store.await_recovery(Keyspace::Config, &fault, delay).await;
+                    store.await_recovery(Part::Operator, &fault, delay).await;
                 }
             }
         }
     }
 
+    /// Passes the evacuations of an answer on; `complete` states whether it
+    /// contains all of them.
+    fn apply_evacuations(&self, batch: &Batch, complete: bool) {
+        let (store, now) = (self.store, self.store.context.now());
+        let changed = match complete {
+            true => store.evacuations.apply_full(now, self.adapter, batch),
+            false => store.evacuations.apply_changes(self.adapter, batch),
+        };
+        if changed {
+            store.evacuations.notify();
+        }
+    }
+
     /// Applies an answer, then pauses according to the rate of the link.
     /// Returns whether to read only the newest version next.
     async fn apply(&mut self, batch: Batch) -> bool {
@@ -90,7 +106,9 @@
         self.revision = batch.revision;
         let passed = batch.transfer.body_time;
         // A read without a newer version ends a series of changes.
-        let changed = batch.changes.iter().any(|change| change.revision > known);
+        let is_newer =
+            |change: &Change| matches!(change.update, Update::Config(_)) && change.revision > known;
+        let changed = batch.changes.iter().any(is_newer);
         let newest = batch.changes.into_iter().rev();
         let mut versions = newest.filter_map(|change| match change.update {
             Update::Config(version) => Some(version),
@@ -105,7 +123,7 @@
             None => {}
         }
         self.store.context.distribution.on_revision(self.revision);
-        self.store.on_answer(Keyspace::Config);
+        self.store.on_answer(Part::Operator);
         if !changed {
             return false;
         }
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -5,13 +5,15 @@
 
 use savorylane_distribution::age::{STALE_AFTER, leases_may_have_lapsed};
 use savorylane_distribution::source::Location;
+use savorylane_intent::evacuation::Evacuations;
 use savorylane_intent::hosts::{Host, List};
-use savorylane_intent::registry::{Instance, Registry};
+use savorylane_intent::registry::{self, Instance, Registry};
+use savorylane_intent::revision;
 use savorylane_membership::backoff::Delay;
 use savorylane_platform::entry;
 use savorylane_platform::store::{Batch, Client, Consistency, Fault, Keyspace, Update};
 
-use super::{Store, log_batch};
+use super::{Part, Store, log_batch};
 use crate::config::PLATFORM_SOURCE;
 use crate::decisions::{self, Kind};
 use crate::distribution;
@@ -33,6 +35,9 @@
     /// Whether hosts that the first read does not list may have lapsed in an
     /// outage of the store.
     may_have_lapsed: bool,
+    /// Whether all evacuations were read. Those of data centres without a listed
+    /// host are not in any list.
+    knows_evacuations: bool,
 }
 
 impl<'a> Follower<'a> {
@@ -53,16 +58,15 @@
             registry: Registry::seeded(list.number, instances).with_port(port),
             delay: Delay::default(),
             may_have_lapsed: age.is_some_and(|age| age > STALE_AFTER),
+            knows_evacuations: false,
         }
     }
 
     /// Reads all entries and then watches for changes. Starts over when the
-    /// store has compacted the history.
+    /// store has compacted the history or came back from an older copy.
     pub(super) async fn follow(&mut self) {
         loop {
-            let known = self.registry.revision();
-            let read = self.store.entries.read(Keyspace::Entries).await;
-            match read.and_then(|batch| batch.at_least(known)) {
+            match self.read_all().await {
                 Ok(batch) => self.apply_full(batch),
                 Err(fault) => {
                     self.await_recovery(&fault).await;
@@ -73,19 +77,38 @@
         }
     }
 
-    /// Performs one watch. Returns `false` if the store has compacted the
-    /// history, so that all entries must be read again.
+    /// Reads all entries. The first read is preceded by one of the evacuations,
+    /// so that no list comes into force without them.
+    async fn read_all(&mut self) -> Result<Batch, Fault> {
+        let (client, known) = (&self.store.entries, self.registry.revision());
+        if !self.knows_evacuations {
+            let batch = client.read(Keyspace::Evacuations).await?;
+            let batch = batch.at_least(known)?;
+            let evacuations = &self.store.evacuations;
+            evacuations.apply_full(self.now(), self.adapter, &batch);
+            self.knows_evacuations = true;
+        }
+        client.read(Keyspace::Entries).await?.at_least(known)
+    }
+
+    /// Performs one watch. Returns `false` if all entries must be read again,
+    /// because the store has compacted the history or came back from an older
+    /// copy.
     async fn watch(&mut self) -> bool {
         let now = self.store.context.now();
         let next_expiry = self.registry.next_expiry();
         let wait = self.store.watch_timeout();
         let wait = next_expiry.map_or(wait, |at| at.saturating_sub(now).min(wait));
         let after = self.registry.revision();
-        let watched = self
-            .store
-            .entries
-            .watch(Keyspace::Entries, after, wait)
-            .await;
+        let store = self.store;
+        let watch = store.entries.watch(Keyspace::Entries, after, wait);
+        tokio::pin!(watch);
+        let watched = loop {
+            tokio::select! {
+                watched = &mut watch => break watched,
+                () = store.evacuations.changed() => self.publish_known(),
+            }
+        };
         match watched.and_then(|batch| batch.at_least(after)) {
             Ok(batch) => {
                 let changed = !batch.changes.is_empty();
@@ -94,10 +117,8 @@
                     tokio::time::sleep(BATCH_INTERVAL).await;
                 }
             }
-            Err(Fault::Compacted) => {
-                log::info!(
-                    "the store compacted the history of the entries; reading all entries again"
-                );
+            Err(fault @ (Fault::Compacted | Fault::Restored { .. })) => {
+                log::info!("reading all entries again: {fault}");
                 return false;
             }
             Err(fault) => self.await_recovery(&fault).await,
@@ -107,7 +128,7 @@
 
     async fn await_recovery(&mut self, fault: &Fault) {
         self.store
-            .await_recovery(Keyspace::Entries, fault, &mut self.delay)
+            .await_recovery(Part::Entries, fault, &mut self.delay)
             .await;
     }
 
@@ -151,11 +172,26 @@
 
     fn publish_batch(&mut self, batch: Batch) {
         log_batch(&batch);
-        let (now, at) = (self.now(), batch.revision);
+        let at = batch.revision;
         record_changes(&self.store.context, self.adapter, &mut self.registry, batch);
-        let number = self.registry.advance(now, at);
-        publish(&self.store.context, self.adapter, &self.registry, number);
-        self.store.on_answer(Keyspace::Entries);
+        self.publish_at(at);
+        self.store.on_answer(Part::Entries);
+    }
+
+    /// Puts the known entries in force again, since the evacuations changed.
+    fn publish_known(&mut self) {
+        self.publish_at(self.registry.revision());
+    }
+
+    /// Puts the entries, of which all changes up to the revision `at` are known,
+    /// in force with the evacuations.
+    fn publish_at(&mut self, at: u64) {
+        let now = self.now();
+        let evacuations = self.store.evacuations.at(now);
+        let registry = &mut self.registry;
+        let number = registry.advance_with(now, at, evacuations.changed_at());
+        let context = &self.store.context;
+        publish(context, self.adapter, registry, &evacuations, number);
     }
 }
 
@@ -168,7 +204,7 @@
                 registry.put(change.revision, &id, instance);
             }
             Update::Removed(id) => registry.remove(context.now(), change.revision, &id),
-            Update::Config(_) => {}
+            Update::Config(_) | Update::Evacuated(_) | Update::Reopened(_) => {}
         }
     }
 }
@@ -245,34 +281,55 @@
     }
 }
 
-/// Puts the entries of a complete read in force as a host list.
-pub(super) fn publish_all(context: &Context, adapter: &Adapter, batch: Batch) {
+/// Puts the entries of a complete read in force as a host list, with the
+/// evacuations of a read before it.
+pub(super) fn publish_all(
+    context: &Context,
+    adapter: &Adapter,
+    evacuations: &Evacuations,
+    batch: Batch,
+) {
     let at = batch.revision;
     let mut registry = Registry::default().with_port(context.settings.upstream.port());
     record_changes(context, adapter, &mut registry, batch);
     let number = registry.advance(context.now(), at);
-    publish(context, adapter, &registry, number);
+    publish(context, adapter, &registry, evacuations, number);
 }
 
-/// Puts the entries in force as a host list, if they differ from the known list.
-fn publish(context: &Context, adapter: &Adapter, registry: &Registry, number: u64) {
+/// Puts the entries in force as a host list, if they differ from the known list
+/// or if that is of an earlier era of the store.
+fn publish(
+    context: &Context,
+    adapter: &Adapter,
+    registry: &Registry,
+    evacuations: &Evacuations,
+    number: u64,
+) {
     let mut hosts: Vec<Host> = registry
         .instances()
         .into_iter()
         .map(|instance| Host {
             lapsed: registry.is_lapsed(&instance.id),
+            evacuated: evacuations.contains(&instance.data_centre),
             ..host_of(context, adapter, instance)
         })
         .collect();
     hosts.sort_by(|a, b| a.name.cmp(&b.name));
     let known = context.config.platform_list();
-    if known.is_some_and(|known| known.list.hosts == hosts) {
+    if known.is_some_and(|known| {
+        known.list.hosts == hosts && era_of_list(known.list.number) == era_of_list(number)
+    }) {
         return;
     }
     let list = List { number, hosts };
     distribution::offer_host_list(context, list, PLATFORM_SOURCE);
 }
 
+/// Returns the era of the store from which a list was made.
+fn era_of_list(number: u64) -> u64 {
+    revision::era(registry::revision_of(number))
+}
+
 /// Returns the host of an upstream. The daemons use the same ports on all
 /// hosts, and the upstream has the IP address of its host.
 fn host_of(context: &Context, adapter: &Adapter, instance: &Instance) -> Host {
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -1,19 +1,21 @@
 //! Edge to a platform with a keyed store, which holds the configuration and one
 //! entry for each upstream.
 //!
-//! Only readers read the store; see [`crate::distribution`]. Entries and
-//! configuration are watched independently, each over its own connection, so
-//! that a large configuration does not delay the entry of a leaving upstream.
+//! Only readers read the store; see [`crate::distribution`]. Entries and what
+//! the operators write are watched independently, each over its own connection,
+//! so that a large configuration does not delay the entry of a leaving upstream.
 
 mod config;
 mod entries;
+mod evacuation;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use savorylane_membership::backoff::Delay;
-use savorylane_platform::store::{Batch, Change, Client, Consistency, Fault, Keyspace, Update};
+use savorylane_platform::store::{Batch, Client, Consistency, Era, Fault, Keyspace, Update};
 use tokio_util::sync::CancellationToken;
 
 use crate::distribution::{cut_off, follow};
@@ -48,20 +50,21 @@
         log::error!("no address of the store is configured");
         return;
     };
+    let client = Client::new(address, Arc::default());
+    let era = client.era();
     let reads = async {
-        find_first_hosts(&context, &Client::new(address)).await;
+        find_first_hosts(&context, &Client::new(address, Arc::clone(&era))).await;
         let mut reads = context.distribution.watch_reads_store();
         loop {
             // The sender lives as long as the context.
             let _ = reads.wait_for(|reads| *reads).await;
-            let store = Store::new(&context, address);
+            let store = Store::new(&context, address, &era);
             tokio::select! {
                 () = store.read(&adapter) => {}
                 _ = reads.wait_for(|reads| !*reads) => {}
             }
         }
     };
-    let client = Client::new(address);
     let removals = confirm_removals(&context, &adapter, &client);
     let follow = follow::run(Arc::clone(&context), stop.clone());
     tokio::select! {
@@ -138,26 +141,50 @@
         return false;
     }
     let read = match was_lost {
-        true => client.read(Keyspace::Entries).await.map(Some),
+        true => read_both(client).await.map(Some),
         false => Ok(None),
     };
-    let Ok(batch) = read else {
+    let Ok(read) = read else {
         return false;
     };
     cut_off::on_store_answered(context);
-    if let Some(batch) = batch {
-        entries::publish_all(context, adapter, batch);
+    if let Some((evacuations, batch)) = read {
+        let evacuations = evacuation::of_read(context.now(), &evacuations);
+        entries::publish_all(context, adapter, &evacuations, batch);
     }
     true
 }
 
+/// Reads the evacuations and then the entries.
+///
+/// # Errors
+///
+/// Returns the [`Fault`] of the first read that failed.
+async fn read_both(client: &Client) -> Result<(Batch, Batch), Fault> {
+    let evacuations = client.read(Keyspace::Evacuations).await?;
+    let entries = client.read(Keyspace::Entries).await?;
+    let known = evacuations.revision;
+    Ok((evacuations, entries.at_least(known)?))
+}
+
+/// Part of the store's content that a reader follows over its own connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Part {
+    /// The configuration and the evacuations.
+    Operator,
+    /// The entries of upstreams.
+    Entries,
+}
+
 /// A reader's access to the store.
 struct Store {
     context: Arc<Context>,
     /// Client for the entries, with its own connection.
     entries: Client,
-    /// Client for the configuration, with its own connection.
+    /// Client for the configuration and the evacuations, with its own
+    /// connection.
     config: Client,
+    evacuations: evacuation::Shared,
     /// Time up to which all changes of each part are known, in milliseconds of
     /// [`Context::now`]; 0 while calls about the part fail.
     complete_ms: [AtomicU64; 2],
@@ -166,11 +193,12 @@
 }
 
 impl Store {
-    fn new(context: &Arc<Context>, address: std::net::SocketAddr) -> Self {
+    fn new(context: &Arc<Context>, address: SocketAddr, era: &Arc<Era>) -> Self {
         Self {
             context: Arc::clone(context),
-            entries: Client::new(address),
-            config: Client::new(address),
+            entries: Client::new(address, Arc::clone(era)),
+            config: Client::new(address, Arc::clone(era)),
+            evacuations: evacuation::Shared::seeded(context),
             complete_ms: Default::default(),
             probed_at: tokio::sync::Mutex::default(),
         }
@@ -182,11 +210,10 @@
     async fn read(&self, adapter: &Adapter) {
         if let Err(fault) = self.entries.probe().await {
             let mut delay = Delay::default();
-            self.await_recovery(Keyspace::Entries, &fault, &mut delay)
-                .await;
+            self.await_recovery(Part::Entries, &fault, &mut delay).await;
         }
         let mut entries = entries::Follower::new(self, adapter);
-        let mut config = config::Follower::new(self);
+        let mut config = config::Follower::new(self, adapter);
         tokio::join!(entries.follow(), config.follow());
     }
 
@@ -200,12 +227,12 @@
 
     /// Records that all changes of a part are known up to now. Returns whether
     /// this ended an outage of the store.
-    fn on_answer(&self, part: Keyspace) -> bool {
+    fn on_answer(&self, part: Part) -> bool {
         let now = self.context.now();
         let now_ms = (now.as_millis() as u64).max(1);
         self.complete_ms[part as usize].store(now_ms, Ordering::Relaxed);
-        let [config, entries] = &self.complete_ms;
-        let complete_ms = config
+        let [operator, entries] = &self.complete_ms;
+        let complete_ms = operator
             .load(Ordering::Relaxed)
             .min(entries.load(Ordering::Relaxed));
         if complete_ms == 0 {
@@ -225,7 +252,7 @@
 
     /// Records that a call about a part failed, and waits until the store
     /// answers a probe.
-    async fn await_recovery(&self, part: Keyspace, fault: &Fault, delay: &mut Delay) {
+    async fn await_recovery(&self, part: Part, fault: &Fault, delay: &mut Delay) {
         self.complete_ms[part as usize].store(0, Ordering::Relaxed);
         if self.context.distribution.on_store_lost(self.context.now()) {
             log::warn!(target: "dependency", dependency = "store", outcome = "lost"; "call to the store failed: {fault}");
@@ -250,14 +277,18 @@
     if batch.changes.is_empty() {
         return;
     }
-    let config = |change: &&Change| matches!(change.update, Update::Config(_));
-    let versions = batch.changes.iter().filter(config).count();
+    let count = |is_counted: fn(&Update) -> bool| {
+        let changes = batch.changes.iter();
+        changes.filter(|change| is_counted(&change.update)).count() as u64
+    };
+    let versions = count(|update| matches!(update, Update::Config(_)));
+    let entries = count(|update| matches!(update, Update::Entry(..) | Update::Removed(_)));
     let to_ms = |time: Duration| time.as_millis() as u64;
     let transfer = &batch.transfer;
     log::info!(
         target: "store",
-        event = "read", revision = batch.revision, versions = versions as u64,
-        entries = (batch.changes.len() - versions) as u64, bytes = transfer.bytes as u64,
+        event = "read", revision = batch.revision, versions = versions,
+        entries = entries, bytes = transfer.bytes as u64,
         waited_ms = to_ms(transfer.head_time), passed_ms = to_ms(transfer.body_time),
         decoded_ms = to_ms(transfer.decode_time);
         "received changes from the store"
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -43,6 +43,8 @@
                 let load = context.gatekeeper.load();
                 context.metrics.set_dropped_lines(&context.decisions);
                 context.metrics.set_link(context.reservations.state());
+                let list = context.config.list().unwrap_or_default();
+                context.metrics.set_hosts(&list);
                 let distribution = &context.distribution;
                 context
                     .metrics
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -24,10 +24,14 @@
 
 mod deaths;
 mod departure;
+mod evacuation;
 mod judge;
+mod listing;
 
 use deaths::{Detector, Interruption};
 use departure::Departures;
+use evacuation::Evacuation;
+use listing::check_listed;
 
 /// Expected service time of an upstream on the adapted platform before one was
 /// measured, as a share of the target latency. Daemons on that platform start
@@ -55,6 +59,8 @@
     draining: AtomicBool,
     /// Instances of the upstream that are leaving or gone.
     pub departures: Departures,
+    /// Evacuation of this host's data centre.
+    pub evacuation: Evacuation,
     /// Detects that the upstream died with requests in flight.
     deaths: Detector,
 }
@@ -114,23 +120,6 @@
     }
 }
 
-/// Checks that the instance that a call is addressed to has not left.
-///
-/// # Errors
-///
-/// Returns a refusal if the instance has left.
-fn check_not_left(gatekeeper: &Gatekeeper, context: &Context, call: &Call) -> Result<(), Refusal> {
-    let instance = call.route.as_ref().map(|route| route.instance.as_str());
-    let has_left = |instance| gatekeeper.departures.has_left(context.now(), instance);
-    if !instance.is_some_and(has_left) {
-        return Ok(());
-    }
-    Err(Refusal {
-        cause: Cause::Away,
-        ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, "the upstream leaves")
-    })
-}
-
 impl Gatekeeper {
     /// Creates the open gate of `upstream` with `slots` slots. `adapted` states
     /// whether the daemon runs on the adapted platform.
@@ -150,6 +139,7 @@
             changed: Notify::new(),
             draining: AtomicBool::new(false),
             departures: Departures::default(),
+            evacuation: Evacuation::default(),
             deaths: Detector::default(),
         })
     }
@@ -187,7 +177,7 @@
         body: Body,
         admission: &mut Admission,
     ) -> Result<Response<Body>, Refusal> {
-        check_not_left(self, context, call)?;
+        check_listed(self, context, call)?;
         // The start of the body is read before a slot is taken: the fingerprint
         // of a request must not depend on how its body arrives.
         let remaining = call.remaining(Instant::now());
@@ -208,7 +198,7 @@
         let admitted = self.admit(context, call, fingerprint, trial).await;
         admission.waited = queued_at.elapsed();
         let mut slot = admitted?;
-        check_not_left(self, context, call)?;
+        check_listed(self, context, call)?;
         self.deaths.on_start(slot.id, fingerprint);
         let remaining = call.remaining(Instant::now());
         let sent = self.upstream.send(call, body);
@@ -267,10 +257,10 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if the upstream has left, the gate is closed or the
-    /// host is leaving.
+    /// Returns a refusal if the upstream has left, its data centre is evacuated,
+    /// the gate is closed or the host is leaving.
     pub fn check_available(&self, context: &Context, call: &Call) -> Result<(), Refusal> {
-        check_not_left(self, context, call)?;
+        check_listed(self, context, call)?;
         let gate = &self.lock().gate;
         if gate.is_closed() {
             return Err(refusal(
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use savorylane_intent::hosts::List;
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
@@ -36,6 +37,7 @@
     reader: Gauge<u64>,
     polls: Gauge<u64>,
     ignored_hosts: Counter<u64>,
+    evacuated_hosts: Gauge<u64>,
 }
 
 /// Bucket boundaries of the latency histograms in seconds.
@@ -126,6 +128,10 @@
                 .u64_counter("savorylane_ignored_hosts")
                 .with_description("Hosts and entries left out of host lists, by source")
                 .build(),
+            evacuated_hosts: meter
+                .u64_gauge("savorylane_evacuated_hosts")
+                .with_description("Listed hosts whose data centres are evacuated")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -179,6 +185,12 @@
         }
     }
 
+    /// Sets the gauges of the host list in force.
+    pub fn set_hosts(&self, list: &List) {
+        let evacuated = list.hosts.iter().filter(|host| host.evacuated).count();
+        self.evacuated_hosts.record(evacuated as u64, &[]);
+    }
+
     /// Sets the gauges of the bodies on the host's link.
     pub fn set_link(&self, state: reservation::State) {
         self.bodies_passing.record(state.active.into(), &[]);
--- a/crates/intent/src/hosts/mod.rs
+++ b/crates/intent/src/hosts/mod.rs
@@ -32,6 +32,18 @@
         self.hosts.iter().any(|host| host.name == name)
     }
 
+    /// Returns whether a data centre is evacuated, or `None` if the list has no
+    /// host there.
+    pub fn is_evacuated(&self, data_centre: &str) -> Option<bool> {
+        let hosts = self.hosts.iter();
+        let mut marks = hosts
+            .filter(|host| host.data_centre == data_centre)
+            .map(|host| host.evacuated)
+            .peekable();
+        marks.peek()?;
+        Some(marks.any(|evacuated| evacuated))
+    }
+
     /// Returns the hosts whose names `other` lacks.
     pub fn hosts_missing_in(&self, other: &Self) -> Vec<&Host> {
         let names: BTreeSet<&str> = other.hosts.iter().map(|host| host.name.as_str()).collect();
@@ -279,7 +291,7 @@
     let added: Vec<Host> = live
         .map(|host| Host {
             lapsed: true,
-            ..host.clone()
+            ..with_evacuation(host, &newer)
         })
         .collect();
     let mut merged = newer;
@@ -288,6 +300,17 @@
     merged
 }
 
+/// Returns `host` with the evacuation that `newer` shows for its data centre, if
+/// that list has a host there.
+fn with_evacuation(host: &Host, newer: &List) -> Host {
+    Host {
+        evacuated: newer
+            .is_evacuated(&host.data_centre)
+            .unwrap_or(host.evacuated),
+        ..host.clone()
+    }
+}
+
 /// Returns another daemon's `newer` list without lapsed hosts that have left
 /// according to `own`, for a daemon whose own list was up to date until
 /// recently.
@@ -298,15 +321,15 @@
 /// off from the platform while the host left.
 pub fn without_departed(own: &List, newer: List) -> List {
     let known = |host: &Host| own.hosts.iter().find(|known| known.name == host.name);
-    let adopted = newer.hosts.into_iter().filter_map(|host| {
+    let adopted = newer.hosts.iter().filter_map(|host| {
         if !host.lapsed {
-            return Some(host);
+            return Some(host.clone());
         }
-        match known(&host) {
+        match known(host) {
             Some(known) if known.state == State::Live && known.instance == host.instance => {
-                Some(host)
+                Some(host.clone())
             }
-            known => known.cloned(),
+            known => known.map(|known| with_evacuation(known, &newer)),
         }
     });
     List {
--- a/crates/intent/src/lib.rs
+++ b/crates/intent/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`adopt`]: adoption of offered documents.
 //! - [`delta`] and [`transfer`]: updates of documents between daemons.
 //! - [`hosts`] and [`registry`]: host lists, and upstreams in a store.
+//! - [`evacuation`]: data centres whose upstreams get no requests.
+//! - [`revision`]: revisions of a store that comes back from an older copy.
 //! - [`snapshot`]: the immutable view by which requests are routed.
 //! - [`homes`]: homes of classes that no listed host serves.
 //!
@@ -16,11 +18,13 @@
 pub mod bound;
 pub mod delta;
 pub mod document;
+pub mod evacuation;
 pub mod fault;
 pub mod homes;
 pub mod hosts;
 pub mod manifest;
 pub mod registry;
+pub mod revision;
 pub mod snapshot;
 pub mod transfer;
 pub mod version;
--- a/crates/intent/tests/suite/main.rs
+++ b/crates/intent/tests/suite/main.rs
@@ -1,6 +1,8 @@
 //! Tests of documents, host lists, deltas, transfers, adoption, snapshots,
-//! homes and the registry.
+//! evacuations, homes and the registry.
 
+mod eras;
+mod evacuation;
 mod homes;
 mod limits;
 mod lists;
