keyed store: keep evacuations of the list in force until one's own are known

After a cut, the watch of the entries can answer before that of the operators' items. The reader then put a list in force that lacked an evacuation which other daemons had learned of meanwhile. While the operators' items are not known to be current, the evacuations of the list in force hold as well; their next answer marks the hosts anew.

--- a/crates/daemon/src/edge/keyed_store/config.rs
+++ b/crates/daemon/src/edge/keyed_store/config.rs
@@ -77,6 +77,7 @@
                     read_newest = true;
                 }
                 Err(fault) => {
+                    self.store.evacuations.on_lost();
                     let (store, delay) = (self.store, &mut self.delay);
                     store.await_recovery(Part::Operator, &fault, delay).await;
                 }
@@ -90,7 +91,7 @@
         let (store, now) = (self.store, self.store.context.now());
         let changed = match complete {
             true => store.evacuations.apply_full(now, self.adapter, batch),
-            false => store.evacuations.apply_changes(self.adapter, batch),
+            false => store.evacuations.apply_changes(now, self.adapter, batch),
         };
         if changed {
             store.evacuations.notify();
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -187,7 +187,7 @@
     /// in force with the evacuations.
     fn publish_at(&mut self, at: u64) {
         let now = self.now();
-        let evacuations = self.store.evacuations.at(now);
+        let evacuations = self.store.evacuations.at(now, &self.store.context);
         let registry = &mut self.registry;
         let number = registry.advance_with(now, at, evacuations.changed_at());
         let context = &self.store.context;
--- a/crates/daemon/src/edge/keyed_store/evacuation.rs
+++ b/crates/daemon/src/edge/keyed_store/evacuation.rs
@@ -2,9 +2,11 @@
 //! operators' items learns of them, and the follower of the entries marks the
 //! hosts in its lists.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use savorylane_distribution::age::STALE_AFTER;
 use savorylane_intent::evacuation::Evacuations;
 use savorylane_intent::registry;
 use savorylane_platform::store::{Batch, Update};
@@ -19,6 +21,9 @@
     known: Mutex<Evacuations>,
     /// Notified when an evacuation begins or ends.
     changed: Notify,
+    /// Time at which all evacuations were last known, in milliseconds of
+    /// [`Context::now`]; 0 while calls about them fail.
+    confirmed_ms: AtomicU64,
 }
 
 impl Shared {
@@ -32,14 +37,44 @@
         Self {
             known: Mutex::new(Evacuations::seeded(revision, data_centres)),
             changed: Notify::new(),
+            confirmed_ms: AtomicU64::new(0),
         }
     }
 
-    /// Returns the evacuations that hold at `now`.
-    pub(super) fn at(&self, now: Duration) -> Evacuations {
+    /// Returns the evacuations that hold at `now`. While the operators' items
+    /// are not known to be current, those of the list in force hold as well:
+    /// another reader may have learned of them.
+    pub(super) fn at(&self, now: Duration, context: &Context) -> Evacuations {
         let mut known = self.lock();
         known.expire(now);
-        known.clone()
+        let mut evacuations = known.clone();
+        drop(known);
+        if !self.is_current(now) {
+            let list = context.config.list().unwrap_or_default();
+            let evacuated = list.hosts.iter().filter(|host| host.evacuated);
+            evacuations.assume(evacuated.map(|host| host.data_centre.as_str()));
+        }
+        evacuations
+    }
+
+    /// Records that a call about the evacuations failed.
+    pub(super) fn on_lost(&self) {
+        self.confirmed_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Records that all evacuations are known at `now`. Returns whether they
+    /// were not known to be current before.
+    fn confirm(&self, now: Duration) -> bool {
+        let was_current = self.is_current(now);
+        let now_ms = (now.as_millis() as u64).max(1);
+        self.confirmed_ms.store(now_ms, Ordering::Relaxed);
+        !was_current
+    }
+
+    fn is_current(&self, now: Duration) -> bool {
+        let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
+        let age = now.saturating_sub(Duration::from_millis(confirmed_ms));
+        confirmed_ms != 0 && age <= STALE_AFTER
     }
 
     /// Waits until an evacuation begins or ends.
@@ -52,20 +87,20 @@
         self.changed.notify_one();
     }
 
-    /// Applies an answer that contains all evacuations. Returns whether it
-    /// changed them.
+    /// Applies an answer that contains all evacuations. Returns whether the
+    /// hosts must be marked anew.
     pub(super) fn apply_full(&self, now: Duration, adapter: &Adapter, batch: &Batch) -> bool {
         let mut known = self.lock();
         let changed = reconcile(&mut known, now, batch);
         if changed {
             log_unknown(adapter, &known);
         }
-        changed
+        self.confirm(now) || changed
     }
 
-    /// Applies the answer of a watch. Returns whether it changed the
-    /// evacuations.
-    pub(super) fn apply_changes(&self, adapter: &Adapter, batch: &Batch) -> bool {
+    /// Applies the answer of a watch. Returns whether the hosts must be marked
+    /// anew.
+    pub(super) fn apply_changes(&self, now: Duration, adapter: &Adapter, batch: &Batch) -> bool {
         let mut known = self.lock();
         let mut changed = false;
         for change in &batch.changes {
@@ -79,7 +114,7 @@
         if changed {
             log_unknown(adapter, &known);
         }
-        changed
+        self.confirm(now) || changed
     }
 
     fn lock(&self) -> MutexGuard<'_, Evacuations> {
--- a/crates/intent/src/evacuation/mod.rs
+++ b/crates/intent/src/evacuation/mod.rs
@@ -142,6 +142,19 @@
         changed
     }
 
+    /// Adds evacuations that another daemon has learned of and whose revisions
+    /// are not known.
+    pub fn assume<'a>(&mut self, data_centres: impl IntoIterator<Item = &'a str>) {
+        for data_centre in data_centres {
+            let item = self.items.entry(data_centre.to_owned()).or_insert(Item {
+                revision: 0,
+                active: true,
+                ends_at: None,
+            });
+            item.active = true;
+        }
+    }
+
     /// Returns whether the upstreams of `data_centre` must get no requests.
     pub fn contains(&self, data_centre: &str) -> bool {
         let item = self.items.get(data_centre);
