--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use savorylane_intent::hosts::List;
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
@@ -38,6 +39,7 @@
     polls: Gauge<u64>,
     ignored_hosts: Counter<u64>,
     pipelined: Counter<u64>,
+    evacuated_hosts: Gauge<u64>,
 }
 
 /// Bucket boundaries of the latency histograms in seconds.
@@ -132,6 +134,10 @@
                 .u64_counter("savorylane_pipelined_requests")
                 .with_description("Requests that started before their turn, by event")
                 .build(),
+            evacuated_hosts: meter
+                .u64_gauge("savorylane_evacuated_hosts")
+                .with_description("Listed hosts whose data centres are evacuated")
+                .build(),
             registry,
             _provider: provider,
         }
@@ -191,6 +197,12 @@
         }
     }
 
+    /// Sets the gauges of the host list in force.
+    pub fn set_hosts(&self, list: &List) {
+        let evacuated = list.hosts.iter().filter(|host| host.evacuated).count();
+        self.evacuated_hosts.record(evacuated as u64, &[]);
+    }
+
     /// Sets the gauges of the bodies on the host's link.
     pub fn set_link(&self, state: reservation::State) {
         self.bodies_passing.record(state.active.into(), &[]);
--- a/crates/intent/tests/suite/main.rs
+++ b/crates/intent/tests/suite/main.rs
@@ -1,6 +1,9 @@
-//! Tests of documents, host lists, deltas, transfers, adoption, snapshots and
-//! the registry.
+//! Tests of documents, host lists, deltas, transfers, adoption, snapshots,
+//! evacuations, homes and the registry.
 
+mod eras;
+mod evacuation;
+mod homes;
 mod limits;
 mod lists;
 mod properties;
