policy: limit the requests to a cold upstream

An upstream that has just started tolerates few requests a second and crashes under more. Signs put the limit in force, and the upstream's own statement ends it. The load report states what the rate allows.

--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -37,7 +37,7 @@
 
 impl Class {
     /// Returns the arrival rate per second, decayed to `now`.
-    fn decayed_arrival_rate(&self, now: Duration) -> f64 {
+    pub(super) fn decayed_arrival_rate(&self, now: Duration) -> f64 {
         let elapsed = now.saturating_sub(self.arrival_rate_at).as_secs_f64();
         self.arrival_rate * (-elapsed / ARRIVAL_RATE_TIME_CONSTANT.as_secs_f64()).exp()
     }
@@ -53,7 +53,7 @@
     };
 }
 
-fn micros(duration: Duration) -> f64 {
+pub(super) fn micros(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e6
 }
 
@@ -160,7 +160,8 @@
             }
         }
         let slots = self.slots_of(request.length) as f64;
-        ahead_us / (slots - used_slots).max(slots * MIN_SLOT_SHARE)
+        let wait_us = ahead_us / (slots - used_slots).max(slots * MIN_SLOT_SHARE);
+        wait_us.max(self.cold_wait_us(request))
     }
 
     /// Returns the number of slots available to short or to long work.
@@ -242,8 +243,8 @@
                 return;
             };
             let victim = self.waiting[&id];
-            let end_us = backlog_us / self.slots_of(request.length) as f64
-                + self.expected_service_us(&victim);
+            let wait_us = backlog_us / self.slots_of(request.length) as f64;
+            let end_us = wait_us.max(self.cold_backlog_us()) + self.expected_service_us(&victim);
             if id == request.id || end_us <= micros(deadline.saturating_sub(now)) {
                 return;
             }
@@ -325,7 +326,7 @@
     /// the exclusive request, others are not held back again for at least the
     /// time for which they were.
     pub(super) fn next_startable(&mut self, now: Duration) -> Option<u64> {
-        if self.closed || self.exclusive_running {
+        if self.closed || self.exclusive_running || self.is_held_cold(now) {
             return None;
         }
         let mut holding = false;
@@ -372,6 +373,7 @@
     pub(super) fn start(&mut self, now: Duration, id: u64) {
         let request = self.waiting[&id];
         self.dequeue(&request, true);
+        self.cold.on_start(now);
         if request.length == document::Work::Long {
             self.running_long += 1;
         }
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -1,5 +1,6 @@
 //! Concurrency limit and admission queues in front of one upstream.
 
+mod cold;
 mod inner;
 mod limit;
 mod queue;
@@ -11,6 +12,7 @@
 use savorylane_intent::document;
 use savorylane_wire::{Incarnation, Load};
 
+use crate::cold::{Sign, State};
 use limit::Limit;
 use queue::Queue;
 pub use types::{Action, Decision, Outcome, Reason, Request};
@@ -65,6 +67,8 @@
 #[derive(Debug)]
 pub struct Gate {
     limit: Limit,
+    /// Whether the upstream is cold, and the limit that holds meanwhile.
+    cold: State,
     leaving: bool,
     closed: bool,
     running: BTreeMap<u64, Running>,
@@ -115,6 +119,7 @@
     pub fn new(slots: usize) -> Self {
         Self {
             limit: Limit::new(slots.max(1)),
+            cold: State::default(),
             leaving: false,
             closed: false,
             running: BTreeMap::new(),
@@ -172,13 +177,16 @@
         if request.deadline <= now {
             return Decision::Refuse(Reason::Deadline);
         }
+        self.cold.on_arrival(now);
         if request.exclusive {
             return self.arrive_exclusive(now, request);
         }
         self.record_arrival(&request);
-        let idle = self.waiting.is_empty() && self.running.len() < self.effective_limit();
+        let idle = self.waiting.is_empty()
+            && self.running.len() < self.effective_limit()
+            && !self.is_held_cold(now);
         if !idle && !self.worth_queueing(now, &request) {
-            return Decision::Refuse(Reason::Deadline);
+            return Decision::Refuse(self.refuse_unqueued(now));
         }
         if let Err(reason) = self.make_queue_room(&request) {
             return Decision::Refuse(reason);
@@ -188,6 +196,9 @@
             self.start(now, request.id);
             return Decision::Run;
         }
+        if self.is_held_cold(now) {
+            self.cold.on_delayed();
+        }
         self.shed(now, &request);
         Decision::Wait
     }
@@ -214,6 +225,9 @@
             self.hold_allowed_at = now + held_time;
         }
         self.record_end(now, &running, outcome, saturated);
+        if outcome == Outcome::Answered {
+            self.cold.on_answer(now);
+        }
         if outcome == Outcome::UpstreamDown {
             self.close();
         }
@@ -259,6 +273,9 @@
         if !self.exclusive_queue.is_empty() && self.hold_allowed_at > self.now {
             wake = wake.min(self.hold_allowed_at);
         }
+        if let Some(free_at) = self.cold.free_at(self.now) {
+            wake = wake.min(free_at);
+        }
         Some(wake)
     }
 
@@ -290,6 +307,7 @@
         if self.closed {
             self.closed = false;
             self.limit.reopen(now);
+            self.cold.on_sign(now, Sign::Reopened);
             self.advance(now);
         }
     }
@@ -313,9 +331,9 @@
     }
 
     /// Returns the load for a report; the daemon fills in the fields that the
-    /// gate does not know.
+    /// gate does not know. The limit of a cold upstream is what its rate allows.
     pub fn load(&self) -> Load {
-        Load {
+        self.cold_load(Load {
             running: self.running.len() as u32,
             queued: self.waiting.len() as u32,
             limit: self.effective_limit() as u32,
@@ -325,6 +343,6 @@
             version: 0,
             list: 0,
             reserve_above: 0,
-        }
+        })
     }
 }
--- a/crates/policy/src/gate/types.rs
+++ b/crates/policy/src/gate/types.rs
@@ -35,6 +35,9 @@
 pub enum Reason {
     /// The gate is closed because the upstream is unreachable or draining.
     Closed,
+    /// The upstream is cold, and the rate that it tolerates is used up for
+    /// longer than the request can wait.
+    Cold,
     /// The deadline or target cannot be met, or the deadline passed while the
     /// request was queued.
     Deadline,
--- a/crates/wire/src/load/mod.rs
+++ b/crates/wire/src/load/mod.rs
@@ -16,7 +16,8 @@
 pub struct Load {
     /// Number of requests that the upstream is running.
     pub running: u32,
-    /// Number of requests that wait for a slot.
+    /// Number of requests that wait for a slot. Of a cold upstream that takes no
+    /// request now, all slots up to the limit count as taken.
     pub queued: u32,
     /// Maximum number of slots that may be in use at once.
     pub limit: u32,
