daemon: ask upstreams that may be cold, and limit their requests

The gatekeeper learns of a cold start from its own entry in the host list, from a new instance, a reopened gate, a silence of 2 s and its own start. It asks the health path once the limit has held a request back, at most three times. The reader lists a cold start once, not with each entry.

--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -233,6 +233,7 @@
         .gatekeeper
         .departures
         .on_host_list(now, confirmed_at, own);
+    context.gatekeeper.on_own_host(own);
 }
 
 /// Returns the list that `host` sent, after logging and counting the hosts that
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -10,8 +10,9 @@
 use savorylane_membership::backoff::Delay;
 use savorylane_platform::entry;
 use savorylane_platform::store::{Batch, Client, Consistency, Fault, Keyspace, Update};
+use savorylane_policy::cold::Periods;
 
-use super::{Store, log_batch};
+use super::{Store, cold, log_batch};
 use crate::config::PLATFORM_SOURCE;
 use crate::decisions::{self, Kind};
 use crate::distribution;
@@ -29,6 +30,7 @@
     store: &'a Store,
     adapter: &'a Adapter,
     registry: Registry,
+    cold_periods: Periods,
     delay: Delay,
     /// Whether hosts that the first read does not list may have lapsed in an
     /// outage of the store.
@@ -51,6 +53,7 @@
             store,
             adapter,
             registry: Registry::seeded(list.number, instances).with_port(port),
+            cold_periods: Periods::default(),
             delay: Delay::default(),
             may_have_lapsed: age.is_some_and(|age| age > STALE_AFTER),
         }
@@ -152,6 +155,7 @@
     fn publish_batch(&mut self, batch: Batch) {
         log_batch(&batch);
         let (now, at) = (self.now(), batch.revision);
+        let batch = cold::limit(&self.store.context, &mut self.cold_periods, batch);
         record_changes(&self.store.context, self.adapter, &mut self.registry, batch);
         let number = self.registry.advance(now, at);
         publish(&self.store.context, self.adapter, &self.registry, number);
@@ -248,6 +252,7 @@
 /// Puts the entries of a complete read in force as a host list.
 pub(super) fn publish_all(context: &Context, adapter: &Adapter, batch: Batch) {
     let at = batch.revision;
+    let batch = cold::limit(context, &mut Periods::default(), batch);
     let mut registry = Registry::default().with_port(context.settings.upstream.port());
     record_changes(context, adapter, &mut registry, batch);
     let number = registry.advance(context.now(), at);
@@ -293,7 +298,7 @@
         slots: Some(instance.slots),
         lapsed: false,
         evacuated: false,
-        cold_ms: 0,
+        cold_ms: instance.warm_up.as_millis() as u32,
     }
 }
 
@@ -307,7 +312,7 @@
         data_centre: host.data_centre.clone(),
         slots: host.slots?,
         state: host.state,
-        warm_up: Duration::ZERO,
+        warm_up: Duration::from_millis(host.cold_ms.into()),
         started_ms: 0,
     })
 }
--- a/crates/daemon/src/edge/keyed_store/mod.rs
+++ b/crates/daemon/src/edge/keyed_store/mod.rs
@@ -5,6 +5,7 @@
 //! configuration are watched independently, each over its own connection, so
 //! that a large configuration does not delay the entry of a leaving upstream.
 
+mod cold;
 mod config;
 mod entries;
 
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -43,6 +43,8 @@
                 let load = context.gatekeeper.load();
                 context.metrics.set_dropped_lines(&context.decisions);
                 context.metrics.set_link(context.reservations.state());
+                let (counts, limited) = context.gatekeeper.cold_counts();
+                context.metrics.set_cold(counts, limited);
                 let distribution = &context.distribution;
                 context
                     .metrics
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -11,7 +11,7 @@
 
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, uri};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -22,6 +22,7 @@
 
 use crate::body::{self, Body, Packed};
 use crate::call::Call;
+use crate::gatekeeper::cold;
 use crate::kernel::{Context, Plugin};
 use abort::{Connector, Guard};
 
@@ -34,6 +35,8 @@
 /// Size of the read buffer of a connection in bytes. The library's default is
 /// ten times as large.
 const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Maximum number of bytes read of the body of a health report.
+const MAX_REPORT_BYTES: usize = 4096;
 
 /// Reason why the upstream gave no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -149,6 +152,28 @@
         }
     }
 
+    /// Asks the upstream at `path` how long it stays cold. Returns `None` if it
+    /// does not say.
+    pub async fn fetch_cold_left(&self, path: &str) -> Option<Duration> {
+        let uri = format!("http://{}{path}", self.address).parse().ok()?;
+        let mut request = Request::new(body::empty());
+        *request.uri_mut() = uri;
+        let answer = match self.client.request(request).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::debug!("the upstream does not say whether it is cold: {error}");
+                return None;
+            }
+        };
+        let left = platform::cold_left(&answer);
+        // A connection is reused only after the body was read.
+        let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES);
+        if let Err(error) = body.collect().await {
+            log::debug!("cannot read the body of the health report: {error}");
+        }
+        left
+    }
+
     /// Returns whether the upstream accepts a connection.
     pub async fn is_reachable(&self) -> bool {
         let connect = tokio::net::TcpStream::connect(self.address);
@@ -178,7 +203,13 @@
     _listener: Option<TcpListener>,
     stop: CancellationToken,
 ) -> BoxFuture<'static, ()> {
-    Box::pin(async move { context.gatekeeper.drive(stop).await })
+    Box::pin(async move {
+        let gatekeeper = &context.gatekeeper;
+        tokio::join!(
+            gatekeeper.drive(stop.clone()),
+            cold::run(&context, stop.clone())
+        );
+    })
 }
 
 /// Returns `uri` in absolute form with the authority `address`.
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -8,10 +8,10 @@
 use http::{HeaderValue, Response, StatusCode};
 use savorylane_intent::Hash;
 use savorylane_ledger::suspect::FINGERPRINT_BODY_BYTES;
+use savorylane_policy::cold::Sign;
 use savorylane_policy::gate::{Decision, Gate, Outcome, Reason, Request};
 use savorylane_wire::{Load, Verdict, header};
 use tokio::sync::Notify;
-use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Error, Observer, Watched, peek};
 use crate::call::{Call, Cause, Refusal};
@@ -22,8 +22,10 @@
 use crate::suspects::{self, Trial};
 use crate::waiters::Waiters;
 
+pub mod cold;
 mod deaths;
 mod departure;
+mod drive;
 mod judge;
 
 use deaths::{Detector, Interruption};
@@ -36,11 +38,6 @@
 /// Time between two attempts to connect to an unreachable upstream, also the
 /// retry-after hint of a refusal while the gate is closed.
 const CLOSED_PROBE_INTERVAL: Duration = Duration::from_millis(50);
-/// Maximum time between two checks of the gate's timers.
-const MAX_WAKE_INTERVAL: Duration = Duration::from_secs(1);
-/// Minimum time between two checks of the gate's timers, so that a timer that
-/// is due but cannot act does not cause a busy loop.
-const MIN_WAKE_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Gate of the host's upstream, and the requests that wait for admission.
 #[derive(Debug)]
@@ -57,12 +54,15 @@
     pub departures: Departures,
     /// Detects that the upstream died with requests in flight.
     deaths: Detector,
+    /// Wakes the task that watches whether the upstream is cold.
+    cold: cold::Signal,
 }
 
 #[derive(Debug)]
 struct Inner {
     gate: Gate,
     waiters: Waiters,
+    seen: cold::Seen,
 }
 
 /// State of the gate when a request arrived, and the time that the request
@@ -145,12 +145,14 @@
             inner: Mutex::new(Inner {
                 gate,
                 waiters: Waiters::default(),
+                seen: cold::Seen::default(),
             }),
             upstream,
             changed: Notify::new(),
             draining: AtomicBool::new(false),
             departures: Departures::default(),
             deaths: Detector::default(),
+            cold: cold::Signal::default(),
         })
     }
 
@@ -358,12 +360,17 @@
         };
         let waiting = {
             let mut inner = self.lock();
-            if let Some(route) = &call.route
-                && route.slots > 0
-            {
-                inner.gate.set_slots(route.slots as usize);
+            if let Some(route) = &call.route {
+                if route.slots > 0 {
+                    inner.gate.set_slots(route.slots as usize);
+                }
+                if inner.seen.record(&route.instance) {
+                    inner.gate.cold_mut().on_sign(now, Sign::Instance);
+                }
             }
-            match inner.gate.arrive(now, work) {
+            let decision = inner.gate.arrive(now, work);
+            self.notify_cold(&inner, now);
+            match decision {
                 Decision::Run => None,
                 Decision::Refuse(reason) => {
                     let wait = inner.gate.retry_after_ms(&work);
@@ -401,44 +408,6 @@
         Err(refusal(reason, wait))
     }
 
-    /// Performs the actions that the gate's timers cause, and tries to connect
-    /// to the upstream while the gate is closed, until `stop` is cancelled.
-    pub async fn drive(&self, stop: CancellationToken) {
-        loop {
-            let wake = {
-                let mut inner = self.lock();
-                inner.perform_actions(self.now());
-                inner.gate.wake_at()
-            };
-            let closed = self.lock().gate.is_closed();
-            let wait = match wake {
-                _ if closed => CLOSED_PROBE_INTERVAL,
-                Some(at) => at.saturating_sub(self.now()).max(MIN_WAKE_INTERVAL),
-                None => MAX_WAKE_INTERVAL,
-            };
-            tokio::select! {
-                () = tokio::time::sleep(wait.min(MAX_WAKE_INTERVAL)) => {}
-                () = self.changed.notified() => {}
-                () = stop.cancelled() => return,
-            }
-            if closed {
-                let reachable = self.upstream.is_reachable().await;
-                let mut inner = self.lock();
-                let now = self.now();
-                if reachable && !self.draining.load(Ordering::Relaxed) {
-                    log::info!(
-                        target: "dependency", dependency = "upstream", outcome = "regained";
-                        "the upstream accepts connections again; the gate is open"
-                    );
-                    inner.gate.reopen(now);
-                } else {
-                    inner.gate.close();
-                }
-                inner.perform_actions(now);
-            }
-        }
-    }
-
     /// Reports the outcome of a request to the gate.
     fn finish(&self, id: u64, outcome: Outcome) {
         let now = self.now();
@@ -481,6 +450,7 @@
 fn refusal(reason: Reason, wait_ms: u32) -> Refusal {
     let (text, cause) = match reason {
         Reason::Closed => ("the upstream is away", Cause::Away),
+        Reason::Cold => ("the upstream is cold and takes few requests", Cause::Busy),
         Reason::Deadline => ("the deadline cannot be met", Cause::Busy),
         Reason::Full => ("the queue of the upstream is full", Cause::Busy),
         Reason::Leaving => ("the host leaves", Cause::Away),
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use savorylane_policy::cold::Counts;
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
@@ -36,6 +37,8 @@
     reader: Gauge<u64>,
     polls: Gauge<u64>,
     ignored_hosts: Counter<u64>,
+    cold: Gauge<u64>,
+    cold_effects: Gauge<u64>,
 }
 
 /// Bucket boundaries of the latency histograms in seconds.
@@ -126,6 +129,16 @@
                 .u64_counter("savorylane_ignored_hosts")
                 .with_description("Hosts and entries left out of host lists, by source")
                 .build(),
+            cold: meter
+                .u64_gauge("savorylane_cold")
+                .with_description("Whether the upstream of this host counts as cold; 1 or 0")
+                .build(),
+            cold_effects: meter
+                .u64_gauge("savorylane_cold_effects")
+                .with_description(
+                    "Requests delayed or refused since the upstream was cold, and questions to it",
+                )
+                .build(),
             registry,
             _provider: provider,
         }
@@ -185,6 +198,21 @@
         self.bodies_waiting.record(state.waiting.into(), &[]);
     }
 
+    /// Sets the gauges of the limit of a cold upstream; `limited` states whether
+    /// it is in force.
+    pub fn set_cold(&self, counts: Counts, limited: bool) {
+        self.cold.record(u64::from(limited), &[]);
+        let effects = [
+            ("delayed", counts.delayed),
+            ("refused", counts.refused),
+            ("asked", counts.questions),
+        ];
+        for (kind, count) in effects {
+            let kind = KeyValue::new("kind", kind);
+            self.cold_effects.record(count, &[kind]);
+        }
+    }
+
     /// Sets the gauges of log lines that were not written.
     pub fn set_dropped_lines(&self, decisions: &Decisions) {
         for kind in Kind::ALL {
