policy: ask an upstream whose answers became slower whether it is cold

An upstream can become cold while it is busy. Its entry shows that up to a heartbeat later, after which it got far more than it tolerates. A cumulative sum over the service times, each against the usual one of its class, notices answers that take longer; the upstream is then asked once, at most every 5 s and only if it gets more than a cold one tolerates. The limit waits for the answer.

--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -415,6 +415,7 @@
         inner.waiters.remove(id);
         inner.gate.finish(now, id, outcome);
         inner.perform_actions(now);
+        self.notify_cold(&inner, now);
     }
 
     fn now(&self) -> Duration {
--- a/crates/policy/src/cold/limiter.rs
+++ b/crates/policy/src/cold/limiter.rs
@@ -42,6 +42,12 @@
         self.after(whole, per_s).max(self.after(part, per_s))
     }
 
+    /// Returns whether at least `per_s` requests started in the second before
+    /// `now`.
+    pub fn is_exceeded(&self, now: Duration, per_s: usize) -> bool {
+        self.after(per_s.clamp(1, MAX_STARTS), per_s.max(1)) > now
+    }
+
     /// Returns the time at which the last `count` starts, followed by one more,
     /// no longer exceed the rate.
     fn after(&self, count: usize, per_s: usize) -> Duration {
--- a/crates/policy/src/cold/mod.rs
+++ b/crates/policy/src/cold/mod.rs
@@ -7,10 +7,13 @@
 //! A [`Sign`] that the upstream may be cold puts the limit in force at once. If
 //! the limit then delays a request, the upstream is asked for how long it stays
 //! cold; a warm upstream is limited only until it has answered. An upstream
-//! that is not limited is never asked.
+//! whose requests are not held back is not asked, but for one case: if it gets
+//! more than a cold upstream tolerates and its answers become slower, it may
+//! have become cold, and one question shows whether it did.
 
 mod limiter;
 mod periods;
+mod slowdown;
 
 use std::time::Duration;
 
@@ -18,6 +21,7 @@
 
 pub use limiter::Limiter;
 pub use periods::Periods;
+pub use slowdown::Slowdown;
 
 /// Time without an answer after which the upstream may have become cold.
 pub const MAX_SILENCE: Duration = Duration::from_secs(2);
@@ -29,6 +33,10 @@
 /// Maximum number of questions for one sign.
 const MAX_QUESTIONS: u32 = 3;
 
+/// Minimum time between two questions because answers became slower. Load and
+/// faults also make answers slower.
+const SLOWER_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Limits of a cold upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -149,6 +157,11 @@
     question_at: Duration,
     /// Time of the last answer to a request.
     answered_at: Duration,
+    slowdown: Slowdown,
+    /// Whether a question is due because answers became slower.
+    slower: bool,
+    /// Time before which slower answers cause no further question.
+    slower_at: Duration,
     /// Latest change that [`State::take_change`] has yet to return.
     change: Option<Change>,
     counts: Counts,
@@ -175,6 +188,7 @@
         self.binding = false;
         self.questions = 0;
         self.question_at = now;
+        self.slower = false;
         // Counts as an answer, so that the sign is not followed by silence at
         // once.
         self.answered_at = self.answered_at.max(now);
@@ -209,18 +223,23 @@
         let (Some(limits), Some(left)) = (self.limits, left) else {
             return;
         };
+        let known_warm = left.is_zero() && !self.is_limited(now);
         self.stated = true;
-        self.set_until(now, now + limits.bound(left), Source::Report);
+        if !known_warm {
+            self.set_until(now, now + limits.bound(left), Source::Report);
+        }
     }
 
     /// Returns whether the upstream should be asked at `now` how long it stays
     /// cold.
     pub fn should_ask(&self, now: Duration) -> bool {
-        self.is_limited(now)
-            && !self.stated
-            && self.binding
-            && self.questions < MAX_QUESTIONS
-            && now >= self.question_at
+        if now < self.question_at {
+            return false;
+        }
+        match self.is_limited(now) {
+            true => !self.stated && self.binding && self.questions < MAX_QUESTIONS,
+            false => self.slower,
+        }
     }
 
     /// Returns the time of the next question while the last one has no answer.
@@ -232,6 +251,7 @@
     /// Records that the upstream is asked at `now`, which is a request too.
     pub fn on_question(&mut self, now: Duration) {
         self.questions += 1;
+        self.slower = false;
         self.question_at = now + QUESTION_INTERVAL;
         self.counts.questions += 1;
         self.on_start(now);
@@ -252,9 +272,17 @@
         }
     }
 
-    /// Records that the upstream answered a request.
-    pub fn on_answer(&mut self, now: Duration) {
+    /// Records that the upstream answered a request of `class` after the time
+    /// `service`.
+    pub fn on_answer(&mut self, now: Duration, class: u64, service: Duration) {
         self.answered_at = self.answered_at.max(now);
+        let Some(limits) = self.limits else { return };
+        let slower = self.slowdown.record(class, service);
+        let harmful = self.limiter.is_exceeded(now, limits.requests_per_s);
+        if slower && harmful && !self.is_limited(now) && now >= self.slower_at {
+            self.slower = true;
+            self.slower_at = now + SLOWER_INTERVAL;
+        }
     }
 
     /// Records that the limit delays a request.
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -226,7 +226,8 @@
         }
         self.record_end(now, &running, outcome, saturated);
         if outcome == Outcome::Answered {
-            self.cold.on_answer(now);
+            let service = now.saturating_sub(running.start);
+            self.cold.on_answer(now, running.request.class, service);
         }
         if outcome == Outcome::UpstreamDown {
             self.close();
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use savorylane_intent::document::Work;
-use savorylane_policy::cold::{Limits, MAX_SILENCE, Periods, Sign};
+use savorylane_policy::cold::{Limits, MAX_SILENCE, Periods, Sign, Slowdown};
 use savorylane_policy::gate::{Action, Decision, Gate, Outcome, Reason, Request};
 
 /// Number of requests a second that the cold upstreams of the tests tolerate.
@@ -330,6 +332,68 @@
     assert_eq!(periods.record(ms(9), "i-2", Duration::MAX), endless);
 }
 
+/// Returns a service time around 100 ms whose logarithm has a standard deviation
+/// of `spread`.
+fn service_time(rng: &mut ChaCha8Rng, spread: f64) -> Duration {
+    let normal = (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0;
+    Duration::from_secs_f64(0.1 * (normal * spread).exp())
+}
+
+/// Guards against a cold upstream that shows only by its answers, which take
+/// twice as long, and is noticed after it got more than the stated maximum of
+/// one second; and against many questions to upstreams whose service times
+/// vary.
+#[test]
+fn slower_answers_are_noticed_before_a_second_exceeds_the_maximum() {
+    let (mut answers, mut noticed) = (0, 0);
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut slowdown = Slowdown::default();
+        for _ in 0..2_000 {
+            answers += 1;
+            noticed += usize::from(slowdown.record(1, service_time(&mut rng, 0.7)));
+        }
+    }
+    assert!(
+        noticed * 100 < answers,
+        "{noticed} of {answers} noticed in vain"
+    );
+    let mut late = 0;
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut slowdown = Slowdown::default();
+        for _ in 0..500 {
+            slowdown.record(1, service_time(&mut rng, 0.7));
+        }
+        let slower = |_: &usize| !slowdown.record(1, 2 * service_time(&mut rng, 0.7));
+        let count = (0..1_000).take_while(slower).count() + 1;
+        late += usize::from(count > MAX_PER_S);
+    }
+    assert!(late <= 200 / 20, "{late} of 200 noticed too late");
+}
+
+/// Guards against questions to upstreams that get few requests, which a cold one
+/// would bear, or that just answered one.
+#[test]
+fn slower_answers_cause_a_question_only_beyond_the_rate() {
+    for (per_s, expected) in [(8, false), (40, true)] {
+        let mut run = Run::new(warm_gate(), ms(50));
+        run.load(0, 8_000, per_s);
+        assert!(!run.gate.cold().should_ask(ms(8_000)));
+        run.service = ms(100);
+        run.load(8_000, 11_000, per_s);
+        assert_eq!(run.gate.cold().should_ask(ms(11_000)), expected);
+        run.gate.cold_mut().on_question(ms(11_000));
+        run.gate
+            .cold_mut()
+            .on_report(ms(11_000), Some(Duration::ZERO));
+        run.service = ms(200);
+        run.load(11_000, 14_000, per_s);
+        assert!(!run.gate.cold().should_ask(ms(14_000)));
+        assert!(!run.gate.cold().is_limited(ms(14_000)));
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
