policy: report how long a cold upstream takes no request

The load report showed the slots of a cold upstream as taken, but not that the rate allows the next request only after several service times. Entries went on to offer requests to the cold upstreams of their own data centre, each of which refused them, while warm ones elsewhere had room.

--- a/crates/policy/src/gate/cold.rs
+++ b/crates/policy/src/gate/cold.rs
@@ -85,8 +85,9 @@
     /// Changes a load report so that it states what a cold upstream takes.
     ///
     /// The limit is what the rate allows within one service time. While no
-    /// request may start, the slots below this limit count as queued requests:
-    /// other daemons would take them for free slots and send requests that are
+    /// request may start, the slots below this limit count as queued requests,
+    /// and so do the requests that the rate allows in the meantime: other
+    /// daemons would take the slots for free and send requests that are
     /// refused.
     pub(super) fn cold_load(&self, load: Load) -> Load {
         let Some(limits) = self.limits_in_force() else {
@@ -98,9 +99,13 @@
         };
         let taken = (limits.requests_per_s as f64 * service.as_secs_f64()).ceil() as u32;
         let limit = load.limit.min(taken.max(1)).max(load.running);
-        let queued = match self.is_held_cold(self.now) {
-            true => load.queued.max(limit - load.running),
-            false => load.queued,
+        let queued = match self.cold.free_at(self.now) {
+            None => load.queued,
+            Some(free_at) => {
+                let wait = free_at.saturating_sub(self.now).as_secs_f64();
+                let held = (wait * limits.requests_per_s as f64).ceil() as u32;
+                load.queued + (limit - load.running) + held
+            }
         };
         Load {
             limit,
--- a/crates/policy/tests/cold_fleet.rs
+++ b/crates/policy/tests/cold_fleet.rs
@@ -56,6 +56,9 @@
 /// Hosts, and the estimates of each entry.
 struct Fleet {
     hosts: Vec<Host>,
+    /// Number of hosts in the data centre of the entries. The others are in
+    /// another region.
+    near: usize,
     estimates: Vec<Vec<Estimate>>,
     rng: ChaCha8Rng,
     turn: AtomicUsize,
@@ -88,6 +91,7 @@
         let estimates = (0..ENTRIES).map(|_| (0..HOSTS).map(|_| Estimate::default()).collect());
         Self {
             hosts: hosts.collect(),
+            near: HOSTS,
             estimates: estimates.collect(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             turn: AtomicUsize::new(0),
@@ -101,12 +105,17 @@
     fn send(&mut self, now: Duration, entry: usize) {
         let mut tried = Vec::new();
         while tried.len() < MAX_ATTEMPTS {
-            let untried: Vec<usize> = (0..HOSTS).filter(|host| !tried.contains(host)).collect();
+            // As entries do after a refusal, tries near hosts only.
+            let hosts = if tried.is_empty() { HOSTS } else { self.near };
+            let untried: Vec<usize> = (0..hosts).filter(|host| !tried.contains(host)).collect();
             let candidates: Vec<Candidate<'_>> = untried
                 .iter()
                 .map(|host| Candidate {
                     estimate: &self.estimates[entry][*host],
-                    distance: Distance::DataCentre,
+                    distance: match *host < self.near {
+                        true => Distance::DataCentre,
+                        false => Distance::Far,
+                    },
                 })
                 .collect();
             let context = Context {
@@ -263,3 +272,19 @@
         );
     }
 }
+
+/// Guards against requests that are refused by the cold upstreams of their own
+/// data centre one after the other while warm ones elsewhere have room.
+#[test]
+fn requests_leave_a_data_centre_whose_upstreams_are_all_cold() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(HOSTS / 2, seed);
+        fleet.near = HOSTS / 2;
+        // The warm half alone has room for all of it.
+        let offered = CAPACITY as u64 * 3 / 2;
+        fleet.run(0, 4_000, offered);
+        // An entry learns from one refusal of each host that it is cold.
+        let learned = ENTRIES * fleet.near;
+        assert!(fleet.refused <= learned, "{} refused", fleet.refused);
+    }
+}
--- a/crates/wire/src/load/mod.rs
+++ b/crates/wire/src/load/mod.rs
@@ -17,7 +17,7 @@
     /// Number of requests that the upstream is running.
     pub running: u32,
     /// Number of requests that wait for a slot. Of a cold upstream that takes no
-    /// request now, all slots up to the limit count as taken.
+    /// request now, the requests that its rate allows until then count as well.
     pub queued: u32,
     /// Maximum number of slots that may be in use at once.
     pub limit: u32,
