policy: queue requests while a cold upstream is asked

A sign put the limit in force and the requests that it held back were refused until the upstream had answered. At the start of the traffic, or after an outage, that is the case at all hosts of a service in the same milliseconds, so that the refusals found no other host. They are now queued as if the upstream were warm 50 ms later; what cannot wait is refused at once when it states that it is cold.

--- a/crates/daemon/src/gatekeeper/cold.rs
+++ b/crates/daemon/src/gatekeeper/cold.rs
@@ -121,8 +121,7 @@
         let left = left.ok().flatten();
         let now = self.now();
         let mut inner = self.lock();
-        let cold = inner.gate.cold_mut();
-        match (left, cold.limits()) {
+        match (left, inner.gate.cold().limits()) {
             (Some(left), Some(limits)) if !limits.is_credible(left) => log::warn!(
                 target: "dependency", dependency = "upstream", outcome = "cold";
                 "the upstream states that it stays cold for {left:?}, which is not credible"
@@ -133,7 +132,7 @@
             ),
             _ => {}
         }
-        cold.on_report(now, left);
+        inner.gate.on_cold_report(now, left);
         inner.perform_actions(now);
         self.changed.notify_one();
     }
--- a/crates/policy/src/cold/mod.rs
+++ b/crates/policy/src/cold/mod.rs
@@ -30,6 +30,8 @@
 const MAX_STATED_RATIO: u32 = 4;
 /// Time between two questions if the first gets no answer.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(500);
+/// Time within which an upstream usually answers a question.
+pub const ANSWER_TIME: Duration = Duration::from_millis(50);
 /// Maximum number of questions for one sign.
 const MAX_QUESTIONS: u32 = 3;
 
@@ -45,6 +47,8 @@
     /// Number of requests that a cold upstream tolerates in one second, at
     /// least 1.
     pub requests_per_s: usize,
+    /// Whether the upstream can be asked how long it stays cold.
+    pub may_ask: bool,
 }
 
 impl From<&ColdStart> for Limits {
@@ -52,6 +56,7 @@
         Self {
             duration: Duration::from_millis(cold_start.duration_ms.into()),
             requests_per_s: (cold_start.requests_per_s as usize).max(1),
+            may_ask: cold_start.health_path.is_some(),
         }
     }
 }
@@ -233,7 +238,8 @@
     /// Returns whether the upstream should be asked at `now` how long it stays
     /// cold.
     pub fn should_ask(&self, now: Duration) -> bool {
-        if now < self.question_at {
+        let may_ask = self.limits.is_some_and(|limits| limits.may_ask);
+        if !may_ask || now < self.question_at {
             return false;
         }
         match self.is_limited(now) {
@@ -242,6 +248,19 @@
         }
     }
 
+    /// Returns whether the upstream counts as cold by a sign alone, and its
+    /// statement is expected within [`ANSWER_TIME`].
+    pub fn is_statement_due(&self, now: Duration) -> bool {
+        let may_ask = self.limits.is_some_and(|limits| limits.may_ask);
+        let first_asked_at = self.question_at.saturating_sub(QUESTION_INTERVAL);
+        let expected = match self.questions {
+            0 => true,
+            1 => now < first_asked_at + ANSWER_TIME,
+            _ => false,
+        };
+        may_ask && self.is_limited(now) && !self.stated && expected
+    }
+
     /// Returns the time of the next question while the last one has no answer.
     pub fn next_question_at(&self, now: Duration) -> Option<Duration> {
         let later = now < self.question_at;
--- a/crates/policy/src/gate/cold.rs
+++ b/crates/policy/src/gate/cold.rs
@@ -6,7 +6,7 @@
 
 use super::inner::micros;
 use super::{Gate, Reason, Request};
-use crate::cold::{Limits, State};
+use crate::cold::{ANSWER_TIME, Limits, State};
 
 /// Minimum share of the rate assumed to remain beside classes with a lower shed
 /// order. Bounds the expected wait.
@@ -26,6 +26,31 @@
         &mut self.cold
     }
 
+    /// Records the upstream's answer to a question, as [`State::on_report`] does,
+    /// and refuses queued requests that were queued in the hope of a better one.
+    /// [`Gate::next_action`] must be called afterwards until it returns `None`.
+    pub fn on_cold_report(&mut self, now: Duration, left: Option<Duration>) {
+        self.advance(now);
+        self.cold.on_report(now, left);
+        if !self.is_held_cold(now) {
+            return;
+        }
+        let latest_first = self.deadlines.iter().rev();
+        for id in latest_first.map(|(_, id)| *id).collect::<Vec<_>>() {
+            let request = self.waiting[&id];
+            if request.exclusive {
+                continue;
+            }
+            self.dequeue(&request, false);
+            if self.worth_queueing(now, &request) {
+                self.enqueue(request);
+            } else {
+                self.cold.on_refused();
+                self.pending_refusals.push_back((id, Reason::Cold));
+            }
+        }
+    }
+
     /// Returns whether the limit of a cold upstream keeps the next request from
     /// starting at `now`.
     pub(super) fn is_held_cold(&self, now: Duration) -> bool {
@@ -68,8 +93,12 @@
         let free_at = self.cold.free_at(self.now).unwrap_or(self.now);
         let wait_us = micros(free_at.saturating_sub(self.now))
             + ahead as f64 * 1e6 / (rate - used_rate).max(rate * MIN_RATE_SHARE);
-        // The limit ends when the upstream is warm.
-        wait_us.min(micros(self.cold.until().saturating_sub(self.now)))
+        // The limit ends when the upstream is warm, which it may state soon.
+        let longest = match self.cold.is_statement_due(self.now) {
+            true => ANSWER_TIME,
+            false => self.cold.until().saturating_sub(self.now),
+        };
+        wait_us.min(micros(longest))
     }
 
     /// Returns the time in microseconds in which the limit of a cold upstream
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions on the request path: which host serves a request, whether the
-//! upstream admits, queues or sheds it, whether the upstream is cold, whether it is retried or hedged, and
-//! when its large body may be sent.
+//! upstream admits, queues or sheds it and whether that upstream is cold,
+//! whether the request is retried or hedged, and when its large body may be
+//! sent.
 //!
 //! The crate does no I/O and reads no clock. Points in time are `Duration`s
 //! since an arbitrary start that the process chooses.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -18,6 +18,7 @@
 const LIMITS: Limits = Limits {
     duration: Duration::from_secs(3),
     requests_per_s: RATE,
+    may_ask: true,
 };
 
 fn ms(value: u64) -> Duration {
@@ -239,6 +240,33 @@
     assert!(!run.gate.cold().is_limited(ms(idle_until + 5_000)));
 }
 
+/// Guards against requests that are refused in the moment before a warm upstream
+/// states that it is warm, as at the start of the traffic of a whole fleet.
+#[test]
+fn requests_wait_for_the_statement_of_the_upstream() {
+    for (may_ask, stated) in [(true, Duration::ZERO), (true, ms(3_000)), (false, ms(0))] {
+        let mut gate = Gate::with_prior(SLOTS, 0.25);
+        let limits = Limits { may_ask, ..LIMITS };
+        gate.cold_mut().set_limits(ms(0), Some(limits));
+        let mut run = Run::new(gate, ms(20));
+        run.load(10_000, 10_010, 1_000);
+        assert_eq!(run.gate.cold().should_ask(ms(10_010)), may_ask);
+        if !may_ask {
+            assert!(!run.refusals.is_empty(), "no statement can come");
+            continue;
+        }
+        assert!(run.refusals.is_empty(), "{:?}", run.refusals);
+        run.gate.cold_mut().on_question(ms(10_010));
+        run.gate.on_cold_report(ms(10_015), Some(stated));
+        run.act(ms(10_015));
+        let refused = run.refusals.len();
+        run.load(10_016, 10_400, 0);
+        assert_eq!(run.refusals.len(), refused, "refused at once or served");
+        assert_eq!(run.starts.len() + refused, 10);
+        assert_eq!(refused == 0, stated.is_zero(), "{refused} refused");
+    }
+}
+
 /// Guards against the first burst after an outage, an evacuation or a silence,
 /// which reaches an upstream that became cold meanwhile.
 #[test]
@@ -398,7 +426,8 @@
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Guards against a pattern of arrivals, signs and service times that gets
-    /// more requests to a cold upstream in one second than the stated maximum.
+    /// more requests to a cold upstream in one second than the stated maximum,
+    /// and against requests that are lost or ended twice.
     #[test]
     fn no_second_exceeds_the_maximum(
         rate in 1..60usize,
@@ -425,7 +454,8 @@
                 1 => run.gate.cold_mut().on_report(ms(now), Some(limits.duration)),
                 2 => run.gate.cold_mut().on_report(ms(now), None),
                 3 => run.gate.cold_mut().on_question(ms(now)),
-                4 => {
+                4 => run.gate.on_cold_report(ms(now), Some(limits.duration)),
+                5 => {
                     run.gate.close();
                     run.gate.reopen(ms(now));
                 }
@@ -437,5 +467,8 @@
             }
         }
         prop_assert!(most_per_s(&run.starts, ms(0)) <= rate * 3 / 2 + 8);
+        // Each request was started or refused once.
+        run.act(ms(now + 2_000));
+        prop_assert_eq!(run.starts.len() + run.refusals.len(), run.next_id as usize);
     }
 }
--- a/crates/policy/tests/cold_fleet.rs
+++ b/crates/policy/tests/cold_fleet.rs
@@ -15,6 +15,7 @@
 const LIMITS: Limits = Limits {
     duration: COLD_START,
     requests_per_s: RATE,
+    may_ask: true,
 };
 const COLD_START: Duration = Duration::from_secs(4);
 const SLOTS: usize = 6;
