--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -236,6 +236,7 @@
     let own = hosts.find(|host| host.name == context.settings.host);
     let gatekeeper = &context.gatekeeper;
     gatekeeper.departures.on_host_list(now, confirmed_at, own);
+    gatekeeper.on_own_host(own);
     let data_centre = &context.settings.data_centre;
     gatekeeper
         .evacuation
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -45,6 +45,8 @@
                 context.metrics.set_link(context.reservations.state());
                 let list = context.config.list().unwrap_or_default();
                 context.metrics.set_hosts(&list);
+                let (counts, limited) = context.gatekeeper.cold_counts();
+                context.metrics.set_cold(counts, limited);
                 let distribution = &context.distribution;
                 context
                     .metrics
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -8,6 +8,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use savorylane_intent::hosts::List;
+use savorylane_policy::cold::Counts;
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
@@ -40,6 +41,8 @@
     ignored_hosts: Counter<u64>,
     pipelined: Counter<u64>,
     evacuated_hosts: Gauge<u64>,
+    cold: Gauge<u64>,
+    cold_effects: Gauge<u64>,
 }
 
 /// Bucket boundaries of the latency histograms in seconds.
@@ -138,6 +141,16 @@
                 .u64_gauge("savorylane_evacuated_hosts")
                 .with_description("Listed hosts whose data centres are evacuated")
                 .build(),
+            cold: meter
+                .u64_gauge("savorylane_cold")
+                .with_description("Whether the upstream of this host counts as cold; 1 or 0")
+                .build(),
+            cold_effects: meter
+                .u64_gauge("savorylane_cold_effects")
+                .with_description(
+                    "Requests delayed or refused since the upstream was cold, and questions to it",
+                )
+                .build(),
             registry,
             _provider: provider,
         }
@@ -209,6 +222,21 @@
         self.bodies_waiting.record(state.waiting.into(), &[]);
     }
 
+    /// Sets the gauges of the limit of a cold upstream; `limited` states whether
+    /// it is in force.
+    pub fn set_cold(&self, counts: Counts, limited: bool) {
+        self.cold.record(u64::from(limited), &[]);
+        let effects = [
+            ("delayed", counts.delayed),
+            ("refused", counts.refused),
+            ("asked", counts.questions),
+        ];
+        for (kind, count) in effects {
+            let kind = KeyValue::new("kind", kind);
+            self.cold_effects.record(count, &[kind]);
+        }
+    }
+
     /// Sets the gauges of log lines that were not written.
     pub fn set_dropped_lines(&self, decisions: &Decisions) {
         for kind in Kind::ALL {
