policy: late lane of the gate

Cause: a request that cannot be in time is refused although its caller waits for several times the target.

Change: such a request waits behind all that can be in time, if its time limit is at least 3 times the target, and is refused as soon as it cannot end before its deadline. The entry asks one host for a place on time first. The target of a caller that comes back counts from its first request. The load report counts late requests apart. Log lines of gates have the inputs of the decision.

--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -16,6 +16,8 @@
 
 use crate::body::{self, Body};
 
+mod late;
+
 /// Maximum number of calls above this one in a chain of calls.
 pub const MAX_DEPTH: u32 = 26;
 /// Time limit of a short request whose caller sets none.
@@ -51,6 +53,8 @@
     pub deadline: Instant,
     /// Time by which the latency target of the class asks for the answer.
     pub target: Instant,
+    /// Whether the request may wait in the late lane of a gate.
+    pub late: bool,
     /// Number of calls above this one in a chain of calls.
     pub depth: u32,
     /// Number of attempts that the calling service allows for this call.
@@ -254,6 +258,7 @@
             caller,
             deadline: now + timeout,
             target: now + Duration::from_millis(class.target.latency_ms.into()),
+            late: false,
             depth,
             attempts_left: parse_header(&head.headers, header::ATTEMPTS_LEFT)?,
             key,
@@ -342,6 +347,7 @@
                 },
             }),
             deadline: now + Duration::from_millis(ms),
+            late: hop.late,
             ..Self::base(head, class, headers, caller, now)
         })
     }
@@ -359,6 +365,7 @@
             uri: head.uri.clone(),
             headers,
             target: now + Duration::from_millis(class.target.latency_ms.into()),
+            late: false,
             service: class.service.clone(),
             class,
             id: None,
@@ -388,6 +395,7 @@
             slack_ms: self.slack(now).as_millis() as u32,
             version: route.numbers.version,
             list: route.numbers.list,
+            late: self.late,
         })
     }
 
--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -273,10 +273,18 @@
 pub struct Occupancy {
     /// Number of running requests.
     pub running: u32,
-    /// Number of queued requests.
+    /// Number of requests queued on time.
     pub queued: u32,
+    /// Number of requests in the late lane.
+    pub late: u32,
     /// Concurrency limit.
     pub limit: u32,
+    /// Whether the request might wait in the late lane.
+    pub late_allowed: bool,
+    /// Expected time until the end of the request from a place on time.
+    pub expected: Duration,
+    /// Time until the latency target.
+    pub until_target: Duration,
 }
 
 /// Logs the decision of a gatekeeper on a request.
@@ -294,7 +302,9 @@
         event = "gate", id = id(call), class = call.class.name.as_str(), instance = instance(call),
         outcome = outcome, cause = cause, waited_ms = waited.as_millis() as u64,
         elapsed_ms = elapsed_ms, running = occupancy.running, queued = occupancy.queued,
-        limit = occupancy.limit, left_ms = call.remaining(Instant::now()).as_millis() as u64;
+        late = occupancy.late, limit = occupancy.limit, late_allowed = occupancy.late_allowed,
+        expected_ms = occupancy.expected.as_millis() as u64,
+        target_ms = occupancy.until_target.as_millis() as u64, left_ms = call.remaining(Instant::now()).as_millis() as u64;
         "{reason}"
     );
 }
--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Routes requests to hosts, with retries and hedges as the budgets allow.
 
+mod attempt;
 mod choice;
 pub mod link;
 mod race;
@@ -11,25 +12,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::{HeaderMap, Response, StatusCode};
-use savorylane_distribution::age::Numbers;
+use http::{Response, StatusCode};
 use savorylane_intent::Snapshot;
-use savorylane_intent::hosts::Host;
 use savorylane_policy::retry::{self, attempts_allowed, may_hedge, may_retry};
-use savorylane_policy::route::{Estimate, Observation, Outcome, Ticket};
-use savorylane_wire::{Load, Verdict, header};
+use savorylane_wire::Verdict;
 
 use crate::body::{Body, Replay};
-use crate::call::{Call, Cause, Refusal, Route};
+use crate::call::{Call, Cause, Refusal};
 use crate::decisions::{self, Kind};
-use crate::distribution::hint;
 use crate::kernel::Context;
-use crate::peers;
-use choice::{choose, estimate, refuse_without_host};
+use attempt::{Place, attempt};
+use choice::{choose, refuse_without_host};
 use link::Monitor;
-use race::{Attempt, mark_may_have_run, race};
-use remote::{Clients, Reply, header_value};
-use room::{measure_body, needs_reservation};
+use race::{mark_may_have_run, race};
+use remote::Clients;
+use room::measure_body;
 use table::{Class, Table};
 
 /// Load estimates, per-class budgets and connections that routing uses.
@@ -62,6 +59,8 @@
     /// Whether the limits of the call allow a second concurrent attempt: one
     /// more upstream may get the call, and one more host may be tried.
     second_allowed: bool,
+    /// Whether the host may let the call wait in its late lane.
+    late: bool,
 }
 
 /// A second request, sent if the first is not answered within `delay`.
@@ -120,10 +119,13 @@
                 let same_region = cause == Cause::Busy && !tried.is_empty();
                 let untried = plan(context, snapshot, call, &class, body, &tried, same_region);
                 // If only the answer was lost and every host has been tried,
-                // a host that was tried before may still answer.
+                // a host that was tried before may still answer. The only host
+                // of the region may have a late place.
                 untried.or_else(|| {
                     let answer_lost = last.verdict == Verdict::MayHaveRun;
-                    answer_lost.then(|| plan(context, snapshot, call, &class, body, &[], false))?
+                    let late = tried.len() == 1 && accepts_late_place(call, &last, &tried);
+                    (answer_lost || late)
+                        .then(|| plan(context, snapshot, call, &class, body, &[], late))?
                 })
             }
         };
@@ -134,6 +136,7 @@
             break;
         };
         let attempts_before = tried.len();
+        plan.late = accepts_late_place(call, &last, &tried);
         plan.second_allowed = reached + 1 < max_reached && attempts_before + 1 < max_attempts;
         last = match attempt_hedged(context, snapshot, call, &class, body, plan, &mut tried).await {
             Ok(answer) => return Ok(answer),
@@ -158,6 +161,15 @@
     Err(last)
 }
 
+/// Returns whether the next attempt may settle for a place in a late lane.
+///
+/// The first host may only run the call in time. If it cannot, another one may,
+/// and it lets the call wait otherwise: one refusal is enough to know that the
+/// service is loaded, and each further one costs the caller a round trip.
+fn accepts_late_place(call: &Call, last: &Refusal, tried: &[usize]) -> bool {
+    call.late && last.cause == Cause::Busy && !tried.is_empty()
+}
+
 /// Plans an attempt at the owner of a suspicion, unless it was tried before.
 fn plan_for_owner(snapshot: &Snapshot, last: &Refusal, tried: &[usize]) -> Option<Plan> {
     let owner = last.owner.as_deref()?;
@@ -168,6 +180,7 @@
         host,
         hedge: None,
         second_allowed: false,
+        late: false,
     })
 }
 
@@ -220,7 +233,11 @@
     tried: &mut Vec<usize>,
 ) -> Result<Response<Body>, Refusal> {
     tried.push(plan.host);
-    let host_and_number = (plan.host, tried.len());
+    let place = Place {
+        host: plan.host,
+        number: tried.len(),
+        late: plan.late,
+    };
     let monitor = Arc::new(Monitor {
         cancel_when_superseded: call.class.idempotent,
         ..Monitor::default()
@@ -230,7 +247,7 @@
         snapshot,
         call,
         class,
-        host_and_number,
+        place,
         body.attempt_body(),
         &monitor,
     );
@@ -259,7 +276,11 @@
     let kind = if silent { "retry" } else { "hedge" };
     context.metrics.count_extra_attempt(kind);
     tried.push(host);
-    let host_and_number = (host, tried.len());
+    let place = Place {
+        host,
+        number: tried.len(),
+        late: false,
+    };
     let monitor = Arc::new(Monitor {
         cancel_when_superseded: true,
         ..Monitor::default()
@@ -269,7 +290,7 @@
         snapshot,
         call,
         class,
-        host_and_number,
+        place,
         body.attempt_body(),
         &monitor,
     );
@@ -340,161 +361,6 @@
         host: choice.index,
         hedge,
         second_allowed: false,
+        late: false,
     })
 }
-
-/// Counts a request as running in its host's estimate until the head of its
-/// answer arrives or the attempt is dropped.
-struct Guard {
-    context: Arc<Context>,
-    estimate: Arc<Estimate>,
-    ticket: Option<Ticket>,
-    outcome: Outcome,
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            self.estimate.end(self.context.now(), ticket, self.outcome);
-        }
-    }
-}
-
-/// Returns a future that sends a call to one host. `host` is an index into the
-/// hosts of the snapshot, `number` the number of the attempt, from 1.
-fn attempt(
-    context: &Arc<Context>,
-    snapshot: &Arc<Snapshot>,
-    call: &Arc<Call>,
-    class: &Arc<Class>,
-    (host, number): (usize, usize),
-    body: Body,
-    monitor: &Arc<Monitor>,
-) -> Attempt {
-    let (context, snapshot) = (Arc::clone(context), Arc::clone(snapshot));
-    let (call, class) = (Arc::clone(call), Arc::clone(class));
-    let monitor = Arc::clone(monitor);
-    Box::pin(async move {
-        let host = &snapshot.list.hosts[host];
-        let estimate = estimate(&context, host);
-        let call = call_for_host(call, host);
-        let start = Instant::now();
-        let view = estimate.observe(context.now());
-        let ticket = estimate.begin(context.now(), call.class.work);
-        let mut guard = Guard {
-            context: Arc::clone(&context),
-            estimate,
-            ticket: Some(ticket),
-            outcome: Outcome::Cancelled,
-        };
-        let reply = if host.name == context.settings.host {
-            let result = context.gatekeeper.run(&context, &call, body).await;
-            let load = Some(context.load());
-            Reply { result, load }
-        } else {
-            let extra = incarnation_headers(&context, host, &guard.estimate);
-            let client = &context.dispatcher.clients;
-            let to = host.data;
-            match needs_reservation(&call, &guard.estimate, &body) {
-                true => client.send_reserved(to, &call, extra, body, &monitor).await,
-                false => client.send(to, &call, extra, body, &monitor).await,
-            }
-        };
-        match (&reply.load, &reply.result) {
-            (Some(load), _) => {
-                guard.estimate.record_load(context.now(), load);
-                handle_load(&context, host, load);
-            }
-            (None, Err(refusal)) if refusal.cause == Cause::Away => {
-                if context.settings.adapter.is_none() {
-                    peers::on_connect_failed(&context, &host.name);
-                }
-            }
-            (None, _) => {}
-        }
-        guard.outcome = match &reply.result {
-            Ok(_) => Outcome::Answered,
-            Err(refusal) if refusal.cause == Cause::Away => Outcome::Failed,
-            Err(refusal) if refusal.verdict == Verdict::NotRun => Outcome::Refused,
-            Err(_) => Outcome::Cancelled,
-        };
-        log_attempt(&context, &call, host, number, &view, start, &reply.result);
-        if reply.result.is_ok() {
-            class.latency().record(context.now(), start.elapsed());
-        }
-        reply.result
-    })
-}
-
-/// Records an attempt in the metrics and, within the rate limit, in the log.
-fn log_attempt(
-    context: &Context,
-    call: &Call,
-    host: &Host,
-    number: usize,
-    view: &Observation,
-    start: Instant,
-    result: &Result<Response<Body>, Refusal>,
-) {
-    let (kind, outcome, cause) = match result {
-        Ok(_) => (Kind::AttemptAnswered, "answered", ""),
-        Err(refusal) => (
-            Kind::AttemptFailed,
-            refusal.verdict.as_str(),
-            decisions::cause_name(refusal.cause),
-        ),
-    };
-    let secs = start.elapsed().as_secs_f64();
-    context
-        .metrics
-        .record_attempt(&call.service, outcome, cause, secs);
-    if context.decisions.allow(kind, context.now()) {
-        let result = result.as_ref().map(Response::status);
-        decisions::log_attempt(call, &host.name, number, view, start, result);
-    }
-}
-
-/// Returns the call with the instance and slots of `host`, if it has a route.
-fn call_for_host(call: Arc<Call>, host: &Host) -> Arc<Call> {
-    let (Some(route), Some(instance)) = (&call.route, &host.instance) else {
-        return call;
-    };
-    let route = Route {
-        instance: instance.clone(),
-        slots: host.slots.unwrap_or(0),
-        ..route.clone()
-    };
-    let mut copy = Call::clone(&call);
-    copy.route = Some(route);
-    Arc::new(copy)
-}
-
-/// Handles the load report of an answer: it shows that the host is alive, and
-/// on the adapted platform which configuration it has.
-fn handle_load(context: &Arc<Context>, host: &Host, load: &Load) {
-    if context.settings.adapter.is_some() {
-        let numbers = Numbers {
-            version: load.version,
-            list: load.list,
-        };
-        hint::on_numbers(context, host.control, numbers);
-    } else {
-        peers::on_request_answered(context, &host.name);
-    }
-}
-
-/// Returns the headers that name this daemon and, if known, the incarnation of
-/// the host that a request is meant for. Another incarnation refuses it.
-fn incarnation_headers(context: &Context, host: &Host, estimate: &Estimate) -> HeaderMap {
-    let mut headers = HeaderMap::new();
-    let from = format!("{}/{}", context.settings.host, context.incarnation());
-    headers.insert(header::FROM, header_value(&from));
-    if host.instance.is_some() {
-        return headers;
-    }
-    let run = estimate.incarnation();
-    if run.started_ms != 0 {
-        headers.insert(header::TO, header_value(&format!("{}/{run}", host.name)));
-    }
-    headers
-}
--- a/crates/daemon/src/dispatch/table.rs
+++ b/crates/daemon/src/dispatch/table.rs
@@ -4,8 +4,10 @@
 use std::hash::Hash;
 use std::sync::atomic::AtomicUsize;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use savorylane_policy::patience::Patience;
 use savorylane_policy::retry::{Budget, Latency, Settings};
 use savorylane_policy::route::Estimate;
 
@@ -79,6 +81,7 @@
 pub struct Table {
     estimates: Map<Estimate>,
     classes: Map<Class>,
+    patience: Map<Mutex<Patience>>,
     budgets: Settings,
 }
 
@@ -102,6 +105,19 @@
         self.classes.get(class, || Class::new(&self.budgets))
     }
 
+    /// Records the limit that a caller of a class announces at `now`. Returns
+    /// the time since its first request, and the longest limit of its class.
+    pub fn observe_limit(
+        &self,
+        class: &str,
+        now: Duration,
+        limit: Duration,
+    ) -> (Duration, Duration) {
+        let patience = self.patience.get(class, Mutex::default);
+        let mut patience = patience.lock().unwrap_or_else(PoisonError::into_inner);
+        (patience.observe(now, limit), patience.longest())
+    }
+
     /// Removes the hosts and classes for which `keep_host` or `keep_class`
     /// returns false.
     pub fn retain<H, C>(&self, keep_host: H, keep_class: C)
@@ -110,6 +126,7 @@
         C: Fn(&str) -> bool,
     {
         self.estimates.retain(keep_host);
+        self.patience.retain(&keep_class);
         self.classes.retain(keep_class);
     }
 }
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -175,7 +175,14 @@
             },
             ..Route::default()
         };
-        Call::parse_adapted(&head, class, peer.ip(), Instant::now(), route, split_index)
+        let peer = peer.ip();
+        let mut call = Call::parse_adapted(&head, class, peer, Instant::now(), route, split_index);
+        if let Some(limit) = platform::timeout(&head.headers) {
+            let table = &context.dispatcher.table;
+            let (age, longest) = table.observe_limit(&class.name, context.now(), limit);
+            call.open_late_lane(longest, age);
+        }
+        call
     } else {
         Call::parse(&head, class, peer.ip(), Instant::now())?
     };
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -42,6 +42,8 @@
                 let version = context.config.version().map_or(0, |version| version.number);
                 let load = context.gatekeeper.load();
                 context.metrics.set_dropped_lines(&context.decisions);
+                let counts = context.gatekeeper.late_counts();
+                context.metrics.set_late_requests(counts);
                 context.metrics.set_link(context.reservations.state());
                 let distribution = &context.distribution;
                 context
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -8,12 +8,12 @@
 use http::{HeaderValue, Response, StatusCode};
 use savorylane_intent::Hash;
 use savorylane_ledger::suspect::FINGERPRINT_BODY_BYTES;
-use savorylane_policy::gate::{Decision, Gate, Outcome, Reason, Request};
+use savorylane_policy::gate::{self, Decision, Gate, Outcome, Reason, Request};
 use savorylane_wire::{Load, Verdict, header};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{Body, Error, Observer, Watched, peek};
+use crate::body::{Body, Error, Watched, peek};
 use crate::call::{Call, Cause, Refusal};
 use crate::decisions::{self, Kind};
 use crate::dispatch::table::hash;
@@ -25,9 +25,11 @@
 mod deaths;
 mod departure;
 mod judge;
+mod slot;
 
 use deaths::{Detector, Interruption};
 use departure::Departures;
+use slot::Slot;
 
 /// Expected service time of an upstream on the adapted platform before one was
 /// measured, as a share of the target latency. Daemons on that platform start
@@ -73,47 +75,6 @@
     waited: Duration,
 }
 
-/// A slot of the upstream, or a place in its queue; released when dropped.
-struct Slot {
-    context: Arc<Context>,
-    id: u64,
-    outcome: Outcome,
-    fingerprint: Hash,
-    _trial: Option<Trial>,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let gatekeeper = &self.context.gatekeeper;
-        let answered = self.outcome == Outcome::Answered;
-        gatekeeper
-            .deaths
-            .on_end(gatekeeper.now(), self.id, answered);
-        if answered {
-            suspects::on_completed(&self.context, &self.fingerprint);
-        }
-        gatekeeper.finish(self.id, self.outcome);
-    }
-}
-
-impl Observer for Slot {
-    fn on_error(&mut self, error: &Error) {
-        // The caller sees the truncated answer at once, so nothing waits for
-        // the result.
-        let (context, id) = (Arc::clone(&self.context), self.id);
-        let (fingerprint, interruption) = (self.fingerprint, interruption_by(error));
-        tokio::spawn(async move {
-            deaths::on_interruption(&context, id, fingerprint, interruption).await
-        });
-    }
-
-    fn on_end(mut self, complete: bool) {
-        if complete {
-            self.outcome = Outcome::Answered;
-        }
-    }
-}
-
 /// Checks that the instance that a call is addressed to has not left.
 ///
 /// # Errors
@@ -204,8 +165,8 @@
         let fingerprint = suspects::fingerprint(call, &prefix, complete);
         let trial = suspects::admit(context, &fingerprint)?;
         let queued_at = Instant::now();
-        admission.gate = self.gate_state();
-        let admitted = self.admit(context, call, fingerprint, trial).await;
+        let state = &mut admission.gate;
+        let admitted = self.admit(context, call, fingerprint, trial, state).await;
         admission.waited = queued_at.elapsed();
         let mut slot = admitted?;
         check_not_left(self, context, call)?;
@@ -312,16 +273,6 @@
         self.changed.notify_one();
     }
 
-    /// Returns the current state of the gate, for the log line of a request.
-    fn gate_state(&self) -> decisions::Occupancy {
-        let load = self.load();
-        decisions::Occupancy {
-            running: load.running,
-            queued: load.queued,
-            limit: load.limit,
-        }
-    }
-
     /// Refuses all new requests from now on, because the host is leaving.
     pub fn leave(&self) {
         self.lock().gate.leave();
@@ -332,13 +283,20 @@
         self.lock().gate.load()
     }
 
-    /// Waits until the gate admits a request, and returns its slot.
+    /// Returns the numbers of requests of the gate's late lane.
+    pub fn late_counts(&self) -> gate::Counts {
+        self.lock().gate.late_counts()
+    }
+
+    /// Waits until the gate admits a request, and returns its slot. Stores what
+    /// the decision was based on in `state`.
     async fn admit(
         &self,
         context: &Arc<Context>,
         call: &Call,
         fingerprint: Hash,
         trial: Option<Trial>,
+        state: &mut decisions::Occupancy,
     ) -> Result<Slot, Refusal> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed);
         let now = self.now();
@@ -355,6 +313,7 @@
             },
             class: hash(&call.class.name),
             exclusive: trial.is_some(),
+            late: call.late,
         };
         let waiting = {
             let mut inner = self.lock();
@@ -363,21 +322,23 @@
             {
                 inner.gate.set_slots(route.slots as usize);
             }
-            match inner.gate.arrive(now, work) {
+            *state = occupancy(&inner.gate, now, &work);
+            let waiting = match inner.gate.arrive(now, work) {
                 Decision::Run => None,
                 Decision::Refuse(reason) => {
                     let wait = inner.gate.retry_after_ms(&work);
+                    inner.perform_actions(now);
                     return Err(refusal(reason, wait));
                 }
                 Decision::Wait => {
-                    let waiting = inner.waiters.add(id);
-                    // An arrival can displace a queued request, and its
-                    // deadline may be the next timer.
-                    inner.perform_actions(now);
+                    // The deadline may be the next timer.
                     self.changed.notify_one();
-                    Some(waiting)
+                    Some(inner.waiters.add(id))
                 }
-            }
+            };
+            // An arrival can displace a queued request.
+            inner.perform_actions(now);
+            waiting
         };
         // Releases the slot, or the place in the queue, however this future
         // ends.
@@ -397,8 +358,9 @@
             Ok(Ok(Err(reason))) => reason,
             Ok(Err(_)) | Err(_) => Reason::Deadline,
         };
-        let wait = self.lock().gate.retry_after_ms(&work);
-        Err(refusal(reason, wait))
+        let inner = self.lock();
+        *state = occupancy(&inner.gate, self.now(), &work);
+        Err(refusal(reason, inner.gate.retry_after_ms(&work)))
     }
 
     /// Performs the actions that the gate's timers cause, and tries to connect
@@ -468,6 +430,20 @@
     }
 }
 
+/// Returns the state of the gate that decides on a request, for its log line.
+fn occupancy(gate: &Gate, now: Duration, request: &Request) -> decisions::Occupancy {
+    let load = gate.load();
+    decisions::Occupancy {
+        running: load.running,
+        queued: load.queued,
+        late: load.late,
+        limit: load.limit,
+        late_allowed: request.late,
+        expected: gate.expected_end(request),
+        until_target: request.target.saturating_sub(now),
+    }
+}
+
 /// Returns how an answer was interrupted that ended with `error`.
 fn interruption_by(error: &Error) -> Interruption {
     match upstream::is_malformed(error.as_ref()) {
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use savorylane_policy::gate;
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
@@ -24,6 +25,8 @@
     late_answers: Counter<u64>,
     running: Gauge<u64>,
     queued: Gauge<u64>,
+    late: Gauge<u64>,
+    late_requests: Gauge<u64>,
     slots: Gauge<u64>,
     bodies_passing: Gauge<u64>,
     bodies_waiting: Gauge<u64>,
@@ -83,6 +86,11 @@
                 .build(),
             running: meter.u64_gauge("savorylane_running").build(),
             queued: meter.u64_gauge("savorylane_queued").build(),
+            late: meter.u64_gauge("savorylane_late").build(),
+            late_requests: meter
+                .u64_gauge("savorylane_late_requests")
+                .with_description("Requests of the late lane since the start, by event")
+                .build(),
             slots: meter.u64_gauge("savorylane_slots").build(),
             bodies_passing: meter
                 .u64_gauge("savorylane_bodies_passing")
@@ -185,6 +193,17 @@
         self.bodies_waiting.record(state.waiting.into(), &[]);
     }
 
+    /// Sets the numbers of requests of the late lane.
+    pub fn set_late_requests(&self, counts: gate::Counts) {
+        let record = |event: &'static str, value: u64| {
+            self.late_requests
+                .record(value, &[KeyValue::new("event", event)]);
+        };
+        record("admitted", counts.admitted);
+        record("started", counts.started);
+        record("displaced", counts.displaced);
+    }
+
     /// Sets the gauges of log lines that were not written.
     pub fn set_dropped_lines(&self, decisions: &Decisions) {
         for kind in Kind::ALL {
@@ -206,6 +225,7 @@
     pub fn encode(&self, load: &Load, version: u64) -> Vec<u8> {
         self.running.record(load.running.into(), &[]);
         self.queued.record(load.queued.into(), &[]);
+        self.late.record(load.late.into(), &[]);
         self.slots.record(load.limit.into(), &[]);
         self.version.record(version, &[]);
         let mut text = Vec::new();
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -1,6 +1,8 @@
 //! Concurrency limit and admission queues in front of one upstream.
 
+mod expect;
 mod inner;
+mod late;
 mod limit;
 mod queue;
 mod types;
@@ -11,6 +13,8 @@
 use savorylane_intent::document;
 use savorylane_wire::{Incarnation, Load};
 
+use late::Lane;
+pub use late::{Counts, MAX_LATE_QUEUE, MIN_LIMIT_RATIO, has_late_lane};
 use limit::Limit;
 use queue::Queue;
 pub use types::{Action, Decision, Outcome, Reason, Request};
@@ -62,6 +66,10 @@
 /// - Long work occupies at most [`max_long_slots`] slots.
 /// - A request is either running or waiting, never both, and ends once.
 /// - While an exclusive request runs, no other request does.
+/// - A waiting request has one place: that of its class, that of the exclusive
+///   requests or that in the late lane.
+/// - A request of the late lane starts only while no short request waits on
+///   time.
 #[derive(Debug)]
 pub struct Gate {
     limit: Limit,
@@ -80,6 +88,9 @@
     /// Time before which other requests must not be held back again.
     hold_allowed_at: Duration,
     classes: BTreeMap<u64, Class>,
+    late: Lane,
+    /// Time of the last check of the late lane, until the next arrival or end.
+    late_checked_at: Option<Duration>,
     /// Requests removed from the queue whose refusal
     /// [`Gate::next_action`] has yet to return.
     pending_refusals: VecDeque<(u64, Reason)>,
@@ -126,6 +137,8 @@
             held_since: None,
             hold_allowed_at: Duration::ZERO,
             classes: BTreeMap::new(),
+            late: Lane::default(),
+            late_checked_at: None,
             pending_refusals: VecDeque::new(),
             short_service_us: 0.0,
             long_service_us: 0.0,
@@ -176,19 +189,30 @@
             return self.arrive_exclusive(now, request);
         }
         self.record_arrival(&request);
-        let idle = self.waiting.is_empty() && self.running.len() < self.effective_limit();
-        if !idle && !self.worth_queueing(now, &request) {
+        self.late_checked_at = None;
+        let idle =
+            self.waiting.len() == self.late.len() && self.running.len() < self.effective_limit();
+        let on_time = idle || self.worth_queueing(now, &request);
+        if !on_time && !self.worth_waiting_late(now, &request) {
             return Decision::Refuse(Reason::Deadline);
         }
-        if let Err(reason) = self.make_queue_room(&request) {
-            return Decision::Refuse(reason);
+        if on_time {
+            if let Err(reason) = self.make_queue_room(&request) {
+                return Decision::Refuse(reason);
+            }
+            self.enqueue(request);
+            let service_us = self.expected_service_us(&request);
+            self.late.record_on_time(now, service_us);
+        } else {
+            self.enqueue_late(request);
         }
-        self.enqueue(request);
         if self.next_startable(now) == Some(request.id) {
             self.start(now, request.id);
             return Decision::Run;
         }
-        self.shed(now, &request);
+        if on_time {
+            self.shed(now, &request);
+        }
         Decision::Wait
     }
 
@@ -199,6 +223,7 @@
     /// cancellation and a refusal can cross.
     pub fn finish(&mut self, now: Duration, id: u64, outcome: Outcome) {
         self.advance(now);
+        self.late_checked_at = None;
         self.pending_refusals.retain(|(other, _)| *other != id);
         self.remove_waiting(id);
         let Some(running) = self.running.remove(&id) else {
@@ -235,6 +260,13 @@
             self.remove_waiting(id);
             return Some(Action::Refuse(id, Reason::Deadline));
         }
+        if self.late_checked_at != Some(now) {
+            self.late_checked_at = Some(now);
+            self.displace_late(now);
+            if let Some((id, reason)) = self.pending_refusals.pop_front() {
+                return Some(Action::Refuse(id, reason));
+            }
+        }
         let id = self.next_startable(now)?;
         let request = self.waiting[&id];
         if !request.exclusive && self.too_late(now, &request) {
@@ -253,6 +285,9 @@
         }
         let deadline = self.deadlines.first().map(|(deadline, _)| *deadline)?;
         let mut wake = deadline;
+        if let Some(check) = self.late_check_at() {
+            wake = wake.min(check.max(self.now));
+        }
         if let Some(growth) = self.limit.next_growth_at(self.now) {
             wake = wake.min(growth);
         }
@@ -308,6 +343,9 @@
         if self.closed {
             return CLOSED_RETRY_AFTER_MS;
         }
+        if request.late {
+            return self.late_retry_after_ms(request);
+        }
         let wait_ms = self.expected_wait_us(request) / 1_000.0;
         (wait_ms.ceil() as u32).clamp(1, MAX_RETRY_AFTER_MS)
     }
@@ -317,7 +355,7 @@
     pub fn load(&self) -> Load {
         Load {
             running: self.running.len() as u32,
-            queued: self.waiting.len() as u32,
+            queued: (self.waiting.len() - self.late.len()) as u32,
             limit: self.effective_limit() as u32,
             service_us: self.short_service_us as u32,
             leaving: self.leaving,
@@ -325,6 +363,7 @@
             version: 0,
             list: 0,
             reserve_above: 0,
+            late: self.late.len() as u32,
         }
     }
 }
--- a/crates/policy/src/gate/types.rs
+++ b/crates/policy/src/gate/types.rs
@@ -28,6 +28,9 @@
     /// Whether the request is suspected of crashing the upstream and must run
     /// while no other request does.
     pub exclusive: bool,
+    /// Whether the request may wait in the late lane if it cannot be answered
+    /// before its target.
+    pub late: bool,
 }
 
 /// Reason for a refusal. A refused request did not run.
@@ -42,7 +45,8 @@
     Full,
     /// The host is leaving.
     Leaving,
-    /// The request was displaced from the queue under overload.
+    /// The request was displaced from the queue or the late lane under
+    /// overload.
     Shed,
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! since an arbitrary start that the process chooses.
 
 pub mod gate;
+pub mod patience;
 pub mod retry;
 pub mod route;
 pub mod transfer;
--- a/crates/policy/src/route/estimate.rs
+++ b/crates/policy/src/route/estimate.rs
@@ -73,6 +73,9 @@
 #[must_use]
 pub struct Ticket {
     started_us: u64,
+    /// Whether the request may wait in the late lane of the host, so that its
+    /// response time says nothing about the host.
+    late: bool,
     /// Index of the start time in [`Estimate::starts`], if it is kept.
     start_index: Option<usize>,
     length: document::Work,
@@ -144,11 +147,28 @@
         };
         Ticket {
             started_us,
+            late: false,
             start_index,
             length,
         }
     }
 
+    /// Records that a short request is sent to the host that may wait in its
+    /// late lane.
+    ///
+    /// It is not counted as in flight, since it takes no room from requests
+    /// that can be in time, and a long wait does not make the host slow.
+    pub fn begin_late(&self, now: Duration) -> Ticket {
+        self.mark_seen(now);
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        Ticket {
+            started_us: micros(now),
+            late: true,
+            start_index: None,
+            length: document::Work::Short,
+        }
+    }
+
     /// Records that a request ended, and updates the response time and the
     /// backoff.
     pub fn end(&self, now: Duration, ticket: Ticket, outcome: Outcome) {
@@ -160,16 +180,20 @@
             document::Work::Short => (&self.in_flight_short, &self.short_response_us),
             document::Work::Long => (&self.in_flight_long, &self.long_response_us),
         };
-        in_flight.fetch_sub(1, Ordering::Relaxed);
+        if !ticket.late {
+            in_flight.fetch_sub(1, Ordering::Relaxed);
+        }
         let sample = now_us.saturating_sub(ticket.started_us).max(1);
         let known = smoothed.load(Ordering::Relaxed);
         match outcome {
             Outcome::Answered => {
-                smoothed.store(smooth(known, sample), Ordering::Relaxed);
+                if !ticket.late {
+                    smoothed.store(smooth(known, sample), Ordering::Relaxed);
+                }
                 self.failures.store(0, Ordering::Relaxed);
                 self.answered_us.store(now_us, Ordering::Relaxed);
             }
-            Outcome::Cancelled if sample > known => {
+            Outcome::Cancelled if sample > known && !ticket.late => {
                 smoothed.store(smooth(known, sample), Ordering::Relaxed);
             }
             Outcome::Cancelled | Outcome::Refused => {}
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -21,6 +21,7 @@
         target: ms(deadline_ms),
         caller: 1,
         exclusive: false,
+        late: false,
     }
 }
 
--- a/crates/policy/tests/gate_machine.rs
+++ b/crates/policy/tests/gate_machine.rs
@@ -18,6 +18,7 @@
         caller: u64,
         timeout_ms: u64,
         exclusive: bool,
+        late: bool,
     },
     Finish(usize, Outcome),
     Cancel(usize),
@@ -28,8 +29,10 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        40 => (0..4u64, 0..3u64, 1..2_000u64, prop::bool::weighted(0.05)).prop_map(
-            |(class, caller, timeout_ms, exclusive)| Step::Arrive { class, caller, timeout_ms, exclusive }
+        40 => (0..4u64, 0..3u64, 1..2_000u64, prop::bool::weighted(0.05), any::<bool>()).prop_map(
+            |(class, caller, timeout_ms, exclusive, late)| {
+                Step::Arrive { class, caller, timeout_ms, exclusive, late }
+            }
         ),
         25 => any::<usize>().prop_map(|at| Step::Finish(at, Outcome::Answered)),
         3 => any::<usize>().prop_map(|at| Step::Finish(at, Outcome::Cancelled)),
@@ -71,7 +74,7 @@
 fn compare(gate: &Gate, model: &Model, slots: usize) {
     let load = gate.load();
     assert_eq!(load.running as usize, model.running.len());
-    assert_eq!(load.queued as usize, model.waiting.len());
+    assert_eq!((load.queued + load.late) as usize, model.waiting.len());
     assert!(load.running <= load.limit && load.limit as usize <= slots);
     let long = |request: &&Request| request.length == Length::Long;
     assert!(model.running.values().filter(long).count() <= max_long_slots(slots));
@@ -103,6 +106,7 @@
                     caller,
                     timeout_ms,
                     exclusive,
+                    late,
                 } => {
                     let request = Request {
                         id: next_id,
@@ -114,9 +118,11 @@
                         },
                         shed_order: (class % 3) as u8,
                         deadline: now + Duration::from_millis(timeout_ms),
-                        target: now + Duration::from_millis(timeout_ms),
+                        target: now
+                            + Duration::from_millis(if late { timeout_ms / 4 } else { timeout_ms }),
                         caller,
                         exclusive,
+                        late,
                     };
                     next_id += 1;
                     match gate.arrive(now, request) {
--- a/crates/wire/src/hop/mod.rs
+++ b/crates/wire/src/hop/mod.rs
@@ -33,4 +33,9 @@
     /// it is not known.
     #[serde(default)]
     pub list: u64,
+    /// Whether the request may wait in the late lane of the gate: its time
+    /// limit leaves room behind its target, and the entry has looked for a
+    /// place on time before.
+    #[serde(default)]
+    pub late: bool,
 }
--- a/crates/wire/src/load/mod.rs
+++ b/crates/wire/src/load/mod.rs
@@ -11,12 +11,12 @@
 ///
 /// In the header [`LOAD`](crate::header::LOAD) a load is the list of its fields
 /// in the order of their declaration, separated by spaces, with `leaving` as 0
-/// or 1. The last three fields may be missing, which stands for 0.
+/// or 1. The last four fields may be missing, which stands for 0.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Load {
     /// Number of requests that the upstream is running.
     pub running: u32,
-    /// Number of requests that wait for a slot.
+    /// Number of requests that wait for a slot, without those of the late lane.
     pub queued: u32,
     /// Maximum number of slots that may be in use at once.
     pub limit: u32,
@@ -37,13 +37,17 @@
     /// before the body is sent; 0 if no reservation is needed.
     #[serde(default)]
     pub reserve_above: u32,
+    /// Number of requests in the late lane. They run only while no other
+    /// request waits, so they take no room from others.
+    #[serde(default)]
+    pub late: u32,
 }
 
 impl fmt::Display for Load {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} {} {} {} {} {} {} {} {}",
+            "{} {} {} {} {} {} {} {} {} {}",
             self.running,
             self.queued,
             self.limit,
@@ -52,7 +56,8 @@
             self.incarnation,
             self.version,
             self.list,
-            self.reserve_above
+            self.reserve_above,
+            self.late
         )
     }
 }
@@ -81,6 +86,7 @@
         };
         let (version, list) = (number()?, number()?);
         let reserve_above = u32::try_from(number()?).map_err(|_| Malformed)?;
+        let late = u32::try_from(number()?).map_err(|_| Malformed)?;
         Ok(Self {
             running,
             queued,
@@ -91,6 +97,7 @@
             version,
             list,
             reserve_above,
+            late,
         })
     }
 }
