policy: short calls of running work go first

Cause: a refused call costs the slot time of its parent as well, and calls went by the shed order of their own class.

Change: a request that the upstream of the entry's host makes is nested.

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -177,7 +177,11 @@
         };
         let peer = peer.ip();
         let mut call = Call::parse_adapted(&head, class, peer, Instant::now(), route, split_index);
-        if let Some(limit) = platform::timeout(&head.headers) {
+        // The upstream of this host makes calls only while it runs requests.
+        call.nested = peer == context.settings.upstream.ip();
+        if let Some(limit) = platform::timeout(&head.headers)
+            && !call.nested
+        {
             let table = &context.dispatcher.table;
             let (age, longest) = table.observe_limit(&class.name, context.now(), limit);
             call.open_late_lane(longest, age);
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -311,9 +311,10 @@
                 Some(_) => id,
                 None => hash(&call.caller),
             },
-            class: hash(&call.class.name),
+            class: hash(&(&call.class.name, call.nested)),
             exclusive: trial.is_some(),
             late: call.late,
+            nested: call.nested,
         };
         let waiting = {
             let mut inner = self.lock();
--- a/crates/policy/examples/admission/load.rs
+++ b/crates/policy/examples/admission/load.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Class {
     pub(crate) name: &'static str,
     pub(crate) shed_order: u8,
+    /// Whether the requests are calls of running work.
+    pub(crate) nested: bool,
     /// Mean service time.
     pub(crate) work_s: f64,
     /// Time until the latency target.
@@ -71,6 +73,7 @@
         let class = |name, shed_order, work_s, target_s, limit_s, worth, share| Class {
             name,
             shed_order,
+            nested: false,
             work_s,
             target_s,
             limit_s,
@@ -108,6 +111,7 @@
         let calls = Class {
             name: "call",
             shed_order: 1,
+            nested: true,
             work_s: 0.022,
             target_s: 0.1,
             limit_s: 0.25,
@@ -117,6 +121,7 @@
         };
         let order = Class {
             name: "order",
+            nested: false,
             work_s: 0.12,
             target_s: 0.5,
             limit_s: 1.2,
--- a/crates/policy/examples/admission/order.rs
+++ b/crates/policy/examples/admission/order.rs
@@ -22,6 +22,8 @@
     /// As [`Rule::Strict`], but a request with less work and less slack goes
     /// first if the other one can still be in time after it.
     Yield,
+    /// As [`Rule::Strict`], but calls go first.
+    Calls,
 }
 
 /// A waiting request; times are in seconds.
@@ -31,18 +33,21 @@
     at: f64,
     work_s: f64,
     shed_order: u8,
+    /// Whether the request is a call of running work.
+    nested: bool,
     expected_s: f64,
     target: f64,
     deadline: f64,
 }
 
 impl Rule {
-    pub(crate) const ALL: [Self; 5] = [
+    pub(crate) const ALL: [Self; 6] = [
         Self::Strict,
         Self::Rate,
         Self::Slack,
         Self::Target,
         Self::Yield,
+        Self::Calls,
     ];
 
     pub(crate) fn name(self) -> &'static str {
@@ -52,6 +57,7 @@
             Self::Slack => "least-slack",
             Self::Target => "edf-target",
             Self::Yield => "yield",
+            Self::Calls => "calls-first",
         }
     }
 
@@ -59,6 +65,8 @@
     fn key(self, job: &Job, now: f64) -> (f64, f64) {
         match self {
             Self::Strict | Self::Yield => (job.shed_order.into(), job.deadline),
+            Self::Calls if job.nested => (-1.0, job.deadline),
+            Self::Calls => (job.shed_order.into(), job.deadline),
             Self::Rate => {
                 let weight = 0.5_f64.powi(job.shed_order.into());
                 (-weight / job.expected_s, job.deadline)
@@ -123,6 +131,7 @@
                 at: arrival.at,
                 work_s: arrival.work_s,
                 shed_order: class.shed_order,
+                nested: class.nested,
                 expected_s: class.work_s,
                 target: arrival.at + class.target_s,
                 deadline: arrival.at + class.limit_s,
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -4,6 +4,7 @@
 mod inner;
 mod late;
 mod limit;
+mod order;
 mod queue;
 mod types;
 
@@ -49,7 +50,10 @@
 #[derive(Debug)]
 struct Class {
     length: document::Work,
-    shed_order: u8,
+    /// Rank in the order of service, as of the last arrival.
+    rank: u16,
+    /// Whether the requests are nested.
+    nested: bool,
     queue: Queue,
     /// Smoothed service time in microseconds; 0 before the first sample.
     service_us: f64,
