--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -16,6 +16,8 @@
 
 use crate::body::{self, Body};
 
+mod late;
+
 /// Maximum number of calls above this one in a chain of calls.
 pub const MAX_DEPTH: u32 = 26;
 /// Time limit of a short request whose caller sets none.
@@ -51,6 +53,10 @@
     pub deadline: Instant,
     /// Time by which the latency target of the class asks for the answer.
     pub target: Instant,
+    /// Whether the request may wait in the late lane of a gate.
+    pub late: bool,
+    /// Whether an upstream made the request while it ran another one.
+    pub nested: bool,
     /// Number of calls above this one in a chain of calls.
     pub depth: u32,
     /// Number of attempts that the calling service allows for this call.
@@ -254,6 +260,8 @@
             caller,
             deadline: now + timeout,
             target: now + Duration::from_millis(class.target.latency_ms.into()),
+            late: false,
+            nested: false,
             depth,
             attempts_left: parse_header(&head.headers, header::ATTEMPTS_LEFT)?,
             key,
@@ -332,6 +340,8 @@
                 },
             }),
             deadline: now + Duration::from_millis(hop.timeout_ms),
+            late: hop.late,
+            nested: hop.nested,
             ..Self::base(head, class, headers, entry, now)
         }
     }
@@ -349,6 +359,8 @@
             uri: head.uri.clone(),
             headers,
             target: now + Duration::from_millis(class.target.latency_ms.into()),
+            late: false,
+            nested: false,
             service: class.service.clone(),
             class,
             id: None,
@@ -378,6 +390,8 @@
             slack_ms: self.slack(now).as_millis() as u32,
             version: route.numbers.version,
             list: route.numbers.list,
+            late: self.late,
+            nested: self.nested,
             instance: route.instance.clone(),
         })
     }
--- a/crates/daemon/src/dispatch/plan.rs
+++ b/crates/daemon/src/dispatch/plan.rs
@@ -18,6 +18,8 @@
     /// Whether the limits of the call allow a second concurrent attempt: one
     /// more upstream may get the call, and one more host may be tried.
     pub(super) second_allowed: bool,
+    /// Whether the host may let the call wait in its late lane.
+    pub(super) late: bool,
 }
 
 /// A second request, sent if the first is not answered within `delay`.
@@ -60,6 +62,7 @@
         host: choice.index,
         hedge,
         second_allowed: false,
+        late: false,
     })
 }
 
@@ -78,6 +81,7 @@
         host,
         hedge: None,
         second_allowed: false,
+        late: false,
     })
 }
 
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -9,6 +9,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 use savorylane_intent::hosts::List;
 use savorylane_policy::cold::Counts;
+use savorylane_policy::gate;
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
@@ -27,6 +28,8 @@
     late_answers: Counter<u64>,
     running: Gauge<u64>,
     queued: Gauge<u64>,
+    late: Gauge<u64>,
+    late_requests: Gauge<u64>,
     slots: Gauge<u64>,
     bodies_passing: Gauge<u64>,
     bodies_waiting: Gauge<u64>,
@@ -90,6 +93,11 @@
                 .build(),
             running: meter.u64_gauge("savorylane_running").build(),
             queued: meter.u64_gauge("savorylane_queued").build(),
+            late: meter.u64_gauge("savorylane_late").build(),
+            late_requests: meter
+                .u64_gauge("savorylane_late_requests")
+                .with_description("Requests of the late lane since the start, by event")
+                .build(),
             slots: meter.u64_gauge("savorylane_slots").build(),
             bodies_passing: meter
                 .u64_gauge("savorylane_bodies_passing")
@@ -237,6 +245,17 @@
         }
     }
 
+    /// Sets the numbers of requests of the late lane.
+    pub fn set_late_requests(&self, counts: gate::Counts) {
+        let record = |event: &'static str, value: u64| {
+            self.late_requests
+                .record(value, &[KeyValue::new("event", event)]);
+        };
+        record("admitted", counts.admitted);
+        record("started", counts.started);
+        record("displaced", counts.displaced);
+    }
+
     /// Sets the gauges of log lines that were not written.
     pub fn set_dropped_lines(&self, decisions: &Decisions) {
         for kind in Kind::ALL {
@@ -258,6 +277,7 @@
     pub fn encode(&self, load: &Load, version: u64) -> Vec<u8> {
         self.running.record(load.running.into(), &[]);
         self.queued.record(load.queued.into(), &[]);
+        self.late.record(load.late.into(), &[]);
         self.slots.record(load.limit.into(), &[]);
         self.version.record(version, &[]);
         let mut text = Vec::new();
--- a/crates/policy/src/gate/cold.rs
+++ b/crates/policy/src/gate/cold.rs
@@ -4,12 +4,12 @@
 
 use savorylane_wire::Load;
 
-use super::inner::micros;
+use super::expect::micros;
 use super::{Gate, Reason, Request};
 use crate::cold::{ANSWER_TIME, Limits, State};
 
-/// Minimum share of the rate assumed to remain beside classes with a lower shed
-/// order. Bounds the expected wait.
+/// Minimum share of the rate assumed to remain beside classes with a lower rank.
+/// Bounds the expected wait.
 const MIN_RATE_SHARE: f64 = 0.01;
 /// Service time assumed for a load report before one was measured.
 const SERVICE_PRIOR: Duration = Duration::from_millis(100);
@@ -38,7 +38,8 @@
         let latest_first = self.deadlines.iter().rev();
         for id in latest_first.map(|(_, id)| *id).collect::<Vec<_>>() {
             let request = self.waiting[&id];
-            if request.exclusive {
+            // Late requests are displaced once they can no longer run in time.
+            if request.exclusive || self.late.contains(&request) {
                 continue;
             }
             self.dequeue(&request, false);
@@ -71,21 +72,22 @@
     /// a new request start; 0 if the upstream is not cold.
     ///
     /// Short and long work share the limit. As for slots, requests with a lower
-    /// shed order that arrive during the wait are served first.
+    /// rank that arrive during the wait are served first.
     pub(super) fn cold_wait_us(&self, request: &Request) -> f64 {
         let Some(limits) = self.limits_in_force() else {
             return 0.0;
         };
+        let rank = self.rank(request);
         let (mut ahead, mut used_rate) = (0, 0.0);
         for (id, class) in &self.classes {
-            if class.shed_order > request.shed_order {
+            if class.rank > rank {
                 continue;
             }
             ahead += match *id == request.class {
                 true => class.queue.count_ahead(request.caller, request.deadline),
                 false => class.queue.len(),
             };
-            if class.shed_order < request.shed_order {
+            if class.rank < rank {
                 used_rate += class.decayed_arrival_rate(self.now);
             }
         }
--- a/crates/policy/src/gate/types.rs
+++ b/crates/policy/src/gate/types.rs
@@ -28,6 +28,12 @@
     /// Whether the request is suspected of crashing the upstream and must run
     /// while no other request does.
     pub exclusive: bool,
+    /// Whether the request may wait in the late lane if it cannot be answered
+    /// before its target.
+    pub late: bool,
+    /// Whether an upstream makes the request while it runs another one. The
+    /// class then counts such requests only.
+    pub nested: bool,
 }
 
 /// Reason for a refusal. A refused request did not run.
@@ -45,7 +51,8 @@
     Full,
     /// The host is leaving.
     Leaving,
-    /// The request was displaced from the queue under overload.
+    /// The request was displaced from the queue or the late lane under
+    /// overload.
     Shed,
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cold;
 pub mod eligibility;
 pub mod gate;
+pub mod patience;
 pub mod retry;
 pub mod route;
 pub mod transfer;
--- a/crates/wire/src/hop/mod.rs
+++ b/crates/wire/src/hop/mod.rs
@@ -10,7 +10,7 @@
 /// Most pairs of hosts exchange few requests on one connection, so header
 /// compression learns little, and links between data centres are paid by the
 /// byte. The text is therefore the list of the fields in the order of their
-/// declaration, separated by spaces, with `idempotent` as 0 or 1. The instance
+/// declaration, separated by spaces, with truth values as 0 or 1. The instance
 /// is the last field and may contain spaces.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Hop {
@@ -38,18 +38,25 @@
     /// Number of the host list that the entry used to route the request; 0 if
     /// it is not known.
     pub list: u64,
+    /// Whether the request may wait in the late lane of the gate: its time
+    /// limit leaves room behind its target, and the entry has looked for a
+    /// place on time before.
+    pub late: bool,
+    /// Whether the upstream of the entry's host made the request, while it ran
+    /// another one.
+    pub nested: bool,
     /// Instance of the upstream that the entry selected.
     pub instance: String,
 }
 
 /// Number of fields of a [`Hop`].
-const FIELDS: usize = 11;
+const FIELDS: usize = 13;
 
 impl fmt::Display for Hop {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} {} {} {} {} {} {} {} {} {} {}",
+            "{} {} {} {} {} {} {} {} {} {} {} {} {}",
             self.class,
             self.service,
             self.origin,
@@ -60,6 +67,8 @@
             self.slack_ms,
             self.version,
             self.list,
+            u8::from(self.late),
+            u8::from(self.nested),
             self.instance
         )
     }
@@ -86,6 +95,8 @@
             slack_ms: parse(next()?)?,
             version: parse(next()?)?,
             list: parse(next()?)?,
+            late: parse::<u8>(next()?)? != 0,
+            nested: parse::<u8>(next()?)? != 0,
             instance: next()?.to_owned(),
         })
     }
--- a/crates/wire/tests/hop.rs
+++ b/crates/wire/tests/hop.rs
@@ -14,6 +14,8 @@
         slack_ms: 400,
         version: 9_007_199_254_740_991,
         list: 1_152,
+        late: true,
+        nested: false,
         instance: instance.into(),
     }
 }
