--- a/crates/daemon/src/edge/keyed_store/cold.rs
+++ b/crates/daemon/src/edge/keyed_store/cold.rs
@@ -22,7 +22,7 @@
             Update::Removed(id) => {
                 periods.record(context.now(), id, Duration::ZERO);
             }
-            Update::Config(_) | Update::Entry(_, Err(_)) => {}
+            _ => {}
         }
     }
     batch
