--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -55,8 +55,6 @@
     pub target: Instant,
     /// Whether the request may wait in the late lane of a gate.
     pub late: bool,
-    /// Whether an upstream made the request while it ran another one.
-    pub nested: bool,
     /// Number of calls above this one in a chain of calls.
     pub depth: u32,
     /// Number of attempts that the calling service allows for this call.
@@ -261,7 +259,6 @@
             deadline: now + timeout,
             target: now + Duration::from_millis(class.target.latency_ms.into()),
             late: false,
-            nested: false,
             depth,
             attempts_left: parse_header(&head.headers, header::ATTEMPTS_LEFT)?,
             key,
@@ -351,7 +348,6 @@
             }),
             deadline: now + Duration::from_millis(ms),
             late: hop.late,
-            nested: hop.nested,
             ..Self::base(head, class, headers, caller, now)
         })
     }
@@ -370,7 +366,6 @@
             headers,
             target: now + Duration::from_millis(class.target.latency_ms.into()),
             late: false,
-            nested: false,
             service: class.service.clone(),
             class,
             id: None,
@@ -401,7 +396,6 @@
             version: route.numbers.version,
             list: route.numbers.list,
             late: self.late,
-            nested: self.nested,
         })
     }
 
--- a/crates/daemon/src/decisions/mod.rs
+++ b/crates/daemon/src/decisions/mod.rs
@@ -302,7 +302,7 @@
         event = "gate", id = id(call), class = call.class.name.as_str(), instance = instance(call),
         outcome = outcome, cause = cause, waited_ms = waited.as_millis() as u64,
         elapsed_ms = elapsed_ms, running = occupancy.running, queued = occupancy.queued,
-        late = occupancy.late, limit = occupancy.limit, late_allowed = occupancy.late_allowed, nested = call.nested,
+        late = occupancy.late, limit = occupancy.limit, late_allowed = occupancy.late_allowed,
         expected_ms = occupancy.expected.as_millis() as u64,
         target_ms = occupancy.until_target.as_millis() as u64, left_ms = call.remaining(Instant::now()).as_millis() as u64;
         "{reason}"
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -177,11 +177,7 @@
         };
         let peer = peer.ip();
         let mut call = Call::parse_adapted(&head, class, peer, Instant::now(), route, split_index);
-        // The upstream of this host makes calls only while it runs requests.
-        call.nested = peer == context.settings.upstream.ip();
-        if let Some(limit) = platform::timeout(&head.headers)
-            && !call.nested
-        {
+        if let Some(limit) = platform::timeout(&head.headers) {
             let table = &context.dispatcher.table;
             let (age, longest) = table.observe_limit(&class.name, context.now(), limit);
             call.open_late_lane(longest, age);
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -311,10 +311,9 @@
                 Some(_) => id,
                 None => hash(&call.caller),
             },
-            class: hash(&(&call.class.name, call.nested)),
+            class: hash(&call.class.name),
             exclusive: trial.is_some(),
             late: call.late,
-            nested: call.nested,
         };
         let waiting = {
             let mut inner = self.lock();
--- a/crates/daemon/tests/late_lane.rs
+++ b/crates/daemon/tests/late_lane.rs
@@ -1,4 +1,4 @@
-//! Tests of the marks by which a gate knows late and nested requests.
+//! Tests of the calls that may wait in the late lane of a gate.
 
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
@@ -64,28 +64,25 @@
     assert_eq!(call.slack(now), ms(0));
 }
 
-/// Guards against marks that are lost on the way to the gate.
+/// Guards against a mark that is lost on the way to the gate.
 #[test]
-fn the_gate_is_told_of_late_and_nested_requests() {
+fn the_gate_is_told_of_a_late_place() {
     let now = Instant::now();
-    for (late, nested) in [(true, false), (false, true)] {
-        let mut call = call(now, 2_000);
-        (call.late, call.nested) = (late, nested);
-        let hop = call.hop(now).expect("the call has a route");
+    let mut call = call(now, 2_000);
+    call.late = true;
+    let hop = call.hop(now).expect("the call has a route");
+    let text = serde_json::to_string(&hop).expect("a hop is expressible in JSON");
+    // An entry of an earlier version does not send the mark.
+    for (text, late) in [
+        (text.clone(), true),
+        (text.replace(",\"late\":", ",\"x\":"), false),
+    ] {
         let (head, ()) = Request::get("/")
             .body(())
             .expect("a valid request")
             .into_parts();
-        let text = serde_json::to_string(&hop).expect("a hop is expressible in JSON");
-        let hop = serde_json::from_str(&text).expect("the text is a hop");
-        let forwarded = Call::parse_forwarded(&head, hop, CALLER, now).expect("a valid hop");
-        assert_eq!((forwarded.late, forwarded.nested), (late, nested));
-        // An entry of an earlier version sends neither mark.
-        let text = text
-            .replace(",\"late\":", ",\"x\":")
-            .replace(",\"nested\":", ",\"y\":");
         let hop = serde_json::from_str(&text).expect("the text is a hop");
         let forwarded = Call::parse_forwarded(&head, hop, CALLER, now).expect("a valid hop");
-        assert!(!forwarded.late && !forwarded.nested);
+        assert_eq!(forwarded.late, late);
     }
 }
--- a/crates/policy/examples/admission/lane.rs
+++ b/crates/policy/examples/admission/lane.rs
@@ -129,7 +129,6 @@
             target: (counted_from + seconds(class.target_s)).max(now),
             caller: id,
             exclusive: false,
-            nested: false,
             late: !matches!(self.rule, Rule::Refuse),
         };
         self.sent.insert(
--- a/crates/policy/examples/model/world.rs
+++ b/crates/policy/examples/model/world.rs
@@ -338,7 +338,6 @@
             caller: (attempt % 20) as u64,
             exclusive: false,
             late: false,
-            nested: false,
         };
         let host = self.attempts[attempt].host;
         self.attempts[attempt].at_gate = true;
--- a/crates/policy/src/gate/expect.rs
+++ b/crates/policy/src/gate/expect.rs
@@ -70,21 +70,20 @@
 
     /// Returns the expected queueing time in microseconds of a new request.
     ///
-    /// Requests with a lower rank that arrive during the wait are served
+    /// Requests with a lower shed order that arrive during the wait are served
     /// first as well, and their arrival rate is taken into account. Otherwise
-    /// requests with a higher rank would be queued and then wait in vain
+    /// requests with a higher shed order would be queued and then wait in vain
     /// until their deadline.
     pub(super) fn expected_wait_us(&self, request: &Request) -> f64 {
         let mut ahead_us = self.expected_service_us(request);
         let mut used_slots = 0.0;
-        let rank = self.rank(request);
         for (id, class) in &self.classes {
-            if class.length != request.length || class.rank > rank {
+            if class.length != request.length || class.shed_order > request.shed_order {
                 continue;
             }
             let count = if *id == request.class {
                 class.queue.count_ahead(request.caller, request.deadline)
-            } else if class.rank == rank {
+            } else if class.shed_order == request.shed_order {
                 class.queue.count_due_by(request.deadline)
             } else {
                 class.queue.len()
@@ -94,9 +93,8 @@
                 known => known,
             };
             ahead_us += count as f64 * each_us;
-            if class.rank < rank {
-                let used = class.decayed_arrival_rate(self.now) * class.service_us / 1e6;
-                used_slots += used.min(self.max_slots_first(class));
+            if class.shed_order < request.shed_order {
+                used_slots += class.decayed_arrival_rate(self.now) * class.service_us / 1e6;
             }
         }
         let slots = self.slots_of(request.length) as f64;
--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -59,7 +59,7 @@
         unused.min(max_long_slots(limit))
     }
 
-    /// Updates length, rank and arrival rate of the request's class, and
+    /// Updates length, shed order and arrival rate of the request's class, and
     /// drops idle classes if there are too many.
     pub(super) fn record_arrival(&mut self, request: &Request) {
         if self.classes.len() >= MAX_CLASSES && !self.classes.contains_key(&request.class) {
@@ -67,19 +67,15 @@
         }
         let class = self.classes.entry(request.class).or_insert_with(|| Class {
             length: request.length,
-            rank: 0,
-            nested: request.nested,
+            shed_order: request.shed_order,
             queue: Queue::default(),
             service_us: 0.0,
             arrival_rate: 0.0,
             arrival_rate_at: self.now,
         });
         class.length = request.length;
+        class.shed_order = request.shed_order;
         class.count_arrival(self.now);
-        let rank = self.rank(request);
-        if let Some(class) = self.classes.get_mut(&request.class) {
-            class.rank = rank;
-        }
     }
 
     /// Ensures that the queue of the class has room for `request`, by evicting
@@ -105,7 +101,7 @@
     }
 
     /// Sheds queued requests that can no longer meet their deadline because
-    /// `request` arrived, highest rank first.
+    /// `request` arrived, highest `shed_order` first.
     ///
     /// One arrival displaces about one request, so two rounds are enough.
     pub(super) fn shed(&mut self, now: Duration, request: &Request) {
@@ -120,7 +116,7 @@
                 .classes
                 .values()
                 .filter(|class| class.length == request.length && class.queue.len() > 0)
-                .max_by_key(|class| class.rank);
+                .max_by_key(|class| class.shed_order);
             let Some((deadline, id)) = victim.and_then(|class| class.queue.victim()) else {
                 return;
             };
@@ -244,7 +240,7 @@
             self.classes
                 .values()
                 .filter(move |class| class.length == length)
-                .filter_map(|class| Some((self.rank_now(class), class.queue.first()?)))
+                .filter_map(|class| Some((class.shed_order, class.queue.first()?)))
                 .min()
         };
         let short_first = first(document::Work::Short);
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -4,7 +4,6 @@
 mod inner;
 mod late;
 mod limit;
-mod order;
 mod queue;
 mod types;
 
@@ -50,10 +49,7 @@
 #[derive(Debug)]
 struct Class {
     length: document::Work,
-    /// Rank in the order of service, as of the last arrival.
-    rank: u16,
-    /// Whether the requests are nested.
-    nested: bool,
+    shed_order: u8,
     queue: Queue,
     /// Smoothed service time in microseconds; 0 before the first sample.
     service_us: f64,
--- a/crates/policy/src/gate/types.rs
+++ b/crates/policy/src/gate/types.rs
@@ -31,9 +31,6 @@
     /// Whether the request may wait in the late lane if it cannot be answered
     /// before its target.
     pub late: bool,
-    /// Whether an upstream makes the request while it runs another one. The
-    /// class then counts such requests only.
-    pub nested: bool,
 }
 
 /// Reason for a refusal. A refused request did not run.
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -22,7 +22,6 @@
         caller: 1,
         exclusive: false,
         late: false,
-        nested: false,
     }
 }
 
--- a/crates/policy/tests/gate_late.rs
+++ b/crates/policy/tests/gate_late.rs
@@ -25,7 +25,6 @@
         caller: id,
         exclusive: false,
         late: true,
-        nested: false,
     }
 }
 
--- a/crates/policy/tests/gate_machine.rs
+++ b/crates/policy/tests/gate_machine.rs
@@ -123,7 +123,6 @@
                         caller,
                         exclusive,
                         late,
-                        nested: class == 0,
                     };
                     next_id += 1;
                     match gate.arrive(now, request) {
--- a/crates/wire/src/hop/mod.rs
+++ b/crates/wire/src/hop/mod.rs
@@ -38,8 +38,4 @@
     /// place on time before.
     #[serde(default)]
     pub late: bool,
-    /// Whether the upstream of the entry's host made the request, while it ran
-    /// another one.
-    #[serde(default)]
-    pub nested: bool,
 }
