--- a/crates/daemon/src/dispatch/mod.rs
+++ b/crates/daemon/src/dispatch/mod.rs
@@ -274,4 +274,3 @@
     }
     result
 }
-
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -81,7 +81,6 @@
     waited: Duration,
 }
 
-
 impl Gatekeeper {
     /// Creates the open gate of `upstream` with `slots` slots. `adapted` states
     /// whether the daemon runs on the adapted platform.
@@ -304,10 +303,9 @@
                 Some(_) => id,
                 None => hash(&call.caller),
             },
-            class: hash(&(&call.class.name, call.nested)),
+            class: hash(&call.class.name),
             exclusive: trial.is_some(),
             late: call.late,
-            nested: call.nested,
         };
         let waiting = {
             let mut inner = self.lock();
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -74,6 +74,7 @@
             target: now + ms(400),
             caller: self.next_id,
             exclusive: false,
+            late: false,
         };
         match self.gate.arrive(now, request) {
             Decision::Run => self.start(now, request.id),
--- a/crates/policy/tests/cold_fleet.rs
+++ b/crates/policy/tests/cold_fleet.rs
@@ -125,6 +125,7 @@
                 length: Work::Short,
                 may_probe: false,
                 slack: TARGET,
+                mean: None,
             };
             let Some(choice) = route::choose(&context, now, &mut self.rng, &candidates) else {
                 break;
@@ -154,6 +155,7 @@
             target: now + TARGET,
             caller: id,
             exclusive: false,
+            late: false,
         };
         let decision = host.gate.arrive(now, request);
         if matches!(decision, Decision::Refuse(_)) {
--- a/crates/wire/src/hop/mod.rs
+++ b/crates/wire/src/hop/mod.rs
@@ -42,21 +42,18 @@
     /// limit leaves room behind its target, and the entry has looked for a
     /// place on time before.
     pub late: bool,
-    /// Whether the upstream of the entry's host made the request, while it ran
-    /// another one.
-    pub nested: bool,
     /// Instance of the upstream that the entry selected.
     pub instance: String,
 }
 
 /// Number of fields of a [`Hop`].
-const FIELDS: usize = 13;
+const FIELDS: usize = 12;
 
 impl fmt::Display for Hop {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} {} {} {} {} {} {} {} {} {} {} {} {}",
+            "{} {} {} {} {} {} {} {} {} {} {} {}",
             self.class,
             self.service,
             self.origin,
@@ -68,7 +65,6 @@
             self.version,
             self.list,
             u8::from(self.late),
-            u8::from(self.nested),
             self.instance
         )
     }
@@ -96,7 +92,6 @@
             version: parse(next()?)?,
             list: parse(next()?)?,
             late: parse::<u8>(next()?)? != 0,
-            nested: parse::<u8>(next()?)? != 0,
             instance: next()?.to_owned(),
         })
     }
--- a/crates/wire/tests/hop.rs
+++ b/crates/wire/tests/hop.rs
@@ -15,7 +15,6 @@
         version: 9_007_199_254_740_991,
         list: 1_152,
         late: true,
-        nested: false,
         instance: instance.into(),
     }
 }
