eras: a new reader remembers the upstreams of recent lists

By reading: a daemon that becomes a reader during the outage has the last list only, which no longer names that upstream, and takes the entry in the copy for a live one. It now counts the instances of its recent lists that the last one lacks as departed; so does a daemon that was cut off and reads the entries of a new era itself.

--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -3,7 +3,7 @@
 //! Each request loads one snapshot without a lock. A lock serializes the
 //! writers, which replace the snapshot.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -120,6 +120,19 @@
         found.map(|hosts| Arc::clone(&hosts.list))
     }
 
+    /// Returns the instances that recent lists of the platform had and that the
+    /// latest one lacks.
+    pub fn departed_instances(&self) -> BTreeSet<String> {
+        let lists = lock(&self.lists);
+        let instances = |hosts: &Hosts| -> BTreeSet<String> {
+            let hosts = hosts.list.hosts.iter();
+            hosts.filter_map(|host| host.instance.clone()).collect()
+        };
+        let listed = lists.front().map(instances).unwrap_or_default();
+        let earlier: BTreeSet<String> = lists.iter().skip(1).flat_map(instances).collect();
+        earlier.difference(&listed).cloned().collect()
+    }
+
     /// Returns the number of the version that was in force at `moment`. Returns
     /// 0 if there was none or its adoption time is no longer kept.
     pub fn version_number_at(&self, moment: Instant) -> u64 {
--- a/crates/daemon/src/edge/keyed_store/entries.rs
+++ b/crates/daemon/src/edge/keyed_store/entries.rs
@@ -45,17 +45,10 @@
     pub(super) fn new(store: &'a Store, adapter: &'a Adapter) -> Self {
         let context = &store.context;
         let age = context.distribution.age.at(context.now());
-        let listed = context.config.platform_list();
-        let list = listed.map(|listed| listed.list).unwrap_or_default();
-        let port = context.settings.upstream.port();
-        let instances = list.hosts.iter();
-        let instances = instances
-            .filter_map(|host| instance_of(host, port))
-            .collect();
         Self {
             store,
             adapter,
-            registry: Registry::seeded(list.number, instances).with_port(port),
+            registry: seeded_registry(context),
             delay: Delay::default(),
             may_have_lapsed: age.is_some_and(|age| age > STALE_AFTER),
             knows_evacuations: false,
@@ -152,14 +145,7 @@
     /// Applies an answer that contains all entries.
     fn apply_full(&mut self, batch: Batch) {
         self.on_answer();
-        let ids: Vec<&str> = batch
-            .changes
-            .iter()
-            .filter_map(|change| match &change.update {
-                Update::Entry(id, _) => Some(id.as_str()),
-                _ => None,
-            })
-            .collect();
+        let ids = listed_ids(&batch);
         self.registry.reconcile(self.now(), batch.revision, &ids);
         self.publish_batch(batch);
     }
@@ -195,6 +181,32 @@
     }
 }
 
+/// Returns a registry of the known list, which remembers the upstreams of the
+/// lists before it.
+fn seeded_registry(context: &Context) -> Registry {
+    let listed = context.config.platform_list();
+    let list = listed.map(|listed| listed.list).unwrap_or_default();
+    let port = context.settings.upstream.port();
+    let instances = list.hosts.iter();
+    let instances = instances
+        .filter_map(|host| instance_of(host, port))
+        .collect();
+    let mut registry = Registry::seeded(list.number, instances).with_port(port);
+    registry.remember_departed(context.now(), context.config.departed_instances());
+    registry
+}
+
+/// Returns the ids of the entries of a complete read.
+fn listed_ids(batch: &Batch) -> Vec<&str> {
+    let changes = batch.changes.iter();
+    changes
+        .filter_map(|change| match &change.update {
+            Update::Entry(id, _) => Some(id.as_str()),
+            _ => None,
+        })
+        .collect()
+}
+
 /// Records the changes of a batch in the registry.
 fn record_changes(context: &Context, adapter: &Adapter, registry: &mut Registry, batch: Batch) {
     for change in batch.changes {
@@ -290,7 +302,13 @@
     batch: Batch,
 ) {
     let at = batch.revision;
+    let known = context.config.platform_list();
+    let known_era = known.map_or(0, |known| era_of_list(known.list.number));
     let mut registry = Registry::default().with_port(context.settings.upstream.port());
+    if revision::era(at) > known_era {
+        registry = seeded_registry(context);
+        registry.reconcile(context.now(), at, &listed_ids(&batch));
+    }
     record_changes(context, adapter, &mut registry, batch);
     let number = registry.advance(context.now(), at);
     publish(context, adapter, &registry, evacuations, number);
--- a/crates/intent/src/registry/mod.rs
+++ b/crates/intent/src/registry/mod.rs
@@ -170,6 +170,17 @@
         Self { port, ..self }
     }
 
+    /// Records upstreams that earlier lists than the one of the seed had, so that
+    /// they count as departed at `now`.
+    pub fn remember_departed(&mut self, now: Duration, ids: impl IntoIterator<Item = String>) {
+        let departure = Departure {
+            started_ms: 0,
+            at: now,
+        };
+        let departed = ids.into_iter().map(|id| (id, departure));
+        self.departed.extend(departed);
+    }
+
     /// Starts the grace period at the end of an outage of the store.
     pub fn start_grace_period(&mut self, now: Duration) {
         self.grace_until = now + REREGISTRATION_GRACE;
--- a/crates/intent/tests/suite/eras.rs
+++ b/crates/intent/tests/suite/eras.rs
@@ -145,7 +145,7 @@
 fn seeded_registry_notices_the_new_era() {
     let instances = vec![instance("b", State::Live), instance("c", State::Leaving)];
     let mut registry = Registry::seeded(at(1, 100) << 8, instances);
+    registry.remember_departed(SECOND, ["d".to_owned()]);
     restore(&mut registry);
-    // What had left before the list is not known to a new reader.
-    assert_eq!(live(&registry), ["a", "b", "d"]);
+    assert_eq!(live(&registry), ["a", "b"]);
 }
