daemon: limit what callers hold together

Connections of callers were limited by address only and bodies one by one, so a crowd from several addresses used all descriptors and more memory than the machine has, and bodies that stop short of their end kept their slots until the deadline.

Without room, the connection that was waited for longest is closed, or one of the address with the most of them makes room for an address with far fewer. Bodies wait for memory, small ones first, and are refused as not run after 1 s. Once four bodies on their way to upstreams are stalled, small bodies are received completely before they are passed on, and large ones wait.

--- a/crates/daemon/src/body/replay.rs
+++ b/crates/daemon/src/body/replay.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 
 use super::{Body, Error, lock};
+use crate::intake::Lease;
 
 /// Maximum number of bytes of a request body that are buffered for another
 /// attempt. A gatekeeper refuses after reading less, but an upstream may refuse
@@ -50,6 +51,8 @@
     /// Number of attempts so far; only the latest one reads from the caller.
     attempts: u64,
     fault: Option<Fault>,
+    /// Memory for the buffer; without a lease, only its maximum size limits it.
+    lease: Option<Lease>,
 }
 
 impl Replay {
@@ -73,10 +76,27 @@
                 answered: false,
                 attempts: 0,
                 fault: None,
+                lease: None,
             })),
         }
     }
 
+    /// Holds the memory of the body as long as the body is used.
+    pub fn hold(&self, lease: Lease) {
+        self.lock().lease = Some(lease);
+    }
+
+    /// Returns whether the caller's body has arrived completely.
+    pub fn has_arrived(&self) -> bool {
+        self.lock().ended
+    }
+
+    /// Returns the number of bytes that remain to be read; `None` if it is not
+    /// known.
+    pub fn remaining_size(&self) -> Option<u64> {
+        self.lock().source.size_hint().exact()
+    }
+
     /// Returns whether another attempt can send the whole body.
     pub fn is_repeatable(&self) -> bool {
         let shared = self.lock();
@@ -90,22 +110,25 @@
         shared.ended && !shared.discarded
     }
 
-    /// Reads the whole body into the buffer if it is known to fit, so that no
-    /// attempt depends on the caller's connection.
+    /// Reads the whole body into the buffer if it is known to fit and there is
+    /// memory for it, so that no attempt depends on the caller's connection.
     ///
     /// # Errors
     ///
     /// Returns why the body ended early.
     pub async fn buffer_if_small(&self) -> Result<(), Error> {
         let small = {
-            let shared = self.lock();
+            let mut shared = self.lock();
             let rest = shared.source.size_hint().exact();
-            rest.is_some_and(|rest| rest <= MAX_BUFFERED_BYTES as u64)
+            let fits = |rest: &u64| *rest <= MAX_BUFFERED_BYTES as u64;
+            let rest = rest.filter(fits);
+            rest.is_some_and(|rest| shared.take_memory(rest as usize))
         };
         if !small {
             return Ok(());
         }
         let mut attempt = self.next_attempt();
+        attempt.must_buffer = true;
         while let Some(frame) = attempt.frame().await {
             frame?;
         }
@@ -120,6 +143,7 @@
     /// Returns why the body ended early.
     pub async fn read_ahead(&self, max_bytes: usize) -> Result<(), Error> {
         let mut attempt = self.next_attempt();
+        attempt.must_buffer = true;
         let mut read = 0;
         while attempt.size_hint().exact().is_none() && read <= max_bytes {
             let Some(frame) = attempt.frame().await else {
@@ -158,6 +182,7 @@
             replay: self.clone(),
             number: shared.attempts,
             next_frame: 0,
+            must_buffer: false,
         }
     }
 
@@ -172,6 +197,20 @@
     number: u64,
     /// Index of the next frame in the buffer.
     next_frame: usize,
+    /// Whether frames are buffered without taking memory for them: it was taken
+    /// before, or the frames are few. A frame that is read ahead and not
+    /// buffered would be lost.
+    must_buffer: bool,
+}
+
+impl Shared {
+    /// Takes memory for the buffer. Returns `false` if there is none.
+    fn take_memory(&mut self, bytes: usize) -> bool {
+        match &mut self.lease {
+            Some(lease) => lease.take(bytes as u64),
+            None => true,
+        }
+    }
 }
 
 impl Attempt {
@@ -229,7 +268,8 @@
                 shared.fault = Some(Fault::Oversized);
                 return Poll::Ready(Some(Err("the body is larger than the limit".into())));
             }
-            if shared.buffered_bytes + bytes.len() <= MAX_BUFFERED_BYTES && !shared.discarded {
+            let fits = shared.buffered_bytes + bytes.len() <= MAX_BUFFERED_BYTES;
+            if fits && !shared.discarded && (self.must_buffer || shared.take_memory(bytes.len())) {
                 shared.buffered_bytes += bytes.len();
                 shared.buffered.push(bytes.clone());
             } else {
--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -19,10 +19,13 @@
 use crate::decisions::{self, Kind, Versions};
 use crate::edge::server::{self, Limits};
 use crate::holder;
+use crate::intake::Flow;
 use crate::kernel::{Context, Plugin, Port};
 use crate::peers;
 use crate::{dispatch, distribution};
 
+mod receive;
+
 /// Delay after which a caller may retry a request that arrived before the first
 /// configuration. A daemon reads its configuration within a few milliseconds
 /// unless the platform is unreachable.
@@ -55,8 +58,9 @@
                 Limits::current(&context, Limits::CALLERS, max_connections)
             }
         };
+        let intake = Arc::clone(&context.intake);
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
-        server::serve(listener, limits, stop, handle).await;
+        server::serve_limited(listener, limits, Some(intake), stop, handle).await;
     })
 }
 
@@ -141,6 +145,7 @@
         });
     };
     let (head, body) = request.into_parts();
+    let flow = head.extensions.get::<Flow>();
     let authority = authority(&head);
     let Some(class) = snapshot.class(authority, head.method.as_str(), head.uri.path()) else {
         if adapted && distribution::is_stale(context) {
@@ -195,11 +200,14 @@
         success: false,
         verdict: Verdict::MayHaveRun,
     };
-    // Work that may run more than once needs no record of its idempotency key.
-    let result = if call.class.idempotent || adapted {
-        dispatch::serve(context, &snapshot, &call, &body).await
-    } else {
-        holder::serve_at_entry(context, &snapshot, &call, &body).await
+    let result = match receive::admit(flow, head.version, &call, &body).await {
+        Err(refusal) => Err(refusal),
+        // Work that may run more than once needs no record of its idempotency
+        // key.
+        Ok(()) if call.class.idempotent || adapted => {
+            dispatch::serve(context, &snapshot, &call, &body).await
+        }
+        Ok(()) => holder::serve_at_entry(context, &snapshot, &call, &body).await,
     };
     match result {
         Ok(answer) => {
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -43,6 +43,7 @@
                 let load = context.gatekeeper.load();
                 context.metrics.set_dropped_lines(&context.decisions);
                 context.metrics.set_link(context.reservations.state());
+                context.metrics.set_intake(context.intake.state());
                 let distribution = &context.distribution;
                 context
                     .metrics
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -24,6 +24,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::{Body, Packed};
+use crate::intake::{Connection, Intake};
 use crate::keepalive::{PING_TIMEOUT, SERVER_PING_INTERVAL};
 use crate::kernel::Context;
 use drain::Drained;
@@ -81,6 +82,10 @@
 /// without reading what has arrived on it.
 const STOP_GRACE: Duration = Duration::from_millis(100);
 
+/// Time for which a connection that is closed to make room may still send the
+/// rest of an answer.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Limits of a connection to a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -222,6 +227,22 @@
     L: Fn() -> Limits + Send,
     H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
+{
+    serve_limited(listener, limits, None, stop, handle).await;
+}
+
+/// Serves as [`serve`] does, with the limits of `intake` on all connections
+/// together.
+pub async fn serve_limited<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    intake: Option<Arc<Intake>>,
+    stop: CancellationToken,
+    handle: H,
+) where
+    L: Fn() -> Limits + Send,
+    H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
     let open: Arc<Mutex<HashMap<IpAddr, usize>>> = Arc::default();
@@ -234,8 +255,22 @@
             );
             return;
         };
+        let connection = match &intake {
+            Some(intake) => match intake.open(peer.ip()) {
+                Some(connection) => Some(connection),
+                None => return,
+            },
+            None => None,
+        };
         let _ = stream.set_nodelay(true);
-        let served = serve_connection(stream, peer, limits, stop.clone(), handle.clone());
+        let served = serve_connection(
+            stream,
+            peer,
+            limits,
+            connection,
+            stop.clone(),
+            handle.clone(),
+        );
         connections.spawn(async move {
             let _permit = permit;
             served.await;
@@ -247,6 +282,9 @@
                 Ok((stream, peer)) => accept(stream, peer),
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
+                    if let Some(intake) = &intake {
+                        intake.close_longest();
+                    }
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
@@ -293,6 +331,7 @@
     stream: TcpStream,
     peer: SocketAddr,
     limits: Limits,
+    connection_limit: Option<Connection>,
     stop: CancellationToken,
     handle: H,
 ) where
@@ -304,16 +343,22 @@
     let is_http2 = Arc::new(AtomicBool::new(false));
     let http2 = Arc::clone(&is_http2);
     let stopped = stop.clone();
+    let flow = connection_limit.as_ref().map(|limit| limit.flow().clone());
     let service = service_fn(move |request: Request<Incoming>| {
         seen.store(true, Ordering::Relaxed);
         let version = request.version();
         http2.store(version == Version::HTTP_2, Ordering::Relaxed);
-        let request = request.map(|body| {
-            let body = body.map_err(Into::into).boxed_unsync();
-            match version {
-                Version::HTTP_2 => body,
-                _ => Packed::wrap(Drained::wrap(body)),
+        let request = request.map(|body| body.map_err(Into::into).boxed_unsync());
+        let (request, exchange) = match &flow {
+            Some(flow) => {
+                let (request, exchange) = flow.begin(request);
+                (request, Some(exchange))
             }
+            None => (request, None),
+        };
+        let request = request.map(|body| match version {
+            Version::HTTP_2 => body,
+            _ => Packed::wrap(Drained::wrap(body)),
         });
         let answer = handle(request, peer);
         let stop = stopped.clone();
@@ -323,6 +368,9 @@
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
+            if let Some(exchange) = exchange {
+                answer = exchange.answer(answer);
+            }
             Ok::<_, Infallible>(answer)
         }
     });
@@ -340,8 +388,21 @@
         stop.cancelled().await;
         tokio::time::sleep(STOP_GRACE).await;
     };
+    let no_room = async {
+        match &connection_limit {
+            Some(limit) => limit.closed().await,
+            None => std::future::pending().await,
+        }
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        idle = no_room => {
+            if idle && request_seen.load(Ordering::Relaxed) {
+                connection.as_mut().graceful_shutdown();
+                let _ = tokio::time::timeout(FLUSH_TIMEOUT, connection).await;
+            }
+            return;
+        }
         () = no_request => {
             log::debug!("closed a connection from {peer}: no request arrived within the head timeout");
             return;
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -30,6 +30,7 @@
 use crate::gatekeeper::Gatekeeper;
 use crate::holder::rings::LEASE_DURATION;
 use crate::holder::{Rings, Runs};
+use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers};
 use crate::reservation::Reservations;
@@ -70,6 +71,8 @@
     pub trail: Trail,
     /// Admission to the host's upstream.
     pub gatekeeper: Arc<Gatekeeper>,
+    /// Connections of callers and the memory of their bodies.
+    pub intake: Arc<Intake>,
     /// Reservations of capacity on the host's link.
     pub reservations: Arc<Reservations>,
     /// Membership.
@@ -261,6 +264,7 @@
         config: Store::default(),
         trail: Trail::default(),
         gatekeeper,
+        intake: Intake::new(settings.intake),
         reservations: Reservations::new(if adapted { settings.link_mbps } else { 0 }),
         results: Results::default(),
         metrics: Metrics::open(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod error;
 pub mod gatekeeper;
 pub mod holder;
+pub mod intake;
 pub mod keepalive;
 pub mod kernel;
 pub mod logs;
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::decisions::{Decisions, Kind};
 use crate::distribution::Distribution;
+use crate::intake;
 use crate::logs;
 use crate::reservation;
 
@@ -27,6 +28,10 @@
     slots: Gauge<u64>,
     bodies_passing: Gauge<u64>,
     bodies_waiting: Gauge<u64>,
+    caller_connections: Gauge<u64>,
+    caller_body_bytes: Gauge<u64>,
+    caller_bodies_waiting: Gauge<u64>,
+    caller_limits: Gauge<u64>,
     version: Gauge<u64>,
     dropped_lines: Gauge<u64>,
     attempts: Counter<u64>,
@@ -92,6 +97,22 @@
                 .u64_gauge("savorylane_bodies_waiting")
                 .with_description("Large bodies that wait for room on the link of this host")
                 .build(),
+            caller_connections: meter
+                .u64_gauge("savorylane_caller_connections")
+                .with_description("Open connections of callers")
+                .build(),
+            caller_body_bytes: meter
+                .u64_gauge("savorylane_caller_body_bytes")
+                .with_description("Memory that callers' bodies hold")
+                .build(),
+            caller_bodies_waiting: meter
+                .u64_gauge("savorylane_caller_bodies_waiting")
+                .with_description("Bodies of callers that wait for memory or behind stalled ones")
+                .build(),
+            caller_limits: meter
+                .u64_gauge("savorylane_caller_limits")
+                .with_description("What was refused, closed or discarded at a limit of callers")
+                .build(),
             version: meter.u64_gauge("savorylane_version").build(),
             dropped_lines: meter
                 .u64_gauge("savorylane_log_lines_left_out")
@@ -185,6 +206,22 @@
         self.bodies_waiting.record(state.waiting.into(), &[]);
     }
 
+    /// Sets the gauges of what callers hold and what their limits refused.
+    pub fn set_intake(&self, state: intake::State) {
+        self.caller_connections.record(state.connections, &[]);
+        self.caller_body_bytes.record(state.bytes, &[]);
+        self.caller_bodies_waiting.record(state.waiting, &[]);
+        for (kind, count) in [
+            ("refused-connection", state.refused_connections),
+            ("closed-connection", state.closed_connections),
+            ("refused-body", state.refused_bodies),
+            ("discarded-buffer", state.discarded_buffers),
+        ] {
+            self.caller_limits
+                .record(count, &[KeyValue::new("kind", kind)]);
+        }
+    }
+
     /// Sets the gauges of log lines that were not written.
     pub fn set_dropped_lines(&self, decisions: &Decisions) {
         for kind in Kind::ALL {
--- a/crates/daemon/src/settings/arguments.rs
+++ b/crates/daemon/src/settings/arguments.rs
@@ -27,6 +27,8 @@
     pub(super) drain_limit_s: String,
     pub(super) body_mb: String,
     pub(super) caller_connections: String,
+    pub(super) memory_mb: String,
+    pub(super) descriptors: String,
     pub(super) readers: String,
     pub(super) policy: String,
     pub(super) retry_percent: String,
@@ -203,6 +205,20 @@
         "Maximum number of open connections from one caller address",
         "256",
     );
+    let memory_mb = optional(
+        "memory-mb",
+        "SAVORYLANE_MEMORY_MB",
+        "MEGABYTES",
+        "Memory that the process may use; callers' connections get half of it, their bodies a quarter",
+        "256",
+    );
+    let descriptors = optional(
+        "descriptors",
+        "SAVORYLANE_DESCRIPTORS",
+        "COUNT",
+        "Descriptors that the process may open; callers' connections get half of them",
+        "8192",
+    );
     let readers = optional(
         "readers",
         "SAVORYLANE_READERS",
@@ -294,6 +310,8 @@
         drain_limit_s,
         body_mb,
         caller_connections,
+        memory_mb,
+        descriptors,
         readers,
         policy,
         retry_percent,
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use savorylane_intent::bound;
+use savorylane_policy::intake;
 use savorylane_policy::retry;
 use savorylane_policy::route::Policy;
 
@@ -45,6 +46,10 @@
         )?),
         max_body_bytes: parse_number::<u64>("body-mb", &raw.body_mb, 1, 4096)? * 1_000_000,
         caller_connections: parse_number("caller-connections", &raw.caller_connections, 1, 65_536)?,
+        intake: intake::Limits::new(
+            parse_whole("memory-mb", &raw.memory_mb, 16.0, 1_048_576.0)?,
+            parse_whole("descriptors", &raw.descriptors, 64.0, 1_048_576.0)? as usize,
+        ),
         readers: parse_readers(&raw.readers)?,
         policy: parse_policy(&raw.policy)?,
         budgets: retry::Settings {
@@ -126,6 +131,18 @@
     }
 }
 
+/// Parses a limit of the host. Platforms may state it with a fraction, which is
+/// dropped.
+fn parse_whole(flag: &'static str, value: &str, min: f64, max: f64) -> Result<u64, Fault> {
+    match value.parse::<f64>() {
+        Ok(number) if (min..=max).contains(&number) => Ok(number as u64),
+        _ => {
+            let accepted = format!("expected a number from {min} to {max}");
+            Err(Fault::value(flag, value, accepted))
+        }
+    }
+}
+
 fn parse_health(value: &str) -> Result<String, Fault> {
     let accepted = "expected a path that starts with `/`, without `?`, `#` and spaces";
     let visible = |c: char| c.is_ascii_graphic() && !"?#".contains(c);
--- a/crates/daemon/tests/fleet/mod.rs
+++ b/crates/daemon/tests/fleet/mod.rs
@@ -243,6 +243,7 @@
         drain_limit: Duration::from_secs(10),
         max_body_bytes: 64_000_000,
         caller_connections: 256,
+        intake: savorylane_policy::intake::Limits::new(256, 8_192),
         readers: Readers::Ranked,
         policy: Policy::Savorylane,
         budgets: Default::default(),
--- a/crates/daemon/tests/in_process/mod.rs
+++ b/crates/daemon/tests/in_process/mod.rs
@@ -193,6 +193,7 @@
             drain_limit: Duration::from_secs(5),
             max_body_bytes: 1 << 20,
             caller_connections: 256,
+            intake: savorylane_policy::intake::Limits::new(256, 8_192),
             readers: Readers::default(),
             policy: Policy::default(),
             budgets: Default::default(),
--- a/crates/daemon/tests/requests.rs
+++ b/crates/daemon/tests/requests.rs
@@ -92,6 +92,7 @@
         drain_limit: Duration::from_secs(1),
         max_body_bytes: MAX_BODY_BYTES,
         caller_connections: 256,
+        intake: savorylane_policy::intake::Limits::new(256, 8_192),
         readers: Readers::Ranked,
         policy: Policy::Savorylane,
         budgets: Default::default(),
