--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -49,6 +49,7 @@
                 context.metrics.set_hosts(&list);
                 let (counts, limited) = context.gatekeeper.cold_counts();
                 context.metrics.set_cold(counts, limited);
+                context.metrics.set_intake(context.intake.state());
                 let distribution = &context.distribution;
                 context
                     .metrics
--- a/crates/daemon/tests/pipelining.rs
+++ b/crates/daemon/tests/pipelining.rs
@@ -8,7 +8,9 @@
 use http::{Method, Request, Response};
 use http_body_util::BodyExt;
 use savorylane_daemon::body::{self, Body};
-use savorylane_daemon::edge::server::{self, Early, Event, Limits, MAX_STARTED};
+use savorylane_daemon::edge::server::{self, Callers, Early, Event, Limits, MAX_STARTED};
+use savorylane_daemon::intake::Intake;
+use savorylane_policy::intake;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -22,6 +24,10 @@
 const HEAD_TIMEOUT: Duration = Duration::from_millis(200);
 /// Size of an uploaded body in bytes, larger than what is read ahead.
 const BODY_BYTES: usize = 100_000;
+/// Memory of the process in megabytes, far above what the tests need.
+const MEMORY_MB: u64 = 160;
+/// Descriptors of the process.
+const DESCRIPTORS: usize = 4_100;
 
 /// A server whose requests of paths below `/wait` wait to be released. GET
 /// requests are idempotent unless their path starts with `/order`.
@@ -105,10 +111,14 @@
         let serving = Arc::clone(&probe);
         let handle = move |request, _| answer(Arc::clone(&serving), request);
         let token = stop.clone();
-        tokio::spawn(server::serve_early(
+        let callers = Callers {
+            early,
+            intake: Intake::new(intake::Limits::new(MEMORY_MB, DESCRIPTORS)),
+        };
+        tokio::spawn(server::serve_callers(
             listener,
             move || limits,
-            early,
+            callers,
             token,
             handle,
         ));
