dispatch: smaller windows for answers to long work

Cause: what is in flight of downloads queues in front of small answers on the sender's link, up to 128 KiB a stream, 64 ms of a link of 16 Mbit/s each.

Change: windows of 32 KiB for answers to long work.

--- a/crates/daemon/src/dispatch/remote.rs
+++ b/crates/daemon/src/dispatch/remote.rs
@@ -27,6 +27,9 @@
 /// answer whose caller does not read. An answer is transferred at one window
 /// per round trip, which is 3 MB per second from another region.
 const STREAM_WINDOW_BYTES: u32 = 131_072;
+/// Flow-control window of one answer to long work in bytes. What is in flight of
+/// large answers queues in front of small ones on a thin link of the sender.
+const LONG_STREAM_WINDOW_BYTES: u32 = 32_768;
 /// Number of answers on one connection whose callers may not read before they
 /// block the other answers on it. Hosts commonly have fewer slots.
 const CONNECTION_WINDOW_STREAMS: u32 = 64;
@@ -55,8 +58,8 @@
     /// `local` is unspecified.
     pub fn new(local: IpAddr) -> Self {
         Self {
-            short: build_client(local),
-            long: build_client(local),
+            short: build_client(local, STREAM_WINDOW_BYTES),
+            long: build_client(local, LONG_STREAM_WINDOW_BYTES),
         }
     }
 
@@ -262,7 +265,7 @@
     HeaderValue::from_str(text).expect("a checked name is a valid header value")
 }
 
-fn build_client(local: IpAddr) -> Client<Connector, Body> {
+fn build_client(local: IpAddr, stream_window: u32) -> Client<Connector, Body> {
     let mut connector = HttpConnector::new();
     connector.set_local_address((!local.is_unspecified()).then_some(local));
     connector.set_nodelay(true);
@@ -274,8 +277,8 @@
         .http2_keep_alive_interval(PING_INTERVAL)
         .http2_keep_alive_timeout(PING_TIMEOUT)
         .http2_keep_alive_while_idle(false)
-        .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
-        .http2_initial_connection_window_size(CONNECTION_WINDOW_STREAMS * STREAM_WINDOW_BYTES)
+        .http2_initial_stream_window_size(stream_window)
+        .http2_initial_connection_window_size(CONNECTION_WINDOW_STREAMS * stream_window)
         .pool_idle_timeout(IDLE_TIMEOUT)
         .build(Connector::new(connector))
 }
