metrics: attempts by distance; one way to wait for a part of a body

Operators see with savorylane_placements_total how much of a service's work leaves a data centre or a region. The refusals of a body that is cut or late stood in two places with the same 14 lines, which call::Call::receive replaces.

--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -390,6 +390,29 @@
         })
     }
 
+    /// Waits for a part of the call's body until the deadline.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the body broke off or did not arrive in time.
+    pub async fn receive<F>(&self, received: F) -> Result<(), Refusal>
+    where
+        F: Future<Output = Result<(), body::Error>>,
+    {
+        let remaining = self.remaining(Instant::now());
+        match tokio::time::timeout(remaining, received).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(Refusal::not_run(
+                StatusCode::BAD_REQUEST,
+                "the request's body was cut",
+            )),
+            Err(_) => Err(Refusal::not_run(
+                StatusCode::REQUEST_TIMEOUT,
+                "the request's body did not come in time",
+            )),
+        }
+    }
+
     /// Returns the time until the deadline at `now`; zero after it.
     pub fn remaining(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/daemon/src/dispatch/attempt.rs
+++ b/crates/daemon/src/dispatch/attempt.rs
@@ -71,7 +71,9 @@
         let start = Instant::now();
         let view = estimate.observe(context.now());
         let mean = context.dispatcher.table.mean(&call.class.name);
-        let round_trip = distance(&context, host).round_trip();
+        let distance = distance(&context, host);
+        let round_trip = distance.round_trip();
+        context.metrics.record_placement(&call.service, distance);
         let ticket = match place.late {
             true => estimate.begin_late(context.now()),
             false => estimate
--- a/crates/daemon/src/dispatch/room.rs
+++ b/crates/daemon/src/dispatch/room.rs
@@ -24,19 +24,8 @@
 /// Returns a refusal if the body broke off or did not arrive before the
 /// deadline.
 pub(super) async fn measure_body(call: &Call, body: &Replay) -> Result<(), Refusal> {
-    let remaining = call.remaining(Instant::now());
-    let measured = body.read_ahead(MAX_UNRESERVED_BYTES as usize);
-    match tokio::time::timeout(remaining, measured).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) => Err(Refusal::not_run(
-            StatusCode::BAD_REQUEST,
-            "the request's body was cut",
-        )),
-        Err(_) => Err(Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "the request's body did not come in time",
-        )),
-    }
+    call.receive(body.read_ahead(MAX_UNRESERVED_BYTES as usize))
+        .await
 }
 
 /// Returns whether capacity must be reserved at a host before a body is sent
--- a/crates/daemon/src/edge/caller/receive.rs
+++ b/crates/daemon/src/edge/caller/receive.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use http::{StatusCode, Version};
+use http::Version;
 
 use crate::body::Replay;
 use crate::call::{Call, Refusal};
@@ -48,16 +48,5 @@
         body.buffer_if_small().await?;
         body.read_ahead(MAX_UNRESERVED_BYTES as usize).await
     };
-    let remaining = call.remaining(Instant::now());
-    match tokio::time::timeout(remaining, received).await {
-        Ok(Ok(())) => Ok(()),
-        Ok(Err(_)) => Err(Refusal::not_run(
-            StatusCode::BAD_REQUEST,
-            "the request's body was cut",
-        )),
-        Err(_) => Err(Refusal::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "the request's body did not come in time",
-        )),
-    }
+    call.receive(received).await
 }
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 use savorylane_intent::hosts::List;
 use savorylane_policy::cold::Counts;
 use savorylane_policy::gate;
+use savorylane_policy::route::Distance;
 use savorylane_wire::{Load, Verdict};
 
 use crate::decisions::{Decisions, Kind};
@@ -41,6 +42,7 @@
     version: Gauge<u64>,
     dropped_lines: Gauge<u64>,
     attempts: Counter<u64>,
+    placements: Counter<u64>,
     attempt_latency: Histogram<f64>,
     store_lost: Gauge<u64>,
     knowledge_age: Gauge<u64>,
@@ -133,6 +135,10 @@
                 .u64_gauge("savorylane_log_lines_left_out")
                 .with_description("Log lines that were not written, by kind")
                 .build(),
+            placements: meter
+                .u64_counter("savorylane_placements")
+                .with_description("Attempts by the distance of the host that they were sent to")
+                .build(),
             attempts: meter
                 .u64_counter("savorylane_host_attempts")
                 .with_description("Attempts at hosts, by service, outcome and cause")
@@ -228,6 +234,13 @@
         self.attempts.add(1, &[service, outcome, cause]);
     }
 
+    /// Records that an attempt was sent to a host at `distance`.
+    pub fn record_placement(&self, service: &str, distance: Distance) {
+        let service = KeyValue::new("service", service.to_owned());
+        let distance = KeyValue::new("distance", distance.as_str());
+        self.placements.add(1, &[service, distance]);
+    }
+
     /// Sets the gauges of the distribution to their values at `now`.
     pub fn set_distribution(&self, distribution: &Distribution, now: Duration) {
         self.store_lost.record(distribution.store_lost_ms(now), &[]);
--- a/crates/policy/src/route/mod.rs
+++ b/crates/policy/src/route/mod.rs
@@ -67,6 +67,16 @@
         }
     }
 
+    /// Returns the name of the distance in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Host => "host",
+            Self::DataCentre => "data-centre",
+            Self::Region => "region",
+            Self::Far => "far",
+        }
+    }
+
     /// Returns the rank of the distance. Hosts of equal rank compete on cost
     /// alone, as those of one data centre do; a host of higher rank has to be
     /// cheaper by a margin.
