--- a/review/standin-2/src/cases/banned_page.rs
+++ b/review/standin-2/src/cases/banned_page.rs
@@ -117,8 +117,8 @@
     refused: usize,
 }
 
-pub fn run(folder: &str) {
-    let mut world = World::start(folder, &[("central-a", "scot-central")]);
+pub fn run(record: &str) {
+    let mut world = World::start(record, &[("central-a", "scot-central")]);
     let mut machines: Vec<Machine> = ENTRIES
         .map(|number| machine(number, "central-a", "scot-central", "archive"))
         .to_vec();
--- a/review/standin-2/src/cases/many_routes.rs
+++ b/review/standin-2/src/cases/many_routes.rs
@@ -19,9 +19,9 @@
 /// Time within which a version must be in force, `config_apply_s`.
 const APPLY: Duration = Duration::from_secs(3);
 
-pub fn run(folder: &str) {
+pub fn run(record: &str) {
     let zones = [("central-a", "scot-central"), ("north-a", "scot-north")];
-    let mut world = World::start(folder, &zones);
+    let mut world = World::start(record, &zones);
     let machines = [
         machine(1, "central-a", "scot-central", "album"),
         machine(2, "central-a", "scot-central", "archive"),
--- a/review/standin-2/src/cases/pipelined_stop.rs
+++ b/review/standin-2/src/cases/pipelined_stop.rs
@@ -30,8 +30,8 @@
 
 type Fates = Arc<Mutex<BTreeMap<String, Fate>>>;
 
-pub fn run(folder: &str) {
-    let mut world = World::start(folder, &[("central-a", "scot-central")]);
+pub fn run(record: &str) {
+    let mut world = World::start(record, &[("central-a", "scot-central")]);
     let machines = [
         machine(1, "central-a", "scot-central", "album"),
         machine(2, "central-a", "scot-central", "album"),
--- a/review/standin-2/src/cases/second_refusal.rs
+++ b/review/standin-2/src/cases/second_refusal.rs
@@ -31,9 +31,9 @@
     ran: BTreeSet<String>,
 }
 
-pub fn run(folder: &str) {
+pub fn run(record: &str) {
     let regions = [("mi-a", "lombardia"), ("vr-a", "veneto")];
-    let mut world = World::start(folder, &regions);
+    let mut world = World::start(record, &regions);
     let machines = [
         machine(1, "mi-a", "lombardia", "catalogo"),
         machine(2, "mi-a", "lombardia", "ordini"),
--- a/review/standin-2/src/cases/slow_readers.rs
+++ b/review/standin-2/src/cases/slow_readers.rs
@@ -114,8 +114,8 @@
         .sum()
 }
 
-pub fn run(folder: &str) {
-    let mut world = World::start(folder, &[("central-a", "scot-central")]);
+pub fn run(record: &str) {
+    let mut world = World::start(record, &[("central-a", "scot-central")]);
     let of = |number, service| Machine {
         memory_mb: MEMORY_MB,
         ..machine(number, "central-a", "scot-central", service)
--- a/review/standin-2/src/cases/unread_answers.rs
+++ b/review/standin-2/src/cases/unread_answers.rs
@@ -39,8 +39,8 @@
     lost: Vec<String>,
 }
 
-pub fn run(folder: &str) {
-    let mut world = World::start(folder, &[("central-a", "scot-central")]);
+pub fn run(record: &str) {
+    let mut world = World::start(record, &[("central-a", "scot-central")]);
     let machines = [
         machine(1, "central-a", "scot-central", "album"),
         machine(2, "central-a", "scot-central", "archive"),
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -83,9 +83,9 @@
 
 impl World {
     /// Starts a store. `regions` has the region of each zone.
-    pub fn start(folder: &str, regions: &[(&str, &str)]) -> Self {
+    pub fn start(record: &str, regions: &[(&str, &str)]) -> Self {
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-        let file = File::create(format!("{folder}/record.txt")).expect("the record can be written");
+        let file = File::create(record).expect("the record can be written");
         let record = Arc::new(Record {
             start: Instant::now(),
             file: Mutex::new(file),
