daemon: limits of connections and memory at every listener

Seen: 600 peers at the data, control, operator or ready port of a daemon open all of its 512 descriptors, and ordinary callers of the entry get no answer or 503 and 504 for 20 s. 60 HTTP/2 requests on each connection take it to 320 MB of 64 (data) and 217 MB (control).

Cause: policy::intake limits the entry only. The other listeners accepted up to 65,536 connections from one address, held each message and each HTTP/2 stream until it was complete or timed out, and had no sum of anything, while descriptors and memory are common to the process.

Change: policy::quota decides, per listener, which connection makes room for a new one and which requests have memory; daemon::quota supplies it with events. server::serve takes a quota. Hosts of the list go before strangers, and their requests are refused, with 503 and not run, before a connection of a host is closed. Strangers get 64 streams and small windows at the data port. Control and operator ports accept HTTP/1.1 only, which is all that their clients use.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -14,9 +14,11 @@
 
 mod packed;
 mod replay;
+mod unsent;
 
 pub use packed::Packed;
 pub use replay::{Fault, Replay};
+pub use unsent::Unsent;
 
 /// Why a body ended early. The connection or stream is then reset, so that a
 /// truncated body is never taken for a complete one.
--- a/crates/daemon/src/edge/control/mod.rs
+++ b/crates/daemon/src/edge/control/mod.rs
@@ -11,6 +11,7 @@
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use savorylane_intent::{hosts, transfer};
+use savorylane_policy::quota::Listener;
 use savorylane_wire::Incarnation;
 use savorylane_wire::control::{
     Heartbeat,
@@ -29,6 +30,7 @@
 use crate::edge::rpc;
 use crate::holder::rings;
 use crate::kernel::{Context, Plugin, Port};
+use crate::quota::Quota;
 use crate::{peers, summary};
 
 /// Timeout of a control message. Most senders set a shorter timeout.
@@ -51,8 +53,9 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
+        let quota = Quota::for_listener(&context, "control", Listener::Control, rpc::SIZES);
         let methods = Handler(Arc::clone(&context)).into_rpc();
-        let serve = rpc::serve(listener, stop.clone(), methods, |_| None);
+        let serve = rpc::serve(listener, quota, stop.clone(), methods, |_| None);
         // An adapted platform lists the hosts itself, and none of its classes
         // uses idempotency keys.
         if context.settings.adapter.is_some() {
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -7,6 +7,7 @@
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode};
 use savorylane_distribution::age::Numbers;
+use savorylane_policy::quota::Listener;
 use savorylane_wire::{Hop, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -17,6 +18,7 @@
 use crate::edge::server::{self, Limits};
 use crate::holder::{self, Handoff};
 use crate::kernel::{Context, Plugin, Port};
+use crate::quota::{Quota, Sizes};
 use crate::reservation;
 
 mod route;
@@ -49,8 +51,13 @@
                 limits.for_daemons(link_mbps)
             }
         };
+        let sizes = Sizes {
+            request: server::stream_window(context.settings.link_mbps).into(),
+            answer: server::SEND_BUFFER_BYTES as u64,
+        };
+        let quota = Quota::for_listener(&context, "data", Listener::Data, sizes);
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
-        server::serve(listener, limits, stop, handle).await;
+        server::serve(listener, limits, quota, stop, handle).await;
     })
 }
 
--- a/crates/daemon/src/edge/operator/mod.rs
+++ b/crates/daemon/src/edge/operator/mod.rs
@@ -5,6 +5,7 @@
 
 use futures::future::BoxFuture;
 use jsonrpsee::core::{RpcResult, async_trait};
+use savorylane_policy::quota::Listener;
 use savorylane_wire::operator::{Entry, OperatorServer, Scope, Status, Summary};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -12,6 +13,7 @@
 use crate::body::Body;
 use crate::edge::rpc;
 use crate::kernel::{Context, Plugin, Port};
+use crate::quota::Quota;
 use crate::{peers, summary};
 
 /// Maximum number of audit entries in one answer.
@@ -34,6 +36,7 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
+        let quota = Quota::for_listener(&context, "operator", Listener::Operator, rpc::SIZES);
         let methods = Handler(Arc::clone(&context)).into_rpc();
         let page = move |request: &http::Request<Body>| {
             let is_metrics =
@@ -57,7 +60,7 @@
                 rpc::text(context.metrics.encode(&load, version))
             })
         };
-        rpc::serve(listener, stop, methods, page).await;
+        rpc::serve(listener, quota, stop, methods, page).await;
     })
 }
 
--- a/crates/daemon/src/edge/ready/mod.rs
+++ b/crates/daemon/src/edge/ready/mod.rs
@@ -6,12 +6,14 @@
 use futures::future::BoxFuture;
 use http::{Request, Response, StatusCode};
 use savorylane_platform::READY_PATH;
+use savorylane_policy::quota::Listener;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, Body};
 use crate::edge::server;
 use crate::kernel::{Context, Plugin, Port};
+use crate::quota::{Quota, Sizes};
 
 inventory::submit! {
     Plugin {
@@ -33,11 +35,17 @@
 ) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         let Some(listener) = listener else { return };
+        // Bodies are not read.
+        let sizes = Sizes {
+            request: 0,
+            answer: 0,
+        };
+        let quota = Quota::for_listener(&context, "ready", Listener::Ready, sizes);
         let answer = move |request: Request<Body>, _peer: SocketAddr| {
             let status = status(&context, request.uri().path());
             async move { answer(status) }
         };
-        server::serve(listener, || server::Limits::CALLERS, stop, answer).await;
+        server::serve(listener, || server::Limits::CALLERS, quota, stop, answer).await;
     })
 }
 
--- a/crates/daemon/src/edge/rpc/mod.rs
+++ b/crates/daemon/src/edge/rpc/mod.rs
@@ -1,6 +1,7 @@
 //! JSON-RPC over the HTTP server of this daemon.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
@@ -11,7 +12,8 @@
 use tower::Service;
 
 use crate::body::{self, Body};
-use crate::edge::server;
+use crate::edge::server::{self, Protocol};
+use crate::quota::{Quota, Sizes};
 
 /// Maximum size of a message in bytes. A compressed document with 1,100
 /// targets, encoded as text, fits with a margin.
@@ -19,10 +21,18 @@
 /// Maximum number of open connections from one address.
 const MAX_CONNECTIONS: usize = 4096;
 
+/// Memory of a message in bytes, and of its answer. A message takes twice its
+/// size until it is decoded.
+pub const SIZES: Sizes = Sizes {
+    request: 2 * MAX_MESSAGE_BYTES as u64,
+    answer: MAX_MESSAGE_BYTES as u64,
+};
+
 /// Serves the RPC `methods` until `stop`. Requests for which `page` returns an
 /// answer are not passed to the methods.
 pub async fn serve<P>(
     listener: TcpListener,
+    quota: Arc<Quota>,
     stop: CancellationToken,
     methods: impl Into<Methods>,
     page: P,
@@ -61,7 +71,11 @@
     };
     server::serve(
         listener,
-        || server::Limits::with_connections(MAX_CONNECTIONS),
+        || server::Limits {
+            protocol: Protocol::Http1,
+            ..server::Limits::with_connections(MAX_CONNECTIONS)
+        },
+        quota,
         stop,
         answer,
     )
--- a/crates/daemon/src/edge/server/limits.rs
+++ b/crates/daemon/src/edge/server/limits.rs
@@ -35,6 +35,8 @@
 /// Rate in megabits per second below which a link that is not slow is of medium
 /// rate.
 const MEDIUM_LINK_MBPS: u32 = 200;
+/// Maximum number of bytes of one HTTP/2 answer that were not written yet.
+pub const SEND_BUFFER_BYTES: usize = 131_072;
 /// Number of stream windows that the window of an HTTP/2 connection holds: 64
 /// uploads can wait for a slot before they block the uploads that have one.
 const CONNECTION_WINDOW_STREAMS: u32 = 64;
@@ -44,6 +46,11 @@
 const MAX_HEADERS: usize = 90;
 /// Maximum number of concurrent streams of an HTTP/2 connection.
 const MAX_STREAMS: u32 = 1024;
+/// Maximum number of concurrent streams of a peer that is no host of the
+/// deployment.
+const STRANGER_STREAMS: u32 = 64;
+/// Number of stream windows that the window of such a peer's connection holds.
+const STRANGER_WINDOW_STREAMS: u32 = 16;
 /// Maximum number of streams that an untrusted peer may reset before the server
 /// has accepted them.
 const MAX_RESETS: usize = 20;
@@ -73,6 +80,10 @@
     pub max_resets: usize,
     /// Flow-control window of one HTTP/2 stream in bytes.
     pub stream_window: u32,
+    /// Flow-control window of an HTTP/2 connection in bytes.
+    pub connection_window: u32,
+    /// Maximum number of concurrent streams of an HTTP/2 connection.
+    pub max_streams: u32,
     /// Whether the server adds the date to HTTP/2 answers. Daemons do not use
     /// it, and links between them are paid by the byte.
     pub dates: bool,
@@ -98,6 +109,8 @@
         protocol: Protocol::Any,
         max_resets: MAX_DAEMON_RESETS,
         stream_window: STREAM_WINDOW_BYTES,
+        connection_window: CONNECTION_WINDOW_STREAMS * STREAM_WINDOW_BYTES,
+        max_streams: MAX_STREAMS,
         dates: true,
     };
 
@@ -160,10 +173,22 @@
             protocol: Protocol::Any,
             max_resets: MAX_RESETS,
             stream_window: STREAM_WINDOW_BYTES,
+            connection_window: CONNECTION_WINDOW_STREAMS * STREAM_WINDOW_BYTES,
+            max_streams: MAX_STREAMS,
             dates: true,
         }
     }
 
+    /// Returns these limits, adjusted to a peer that is no host of the
+    /// deployment. A new host, which is not listed yet, needs few streams.
+    pub(super) fn for_stranger(self) -> Self {
+        Self {
+            connection_window: STRANGER_WINDOW_STREAMS * self.stream_window,
+            max_streams: STRANGER_STREAMS,
+            ..self
+        }
+    }
+
     /// Returns these limits, adjusted to a port that only daemons use. The rate
     /// of the host's link is `link_mbps` megabits per second; 0 if unknown.
     pub fn for_daemons(self, link_mbps: u32) -> Self {
@@ -210,11 +235,12 @@
         .keep_alive_interval(SERVER_PING_INTERVAL)
         .keep_alive_timeout(PING_TIMEOUT)
         .initial_stream_window_size(limits.stream_window)
-        .initial_connection_window_size(CONNECTION_WINDOW_STREAMS * STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(limits.connection_window)
+        .max_send_buf_size(SEND_BUFFER_BYTES)
         .max_header_list_size(limits.max_header_bytes)
         .max_pending_accept_reset_streams(limits.max_resets)
         .max_local_error_reset_streams(limits.max_resets)
-        .max_concurrent_streams(MAX_STREAMS)
+        .max_concurrent_streams(limits.max_streams)
         .auto_date_header(limits.dates);
     builder
 }
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -11,28 +11,39 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use futures::future::Either;
+use futures::FutureExt;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::body::{Body, Packed};
-use crate::intake::{Connection, Intake};
+use crate::intake::Intake;
+use crate::quota::Quota;
 use drain::Drained;
+use guard::{Admission, Guard, Peers};
 use permit::{Open, Permit};
 use pipeline::{Pipeline, Starter, Step};
 
 mod drain;
+mod guard;
 mod limits;
 mod permit;
 mod pipeline;
 
-pub use limits::{Limits, Protocol, STREAM_WINDOW_BYTES, bodies_can_saturate, stream_window};
+pub use limits::{
+    Limits,
+    Protocol,
+    SEND_BUFFER_BYTES,
+    STREAM_WINDOW_BYTES,
+    bodies_can_saturate,
+    stream_window, //
+};
 pub use pipeline::{Early, Event, MAX_STARTED};
 
 /// Time after `stop` for which a connection still accepts requests, so that
@@ -48,14 +59,19 @@
 /// arrived, and returns once every connection is closed.
 ///
 /// `limits` is called for each accepted connection, whose limits do not change
-/// later.
-pub async fn serve<L, H, F>(listener: TcpListener, limits: L, stop: CancellationToken, handle: H)
-where
+/// later. `quota` limits what all connections hold together.
+pub async fn serve<L, H, F>(
+    listener: TcpListener,
+    limits: L,
+    quota: Arc<Quota>,
+    stop: CancellationToken,
+    handle: H,
+) where
     L: Fn() -> Limits + Send,
     H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    serve_connections(listener, limits, None, stop, handle).await;
+    serve_connections(listener, limits, Peers::Others(quota), stop, handle).await;
 }
 
 /// What a server of callers needs beyond that of other peers.
@@ -80,13 +96,13 @@
     H: Fn(Request<Body>, SocketAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Body>> + Send + 'static,
 {
-    serve_connections(listener, limits, Some(callers), stop, handle).await;
+    serve_connections(listener, limits, Peers::Callers(callers), stop, handle).await;
 }
 
 async fn serve_connections<L, H, F>(
     listener: TcpListener,
     limits: L,
-    callers: Option<Callers>,
+    peers: Peers,
     stop: CancellationToken,
     handle: H,
 ) where
@@ -95,9 +111,9 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
-    let (early, intake) = match callers {
-        Some(Callers { early, intake }) => (Some(early), Some(intake)),
-        None => (None, None),
+    let early = match &peers {
+        Peers::Callers(callers) => Some(Arc::clone(&callers.early)),
+        Peers::Others(_) => None,
     };
     let open = Open::default();
     let accept = |stream: TcpStream, peer: SocketAddr| {
@@ -109,28 +125,24 @@
             );
             return;
         };
-        let connection = match &intake {
-            Some(intake) => match intake.open(peer.ip()) {
-                Some(connection) => Some(connection),
-                None => return,
-            },
-            None => None,
+        let Some(guard) = peers.open(peer.ip()) else {
+            return;
+        };
+        let limits = match guard.is_stranger() {
+            true => limits.for_stranger(),
+            false => limits,
         };
         let _ = stream.set_nodelay(true);
+        if let Some(bytes) = guard.receive_bytes() {
+            set_receive_bytes(SockRef::from(&stream), bytes);
+        }
         let early = match limits.protocol {
             Protocol::Any => None,
             Protocol::Http1 => early.clone(),
         };
         let starter = early.map(|early| Starter::new(early, peer, stop.clone(), handle.clone()));
         let pipeline = Pipeline::new(stream, starter);
-        let served = serve_connection(
-            pipeline,
-            peer,
-            limits,
-            connection,
-            stop.clone(),
-            handle.clone(),
-        );
+        let served = serve_connection(pipeline, peer, limits, guard, stop.clone(), handle.clone());
         connections.spawn(async move {
             let _permit = permit;
             served.await;
@@ -142,9 +154,7 @@
                 Ok((stream, peer)) => accept(stream, peer),
                 Err(error) => {
                     log::warn!("cannot accept a connection: {error}");
-                    if let Some(intake) = &intake {
-                        intake.close_longest();
-                    }
+                    peers.close_one();
                     tokio::time::sleep(Duration::from_millis(10)).await;
                 }
             },
@@ -164,6 +174,14 @@
     connections.wait().await;
 }
 
+/// Limits the bytes that the operating system receives for a socket before they
+/// are read.
+fn set_receive_bytes(socket: SockRef<'_>, bytes: usize) {
+    if let Err(error) = socket.set_recv_buffer_size(bytes) {
+        log::warn!("cannot limit what is received for a connection: {error}");
+    }
+}
+
 /// Accepts all connections in the operating system's accept queue and closes
 /// the listener. The async runtime may not have been notified of them yet.
 fn accept_pending(listener: TcpListener) -> io::Result<Vec<(TcpStream, SocketAddr)>> {
@@ -191,7 +209,7 @@
     pipeline: Pipeline,
     peer: SocketAddr,
     limits: Limits,
-    connection_limit: Option<Connection>,
+    guard: Guard,
     stop: CancellationToken,
     handle: H,
 ) where
@@ -204,39 +222,44 @@
     let http2 = Arc::clone(&is_http2);
     let stopped = stop.clone();
     let turns = pipeline.clone();
-    let flow = connection_limit.as_ref().map(|limit| limit.flow().clone());
+    let flow = guard.flow();
+    let unsent = pipeline.unsent();
     let service = service_fn(move |request: Request<Incoming>| {
         seen.store(true, Ordering::Relaxed);
         let version = request.version();
         http2.store(version == Version::HTTP_2, Ordering::Relaxed);
         let started = turns.begin(&request);
         let request = request.map(|body| body.map_err(Into::into).boxed_unsync());
-        let (request, exchange) = match &flow {
-            Some(flow) => {
-                let (request, exchange) = flow.begin(request);
-                (request, Some(exchange))
+        let (answer, exchange) = match flow.begin(request) {
+            Admission::Admitted(request, exchange) => {
+                let request = request.map(|body| match version {
+                    Version::HTTP_2 => body,
+                    _ => Packed::wrap(Drained::wrap(body, turns.body_ended())),
+                });
+                let answer = match started {
+                    Some(answer) => answer,
+                    None => handle(request, peer).boxed(),
+                };
+                (answer, Some(exchange))
             }
-            None => (request, None),
-        };
-        let request = request.map(|body| match version {
-            Version::HTTP_2 => body,
-            _ => Packed::wrap(Drained::wrap(body, turns.body_ended())),
-        });
-        let answer = match started {
-            Some(answer) => Either::Left(answer),
-            None => Either::Right(handle(request, peer)),
+            Admission::Refused(refusal) => (std::future::ready(refusal).boxed(), None),
         };
         let stop = stopped.clone();
-        let turns = turns.clone();
+        // The streams of HTTP/2 run in tasks of their own, which must not keep
+        // the connection open.
+        let turns = (version != Version::HTTP_2).then(|| turns.clone());
+        let unsent = unsent.clone();
         async move {
             let mut answer = answer.await;
             if stop.is_cancelled() && version == Version::HTTP_11 {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(CONNECTION, close);
             }
-            turns.end(&answer);
+            if let Some(turns) = turns {
+                turns.end(&answer);
+            }
             if let Some(exchange) = exchange {
-                answer = exchange.answer(answer);
+                answer = exchange.answer(answer, &unsent);
             }
             Ok::<_, Infallible>(answer)
         }
@@ -255,18 +278,14 @@
         stop.cancelled().await;
         tokio::time::sleep(STOP_GRACE).await;
     };
-    let no_room = async {
-        match &connection_limit {
-            Some(limit) => limit.closed().await,
-            None => std::future::pending().await,
-        }
-    };
     let ended = tokio::select! {
         ended = drive(connection.as_mut(), &pipeline) => ended,
-        idle = no_room => {
+        idle = guard.closed() => {
             if idle && request_seen.load(Ordering::Relaxed) {
                 connection.as_mut().graceful_shutdown();
                 let _ = tokio::time::timeout(FLUSH_TIMEOUT, drive(connection, &pipeline)).await;
+            } else {
+                pipeline.reset();
             }
             return;
         }
--- a/crates/daemon/src/edge/server/pipeline/mod.rs
+++ b/crates/daemon/src/edge/server/pipeline/mod.rs
@@ -30,7 +30,7 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
-use crate::body::{self, Body};
+use crate::body::{self, Body, Unsent};
 
 mod head;
 mod stream;
@@ -181,6 +181,8 @@
     state: Arc<Mutex<State>>,
     /// Whether the body of the current request was read to its end.
     body_ended: Arc<AtomicBool>,
+    /// Answers that were not written yet.
+    unsent: Unsent,
 }
 
 struct State {
@@ -231,6 +233,7 @@
         Self {
             state: Arc::new(state),
             body_ended,
+            unsent: Unsent::default(),
         }
     }
 
@@ -245,6 +248,19 @@
         Arc::clone(&self.body_ended)
     }
 
+    /// Lets the connection be reset when it is closed, so that the operating
+    /// system discards what the peer has not read.
+    pub(super) fn reset(&self) {
+        if let Err(error) = self.lock().stream.set_zero_linger() {
+            log::debug!("cannot reset a connection: {error}");
+        }
+    }
+
+    /// Returns the answers that were not written yet.
+    pub(super) fn unsent(&self) -> Unsent {
+        self.unsent.clone()
+    }
+
     /// Records that it is the turn of a request. Returns its answer if the
     /// request was started early.
     pub(super) fn begin(&self, request: &Request<Incoming>) -> Option<Answer> {
--- a/crates/daemon/src/edge/server/pipeline/stream.rs
+++ b/crates/daemon/src/edge/server/pipeline/stream.rs
@@ -37,8 +37,13 @@
         Pin::new(&mut self.0.lock().stream).poll_write(cx, bytes)
     }
 
+    /// Called by the library once everything is written.
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0.lock().stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.0.lock().stream).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.0.unsent.flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/daemon/src/kernel/mod.rs
+++ b/crates/daemon/src/kernel/mod.rs
@@ -12,6 +12,7 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use savorylane_intent::hosts;
+use savorylane_policy::intake;
 use savorylane_wire::control::Sender;
 use savorylane_wire::{Incarnation, Load};
 use snafu::ResultExt;
@@ -264,7 +265,10 @@
         config: Store::default(),
         trail: Trail::default(),
         gatekeeper,
-        intake: Intake::new(settings.intake),
+        intake: Intake::new(intake::Limits::new(
+            settings.memory_mb,
+            settings.descriptors,
+        )),
         reservations: Reservations::new(if adapted { settings.link_mbps } else { 0 }),
         results: Results::default(),
         metrics: Metrics::open(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod peers;
+pub mod quota;
 pub mod reservation;
 pub mod results;
 pub mod settings;
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use savorylane_intent::bound;
-use savorylane_policy::intake;
 use savorylane_policy::retry;
 use savorylane_policy::route::Policy;
 
@@ -46,10 +45,8 @@
         )?),
         max_body_bytes: parse_number::<u64>("body-mb", &raw.body_mb, 1, 4096)? * 1_000_000,
         caller_connections: parse_number("caller-connections", &raw.caller_connections, 1, 65_536)?,
-        intake: intake::Limits::new(
-            parse_whole("memory-mb", &raw.memory_mb, 16.0, 1_048_576.0)?,
-            parse_whole("descriptors", &raw.descriptors, 64.0, 1_048_576.0)? as usize,
-        ),
+        memory_mb: parse_whole("memory-mb", &raw.memory_mb, 16.0, 1_048_576.0)?,
+        descriptors: parse_whole("descriptors", &raw.descriptors, 64.0, 1_048_576.0)? as usize,
         readers: parse_readers(&raw.readers)?,
         policy: parse_policy(&raw.policy)?,
         budgets: retry::Settings {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use savorylane_intent::bound;
-use savorylane_policy::intake;
 use savorylane_policy::retry;
 use savorylane_policy::route::Policy;
 use snafu::Snafu;
@@ -60,8 +59,10 @@
     pub max_body_bytes: u64,
     /// Maximum number of open connections from one caller address.
     pub caller_connections: usize,
-    /// Limits of what all callers together may hold.
-    pub intake: intake::Limits,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: u64,
+    /// Number of descriptors that the process may open.
+    pub descriptors: usize,
     /// Hosts that watch the platform.
     pub readers: Readers,
     /// Policy by which hosts are chosen.
--- a/crates/daemon/tests/server.rs
+++ b/crates/daemon/tests/server.rs
@@ -11,6 +11,8 @@
 use http::{Request, Response};
 use savorylane_daemon::body::{self, Body};
 use savorylane_daemon::edge::server::{self, Limits};
+use savorylane_daemon::quota::{Quota, Sizes};
+use savorylane_policy::quota::{self, Peer};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
@@ -38,9 +40,19 @@
     let address = listener.local_addr().unwrap();
     let stop = CancellationToken::new();
     let answer = |_: Request<Body>, _: SocketAddr| async { Response::new(body::full("answered")) };
+    let quota = Quota::new(
+        "test",
+        quota::Limits::new(quota::Listener::Data, 256, 8_192),
+        Sizes {
+            request: 16_384,
+            answer: 131_072,
+        },
+        |_| Peer::Host,
+    );
     let task = tokio::spawn(server::serve(
         listener,
         move || limits,
+        quota,
         stop.clone(),
         answer,
     ));
--- a/crates/daemon/tests/slow_readers.rs
+++ b/crates/daemon/tests/slow_readers.rs
@@ -16,7 +16,9 @@
 use savorylane_daemon::dispatch::link::Monitor;
 use savorylane_daemon::dispatch::remote::Clients;
 use savorylane_daemon::edge::server::{self, Limits};
+use savorylane_daemon::quota::{Quota, Sizes};
 use savorylane_intent::document::Class;
+use savorylane_policy::quota::{self, Peer};
 use savorylane_wire::{Verdict, header};
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -79,7 +81,17 @@
         std::future::ready(answer)
     };
     let stop = CancellationToken::new();
-    tokio::spawn(server::serve(listener, || Limits::DAEMONS, stop, handle));
+    let quota = Quota::new(
+        "test",
+        quota::Limits::new(quota::Listener::Data, 256, 8_192),
+        Sizes {
+            request: 16_384,
+            answer: 131_072,
+        },
+        |_| Peer::Host,
+    );
+    let limits = || Limits::DAEMONS;
+    tokio::spawn(server::serve(listener, limits, quota, stop, handle));
     (address, taken)
 }
 
