entry: receive buffers that follow the memory of the process

Seen: crowds of 600 callers with large bodies took an entry to 75 to 100 MB of 64 with the bytes that were received and not yet read, which the platform counts. The resident memory alone was below the bound.

Cause: the operating system chose the receive buffer of each connection: 64 KiB of a window at first and megabytes later, for as many connections as fit by their own memory.

Change: a connection of a caller gets a share of a thirty-second of the memory when it is accepted, 64 KiB at most and 8 KiB at least. It starts with the least, set at the listener, because a window that was advertised cannot be taken back. Connections to the control, operator and ready ports have 16 KiB, those to the upstream 64 KiB. Connections of hosts to the data port stay as they were. To leave room for that and for the other listeners, callers' connections get a quarter of the descriptors (half before) and three eighths of the memory (half), bodies three sixteenths (a quarter).

--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -54,6 +54,7 @@
         let sizes = Sizes {
             request: server::stream_window(context.settings.link_mbps).into(),
             answer: server::SEND_BUFFER_BYTES as u64,
+            receive: None,
         };
         let quota = Quota::for_listener(&context, "data", Listener::Data, sizes);
         let handle = move |request, peer| handle(Arc::clone(&context), request, peer);
--- a/crates/daemon/src/edge/ready/mod.rs
+++ b/crates/daemon/src/edge/ready/mod.rs
@@ -13,7 +13,7 @@
 use crate::body::{self, Body};
 use crate::edge::server;
 use crate::kernel::{Context, Plugin, Port};
-use crate::quota::{Quota, Sizes};
+use crate::quota::{self, Quota, Sizes};
 
 inventory::submit! {
     Plugin {
@@ -39,6 +39,7 @@
         let sizes = Sizes {
             request: 0,
             answer: 0,
+            receive: Some(quota::STRANGER_RECEIVE_BYTES),
         };
         let quota = Quota::for_listener(&context, "ready", Listener::Ready, sizes);
         let answer = move |request: Request<Body>, _peer: SocketAddr| {
--- a/crates/daemon/src/edge/rpc/mod.rs
+++ b/crates/daemon/src/edge/rpc/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::body::{self, Body};
 use crate::edge::server::{self, Protocol};
-use crate::quota::{Quota, Sizes};
+use crate::quota::{self, Quota, Sizes};
 
 /// Maximum size of a message in bytes. A compressed document with 1,100
 /// targets, encoded as text, fits with a margin.
@@ -26,6 +26,7 @@
 pub const SIZES: Sizes = Sizes {
     request: 2 * MAX_MESSAGE_BYTES as u64,
     answer: MAX_MESSAGE_BYTES as u64,
+    receive: Some(quota::STRANGER_RECEIVE_BYTES),
 };
 
 /// Serves the RPC `methods` until `stop`. Requests for which `page` returns an
--- a/crates/daemon/src/edge/server/guard.rs
+++ b/crates/daemon/src/edge/server/guard.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use http::{Request, Response, StatusCode};
+use savorylane_policy::intake::MIN_RECEIVE_BYTES;
 use savorylane_policy::quota::Peer;
 
 use super::Callers;
@@ -13,10 +14,6 @@
 use crate::intake;
 use crate::quota::{self, Quota};
 
-/// Maximum number of bytes that the operating system receives for a connection
-/// of a stranger before they are read.
-const STRANGER_RECEIVE_BYTES: usize = 16 << 10;
-
 /// Who connects to a server.
 pub(super) enum Peers {
     /// Callers.
@@ -35,6 +32,15 @@
         }
     }
 
+    /// Returns the maximum number of bytes that the operating system receives for
+    /// a connection that was not accepted yet; `None` if it decides itself.
+    pub(super) fn first_receive_bytes(&self) -> Option<usize> {
+        match self {
+            Self::Callers(_) => Some(MIN_RECEIVE_BYTES as usize),
+            Self::Others(quota) => quota.receive_bytes(),
+        }
+    }
+
     /// Closes a connection, because the process cannot open another descriptor.
     pub(super) fn close_one(&self) {
         match self {
@@ -70,12 +76,12 @@
         }
     }
 
-    /// Returns the maximum number of bytes that the operating system may receive
+    /// Returns the maximum number of bytes that the operating system receives
     /// before they are read; `None` if it decides itself.
     pub(super) fn receive_bytes(&self) -> Option<usize> {
         match self {
-            Self::Caller(_) => None,
-            Self::Other(_) => self.is_stranger().then_some(STRANGER_RECEIVE_BYTES),
+            Self::Caller(connection) => Some(connection.receive_bytes()),
+            Self::Other(connection) => connection.receive_bytes(),
         }
     }
 
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -111,6 +111,11 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let connections = TaskTracker::new();
+    // A window that was advertised cannot be taken back, so that a connection
+    // starts with the smallest one. It is widened when it is accepted.
+    if let Some(bytes) = peers.first_receive_bytes() {
+        set_receive_bytes(SockRef::from(&listener), bytes);
+    }
     let early = match &peers {
         Peers::Callers(callers) => Some(Arc::clone(&callers.early)),
         Peers::Others(_) => None,
--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -35,6 +35,9 @@
 /// Size of the read buffer of a connection in bytes. The library's default is
 /// ten times as large.
 const READ_BUFFER_BYTES: usize = 32 << 10;
+/// Maximum number of bytes that the operating system receives for a connection
+/// before they are read. An answer whose caller does not read it is held there.
+const RECEIVE_BYTES: usize = 64 << 10;
 /// Maximum number of bytes read of the body of a health report.
 const MAX_REPORT_BYTES: usize = 4096;
 
@@ -82,6 +85,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_recv_buffer_size(Some(RECEIVE_BYTES));
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(TokioTimer::new())
--- a/crates/daemon/src/intake/mod.rs
+++ b/crates/daemon/src/intake/mod.rs
@@ -187,6 +187,12 @@
         self.flow.intake.lock().policy.is_idle(self.flow.id)
     }
 
+    /// Returns the maximum number of bytes that the operating system may receive
+    /// for the connection before they are read.
+    pub fn receive_bytes(&self) -> usize {
+        self.flow.intake.lock().policy.receive_bytes() as usize
+    }
+
     /// Returns what the requests on the connection arrive through.
     pub fn flow(&self) -> &Flow {
         &self.flow
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -22,6 +22,9 @@
 
 mod answer;
 
+/// Maximum number of bytes that the operating system receives for a connection
+/// of a stranger before they are read.
+pub const STRANGER_RECEIVE_BYTES: usize = 16 << 10;
 /// Interval between two log lines of one listener.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -38,14 +41,16 @@
     inner: Mutex<Inner>,
 }
 
-/// Memory that the body of one request and that of its answer take at most, in
-/// bytes.
+/// Sizes of what one connection holds at most, in bytes.
 #[derive(Clone, Copy, Debug)]
 pub struct Sizes {
     /// Body of a request.
     pub request: u64,
     /// Body of an answer.
     pub answer: u64,
+    /// What the operating system receives before it is read; `None` if the
+    /// operating system decides for connections of hosts.
+    pub receive: Option<usize>,
 }
 
 #[derive(Debug)]
@@ -137,6 +142,12 @@
         Some(Connection { flow, closed, peer })
     }
 
+    /// Returns the maximum number of bytes that the operating system receives for
+    /// a connection before they are read.
+    pub fn receive_bytes(&self) -> Option<usize> {
+        self.sizes.receive
+    }
+
     /// Closes the connection that has been idle for longest, because the
     /// process cannot open another descriptor.
     pub fn close_idle(&self) {
@@ -221,6 +232,15 @@
         self.peer
     }
 
+    /// Returns the maximum number of bytes that the operating system receives
+    /// before they are read; `None` if it decides itself.
+    pub fn receive_bytes(&self) -> Option<usize> {
+        match self.peer {
+            Peer::Stranger => Some(STRANGER_RECEIVE_BYTES),
+            Peer::Host => self.flow.quota.receive_bytes(),
+        }
+    }
+
     /// Returns what the requests on the connection are recorded with.
     pub fn flow(&self) -> &Flow {
         &self.flow
--- a/crates/daemon/tests/server.rs
+++ b/crates/daemon/tests/server.rs
@@ -46,6 +46,7 @@
         Sizes {
             request: 16_384,
             answer: 131_072,
+            receive: None,
         },
         |_| Peer::Host,
     );
--- a/crates/daemon/tests/slow_readers.rs
+++ b/crates/daemon/tests/slow_readers.rs
@@ -87,6 +87,7 @@
         Sizes {
             request: 16_384,
             answer: 131_072,
+            receive: None,
         },
         |_| Peer::Host,
     );
--- a/crates/policy/src/intake/mod.rs
+++ b/crates/policy/src/intake/mod.rs
@@ -22,6 +22,12 @@
 /// Time for which a caller must have been waited for before its connection is
 /// closed to make room: several retransmissions on a link that loses packets.
 const MIN_STALL: Duration = Duration::from_millis(500);
+/// Maximum number of bytes that the operating system receives for a connection
+/// before they are read. It bounds the rate of an upload: 4 MB per second at a
+/// round trip of 16 ms.
+const MAX_RECEIVE_BYTES: u64 = 64 << 10;
+/// The same for a connection among very many.
+pub const MIN_RECEIVE_BYTES: u64 = 8 << 10;
 /// One in this many connections may be in the course of being closed; their
 /// descriptors are still open.
 const CLOSING_SHARE: usize = 8;
@@ -39,6 +45,9 @@
     pub connections: usize,
     /// Maximum memory for bodies in bytes.
     pub body_bytes: u64,
+    /// Memory for bytes that the operating system has received and that were
+    /// not read yet.
+    pub receive_bytes: u64,
     /// Number of stalled bodies, on their way to upstreams, from which on
     /// bodies are received completely before they are passed on.
     pub stalled: usize,
@@ -50,15 +59,19 @@
 
 impl Limits {
     /// Returns the limits of a process with `memory_mb` megabytes of memory and
-    /// `descriptors` descriptors. Half of the memory is left to connections and
-    /// a quarter to bodies; half of the descriptors is left to the connections
-    /// to upstreams, to other daemons and to the store.
+    /// `descriptors` descriptors.
+    ///
+    /// Connections get a quarter of the descriptors and three eighths of the
+    /// memory, bodies three sixteenths of the memory, and unread bytes a
+    /// thirty-second. The rest is left to the other listeners and to the
+    /// connections to upstreams, to other daemons and to the store.
     pub fn new(memory_mb: u64, descriptors: usize) -> Self {
         let memory = memory_mb * 1_000_000;
-        let by_memory = memory / 2 / CONNECTION_BYTES;
+        let by_memory = memory * 3 / 8 / CONNECTION_BYTES;
         Self {
-            connections: (descriptors / 2).min(by_memory as usize).max(1),
-            body_bytes: (memory / 4).max(BODY_BYTES),
+            connections: (descriptors / 4).min(by_memory as usize).max(1),
+            body_bytes: (memory * 3 / 16).max(BODY_BYTES),
+            receive_bytes: memory / 32,
             stalled: MAX_STALLED,
         }
     }
@@ -236,6 +249,14 @@
         Some(*id)
     }
 
+    /// Returns the number of bytes that the operating system may receive for a
+    /// new connection before they are read. The more connections are open, the
+    /// fewer.
+    pub fn receive_bytes(&self) -> u64 {
+        let share = self.limits.receive_bytes / (self.connections.len() as u64 + 1);
+        share.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES)
+    }
+
     /// Records a new connection from `address`.
     pub fn open(&mut self, now: Duration, id: u64, address: IpAddr) {
         let connection = Connection {
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -8,6 +8,7 @@
 const LIMITS: Limits = Limits {
     connections: 16,
     body_bytes: 1_000_000,
+    receive_bytes: 1_000_000,
     stalled: 4,
 };
 /// Size of a large body in bytes.
@@ -159,3 +160,20 @@
     }
     assert!(Limits::new(110, 4_100).connections >= 1_000);
 }
+
+/// Guards against many connections for which the operating system receives more
+/// than the memory of the process, and against a slow upload among few.
+#[test]
+fn many_connections_receive_less_ahead() {
+    let mut intake = Intake::new(Limits::new(160, 4_100));
+    assert_eq!(intake.receive_bytes(), 64 << 10);
+    let mut bytes = 0;
+    for id in 0..1_400 {
+        bytes += intake.receive_bytes();
+        intake.open(seconds(0.0), id, address(1));
+        if id == 50 {
+            assert_eq!(intake.receive_bytes(), 64 << 10);
+        }
+    }
+    assert!(bytes < 160_000_000 / 6, "{bytes} bytes");
+}
