entry: a limit of answers that callers do not read

Cause: nothing bounded what an entry holds of answers over all connections: the write buffer of each, the window of each stream from another host, and up to 256 answers that wait for their turn.

Change: a connection whose write would block counts with the memory of its answers, 192 KiB each at most, until they are written. A caller that reads does not count. When all connections are in use, such a caller makes room after idle and incomplete ones.

Four tests without a network in policy/tests/intake.rs.

The limits of the intake have a file of their own, and bodies of answers with a guard one wrapper for both kinds of peers.

--- a/crates/daemon/src/edge/caller/mod.rs
+++ b/crates/daemon/src/edge/caller/mod.rs
@@ -78,8 +78,9 @@
             class.is_some_and(|class| class.idempotent)
         })
     };
+    let max_started = context.intake.limits().early_answers();
     let context = Arc::clone(context);
-    Early::new(may_start, move |event| {
+    Early::new(max_started, may_start, move |event| {
         context.metrics.count_pipelined(event)
     })
 }
--- a/crates/daemon/src/edge/server/guard.rs
+++ b/crates/daemon/src/edge/server/guard.rs
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Returns what is told whether the caller reads its answers, if the peer is
+    /// a caller.
+    pub(super) fn reader(&self) -> Option<intake::Flow> {
+        match self {
+            Self::Caller(connection) => Some(connection.flow().clone()),
+            Self::Other(_) => None,
+        }
+    }
+
     /// Returns what the requests on the connection are recorded with.
     pub(super) fn flow(&self) -> Flow {
         match self {
@@ -140,7 +149,7 @@
     /// Moves the exchange into the body of its answer.
     pub(super) fn answer(self, answer: Response<Body>, unsent: &Unsent) -> Response<Body> {
         match self {
-            Self::Caller(exchange) => exchange.answer(answer),
+            Self::Caller(exchange) => exchange.answer(answer, unsent),
             Self::Other(exchange) => exchange.answer(answer, unsent),
         }
     }
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -146,7 +146,7 @@
             Protocol::Http1 => early.clone(),
         };
         let starter = early.map(|early| Starter::new(early, peer, stop.clone(), handle.clone()));
-        let pipeline = Pipeline::new(stream, starter);
+        let pipeline = Pipeline::new(stream, starter, guard.reader());
         let served = serve_connection(pipeline, peer, limits, guard, stop.clone(), handle.clone());
         connections.spawn(async move {
             let _permit = permit;
--- a/crates/daemon/src/edge/server/pipeline/mod.rs
+++ b/crates/daemon/src/edge/server/pipeline/mod.rs
@@ -31,6 +31,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, Body, Unsent};
+use crate::intake::Flow;
 
 mod head;
 mod stream;
@@ -40,9 +41,6 @@
 /// Maximum number of requests of one connection that are started and wait for
 /// their turn.
 pub const MAX_STARTED: usize = 8;
-/// Maximum number of requests of all connections that are started and wait for
-/// their turn. Each may hold 64 KiB of its answer and as much in buffers below.
-const MAX_STARTED_TOTAL: usize = 256;
 /// Number of bytes above which a connection is not read further ahead.
 const MAX_AHEAD_BYTES: usize = 16_384;
 /// Maximum number of bytes that one call reads from the socket.
@@ -83,13 +81,14 @@
     /// that was started can be cancelled and sent again. `observe` is called
     /// with each event.
     pub fn new(
+        max_started: usize,
         may_start: impl Fn(&Parts) -> bool + Send + Sync + 'static,
         observe: impl Fn(Event) + Send + Sync + 'static,
     ) -> Arc<Self> {
         Arc::new(Self {
             may_start: Box::new(may_start),
             observe: Box::new(observe),
-            room: Arc::new(Semaphore::new(MAX_STARTED_TOTAL)),
+            room: Arc::new(Semaphore::new(max_started)),
         })
     }
 }
@@ -187,6 +186,10 @@
 
 struct State {
     stream: TcpStream,
+    /// Told whether the caller reads its answers.
+    reader: Option<Flow>,
+    /// Whether the peer does not read what was written.
+    is_blocked: bool,
     /// `None` if no request of this connection may start early.
     starter: Option<Starter>,
     /// Bytes that were read from the socket and not yet passed on.
@@ -215,10 +218,14 @@
 
 impl Pipeline {
     /// Wraps an accepted connection.
-    pub(super) fn new(stream: TcpStream, starter: Option<Starter>) -> Self {
+    ///
+    /// `reader` is told whether the caller reads its answers.
+    pub(super) fn new(stream: TcpStream, starter: Option<Starter>, reader: Option<Flow>) -> Self {
         let body_ended = Arc::<AtomicBool>::default();
         let state = Mutex::new(State {
             stream,
+            reader,
+            is_blocked: false,
             starter,
             ahead: BytesMut::new(),
             started_bytes: 0,
@@ -364,6 +371,17 @@
         polled
     }
 
+    /// Records whether the peer reads what is written.
+    fn set_blocked(&mut self, is_blocked: bool) {
+        if self.is_blocked == is_blocked {
+            return;
+        }
+        self.is_blocked = is_blocked;
+        if let Some(reader) = &self.reader {
+            reader.set_blocked(is_blocked);
+        }
+    }
+
     fn poll_socket(
         &mut self,
         cx: &mut Context<'_>,
--- a/crates/daemon/src/edge/server/pipeline/stream.rs
+++ b/crates/daemon/src/edge/server/pipeline/stream.rs
@@ -34,7 +34,10 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.lock().stream).poll_write(cx, bytes)
+        let mut state = self.0.lock();
+        let polled = Pin::new(&mut state.stream).poll_write(cx, bytes);
+        state.set_blocked(polled.is_pending());
+        polled
     }
 
     /// Called by the library once everything is written.
@@ -59,6 +62,9 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0.lock().stream).poll_write_vectored(cx, parts)
+        let mut state = self.0.lock();
+        let polled = Pin::new(&mut state.stream).poll_write_vectored(cx, parts);
+        state.set_blocked(polled.is_pending());
+        polled
     }
 }
--- a/crates/daemon/src/intake/counts.rs
+++ b/crates/daemon/src/intake/counts.rs
@@ -10,6 +10,8 @@
     ConnectionRefused,
     /// A connection was closed, because its caller kept the daemon waiting.
     ConnectionClosed,
+    /// A connection was closed, because its caller did not read its answer.
+    AnswerUnread,
     /// A body was refused, for lack of memory or behind stalled bodies.
     BodyRefused,
     /// A buffer for another attempt was discarded for lack of memory.
@@ -29,6 +31,8 @@
     pub refused_connections: u64,
     /// Number of connections closed to make room.
     pub closed_connections: u64,
+    /// Number of connections closed whose callers did not read their answers.
+    pub unread_answers: u64,
     /// Number of bodies refused.
     pub refused_bodies: u64,
     /// Number of buffers discarded.
@@ -40,6 +44,7 @@
 pub(super) struct Counts {
     refused_connections: AtomicU64,
     closed_connections: AtomicU64,
+    unread_answers: AtomicU64,
     refused_bodies: AtomicU64,
     discarded_buffers: AtomicU64,
     /// Second of the last log line.
@@ -52,6 +57,7 @@
         let count = match event {
             Event::ConnectionRefused => &self.refused_connections,
             Event::ConnectionClosed => &self.closed_connections,
+            Event::AnswerUnread => &self.unread_answers,
             Event::BodyRefused => &self.refused_bodies,
             Event::BufferDiscarded => &self.discarded_buffers,
         };
@@ -66,6 +72,7 @@
             target: "callers", outcome = "limited",
             refused_connections = state.refused_connections,
             closed_connections = state.closed_connections,
+            unread_answers = state.unread_answers,
             refused_bodies = state.refused_bodies,
             discarded_buffers = state.discarded_buffers;
             "callers reach the limits of this entry; counts since the start"
@@ -77,6 +84,7 @@
         State {
             refused_connections: self.refused_connections.load(Ordering::Relaxed),
             closed_connections: self.closed_connections.load(Ordering::Relaxed),
+            unread_answers: self.unread_answers.load(Ordering::Relaxed),
             refused_bodies: self.refused_bodies.load(Ordering::Relaxed),
             discarded_buffers: self.discarded_buffers.load(Ordering::Relaxed),
             ..State::default()
--- a/crates/daemon/src/intake/mod.rs
+++ b/crates/daemon/src/intake/mod.rs
@@ -14,7 +14,7 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Body;
+use crate::body::{Body, Unsent};
 use crate::call::Refusal;
 use counts::{Counts, Event};
 use track::{Answer, Tracked};
@@ -36,6 +36,7 @@
 pub struct Intake {
     start: Instant,
     next_id: AtomicU64,
+    limits: Limits,
     inner: Mutex<Inner>,
     counts: Counts,
 }
@@ -59,6 +60,7 @@
         Arc::new(Self {
             start: Instant::now(),
             next_id: AtomicU64::new(1),
+            limits,
             inner: Mutex::new(Inner {
                 policy: policy::Intake::new(limits),
                 closed: HashMap::new(),
@@ -70,6 +72,11 @@
         })
     }
 
+    /// Returns the limits of what callers hold.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// Records a new connection of a caller from `address`. Closes another one if all are in
     /// use; returns `None` if none can be closed.
     pub fn open(self: &Arc<Self>, address: IpAddr) -> Option<Connection> {
@@ -103,7 +110,11 @@
     }
 
     fn close(&self, inner: &Inner, id: u64) {
-        self.counts.add(Event::ConnectionClosed);
+        let event = match inner.policy.is_blocked(id) {
+            true => Event::AnswerUnread,
+            false => Event::ConnectionClosed,
+        };
+        self.counts.add(event);
         if let Some(closed) = inner.closed.get(&id) {
             closed.cancel();
         }
@@ -299,6 +310,18 @@
         }
     }
 
+    /// Records whether the caller reads its answers. Closes connections if
+    /// answers that callers do not read take too much memory.
+    pub fn set_blocked(&self, is_blocked: bool) {
+        let now = self.intake.now();
+        let mut inner = self.intake.lock();
+        match is_blocked {
+            true => inner.policy.block(now, self.id),
+            false => inner.policy.unblock(now, self.id),
+        }
+        self.intake.perform_actions(&mut inner);
+    }
+
     fn refuse(&self, reason: &str) -> Refusal {
         self.intake.counts.add(Event::BodyRefused);
         Refusal {
@@ -313,15 +336,47 @@
 pub struct Exchange(Flow);
 
 impl Exchange {
-    /// Moves the exchange into the body of its answer, with which it ends.
-    pub fn answer(self, answer: Response<Body>) -> Response<Body> {
+    /// Moves the exchange into the body of its answer, with which it ends. When
+    /// the body is dropped, the memory of the answer is kept in `unsent`.
+    pub fn answer(self, answer: Response<Body>, unsent: &Unsent) -> Response<Body> {
         answer.map(|body| match body.is_end_stream() {
             true => body,
-            false => Answer::new(body, self).boxed_unsync(),
+            false => {
+                let bytes = policy::Intake::answer_bytes(body.size_hint().exact());
+                let held = Held::take(&self.0, bytes);
+                let body = Answer::new(body, self).boxed_unsync();
+                unsent.guard(body, held)
+            }
         })
     }
 }
 
+/// Memory of an answer; released when dropped.
+#[derive(Debug)]
+struct Held {
+    flow: Flow,
+    bytes: u64,
+}
+
+impl Held {
+    fn take(flow: &Flow, bytes: u64) -> Self {
+        let mut inner = flow.intake.lock();
+        inner.policy.hold_answer(flow.id, bytes);
+        flow.intake.perform_actions(&mut inner);
+        Self {
+            flow: flow.clone(),
+            bytes,
+        }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let Flow { intake, id } = &self.flow;
+        intake.lock().policy.release_answer(*id, self.bytes);
+    }
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
         let Flow { intake, id } = &self.0;
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -298,6 +298,7 @@
         for (kind, count) in [
             ("refused-connection", state.refused_connections),
             ("closed-connection", state.closed_connections),
+            ("unread-answer", state.unread_answers),
             ("refused-body", state.refused_bodies),
             ("discarded-buffer", state.discarded_buffers),
         ] {
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -11,16 +11,12 @@
 
 use http::{Request, Response};
 use http_body::Body as _;
-use http_body_util::BodyExt;
 use savorylane_intent::hosts::Host;
 use savorylane_policy::quota::{self as policy, Limits, Listener, Peer, Room};
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Unsent};
 use crate::kernel::Context;
-use answer::Answer;
-
-mod answer;
 
 /// Maximum number of bytes that the operating system receives for a connection
 /// of a stranger before they are read.
@@ -312,10 +308,10 @@
         quota.close(&mut inner, &outcome.closed);
         drop(inner);
         if !outcome.held {
-            return answer.map(|body| Answer::new(body, self, Unsent::default()).boxed_unsync());
+            return answer.map(|body| Unsent::default().guard(body, self));
         }
         self.bytes += bytes;
-        answer.map(|body| Answer::new(body, self, unsent.clone()).boxed_unsync())
+        answer.map(|body| unsent.guard(body, self))
     }
 }
 
--- a/crates/daemon/tests/pipelining.rs
+++ b/crates/daemon/tests/pipelining.rs
@@ -104,7 +104,9 @@
             ..Probe::default()
         });
         let observer = Arc::clone(&probe);
+        let limits_of_callers = intake::Limits::new(MEMORY_MB, DESCRIPTORS);
         let early = Early::new(
+            limits_of_callers.early_answers(),
             |head| head.method == Method::GET && !head.uri.path().starts_with("/order"),
             move |event| observer.events.lock().unwrap().push(event),
         );
@@ -113,7 +115,7 @@
         let token = stop.clone();
         let callers = Callers {
             early,
-            intake: Intake::new(intake::Limits::new(MEMORY_MB, DESCRIPTORS)),
+            intake: Intake::new(limits_of_callers),
         };
         tokio::spawn(server::serve_callers(
             listener,
--- a/crates/policy/src/intake/mod.rs
+++ b/crates/policy/src/intake/mod.rs
@@ -1,18 +1,20 @@
-//! Limits of what the callers of an entry hold: connections, memory for bodies,
-//! and slots of upstreams behind bodies that do not arrive.
+//! Limits of what the callers of an entry hold: connections, memory for bodies
+//! and for answers, and slots of upstreams behind bodies that do not arrive.
 //!
 //! As long as there is room, a slow caller is served until its deadline. Only
 //! when there is none, the connection whose caller has been waited for longest
 //! is closed. The time of a caller counts only while the daemon waits for its
 //! bytes, so that a caller is not blamed for a slow upstream or link.
 
+mod answers;
+mod limits;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::time::Duration;
 
-/// Memory of an open connection in bytes: its read buffer, which holds the head
-/// of a request, and its state.
-const CONNECTION_BYTES: u64 = 40 << 10;
+pub use limits::Limits;
+
 /// Memory of a large body that passes the daemon in bytes: what was read and
 /// not yet sent on. It includes the bytes that are read ahead of a body of
 /// unknown size.
@@ -22,6 +24,9 @@
 /// Time for which a caller must have been waited for before its connection is
 /// closed to make room: several retransmissions on a link that loses packets.
 const MIN_STALL: Duration = Duration::from_millis(500);
+/// Memory of an answer whose caller does not read it, in bytes: the window of an
+/// answer from another host, and the buffer of the connection to the caller.
+const ANSWER_BYTES: u64 = 192 << 10;
 /// Maximum number of bytes that the operating system receives for a connection
 /// before they are read. It bounds the rate of an upload: 4 MB per second at a
 /// round trip of 16 ms.
@@ -38,45 +43,6 @@
 /// left to bodies that arrive.
 const BUFFER_SHARE: f64 = 0.5;
 
-/// Limits of an entry.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Limits {
-    /// Maximum number of open connections.
-    pub connections: usize,
-    /// Maximum memory for bodies in bytes.
-    pub body_bytes: u64,
-    /// Memory for bytes that the operating system has received and that were
-    /// not read yet.
-    pub receive_bytes: u64,
-    /// Number of stalled bodies, on their way to upstreams, from which on
-    /// bodies are received completely before they are passed on.
-    pub stalled: usize,
-}
-
-/// Number of stalled bodies that are tolerated on their way to upstreams, fewer
-/// than the slots of an ordinary upstream.
-const MAX_STALLED: usize = 4;
-
-impl Limits {
-    /// Returns the limits of a process with `memory_mb` megabytes of memory and
-    /// `descriptors` descriptors.
-    ///
-    /// Connections get a quarter of the descriptors and three eighths of the
-    /// memory, bodies three sixteenths of the memory, and unread bytes a
-    /// thirty-second. The rest is left to the other listeners and to the
-    /// connections to upstreams, to other daemons and to the store.
-    pub fn new(memory_mb: u64, descriptors: usize) -> Self {
-        let memory = memory_mb * 1_000_000;
-        let by_memory = memory * 3 / 8 / CONNECTION_BYTES;
-        Self {
-            connections: (descriptors / 4).min(by_memory as usize).max(1),
-            body_bytes: (memory * 3 / 16).max(BODY_BYTES),
-            receive_bytes: memory / 32,
-            stalled: MAX_STALLED,
-        }
-    }
-}
-
 /// A body that asks for memory.
 #[derive(Clone, Copy, Debug)]
 pub struct Body {
@@ -137,6 +103,12 @@
     passing: bool,
     /// Memory of the bodies on the connection in bytes.
     bytes: u64,
+    /// Memory of the answers on the connection in bytes.
+    answer_bytes: u64,
+    /// When the caller began not to read its answer; `None` while it reads.
+    blocked_since: Option<Duration>,
+    /// Time for which the caller has not read the current answer before.
+    blocked: Duration,
     /// Whether the connection was chosen to be closed.
     closing: bool,
 }
@@ -170,6 +142,9 @@
     connections: BTreeMap<u64, Connection>,
     /// Number of connections that were chosen to be closed.
     closing: usize,
+    /// Memory of the answers that callers do not read, without those on
+    /// connections that were chosen to be closed.
+    blocked_bytes: u64,
     /// Connection and memory of each admitted body.
     admitted: BTreeMap<u64, (u64, u64)>,
     bytes: u64,
@@ -189,6 +164,7 @@
             limits,
             connections: BTreeMap::new(),
             closing: 0,
+            blocked_bytes: 0,
             admitted: BTreeMap::new(),
             bytes: 0,
             waiting: BTreeSet::new(),
@@ -199,9 +175,10 @@
 
     /// Returns whether there is room for one more connection from `address`.
     ///
-    /// If there is none, a caller that keeps the daemon waiting makes room, or
-    /// else the address with the most connections if `address` has far fewer. A
-    /// request that has arrived completely is never displaced.
+    /// If there is none, a caller that keeps the daemon waiting makes room, for a
+    /// request or by not reading its answer, or else the address with the most
+    /// connections if `address` has far fewer. Any other request that has arrived
+    /// completely is never displaced.
     pub fn room(&mut self, now: Duration, address: IpAddr) -> Room {
         let max = self.limits.connections;
         if self.connections.len() - self.closing < max {
@@ -211,6 +188,7 @@
             return Room::Full;
         }
         let chosen = self.close_longest(now);
+        let chosen = chosen.or_else(|| self.close_blocked(now, MIN_STALL));
         let chosen = chosen.or_else(|| self.displace(now, address));
         chosen.map_or(Room::Full, Room::Close)
     }
@@ -241,20 +219,20 @@
     /// Chooses the connection that was waited for longest among those that
     /// `may_close` accepts.
     fn choose(&mut self, now: Duration, may_close: impl Fn(&Connection) -> bool) -> Option<u64> {
-        let open = self.connections.iter_mut();
+        let open = self.connections.iter();
         let candidates = open.filter(|(_, open)| !open.closing && may_close(open));
-        let (id, chosen) = candidates.max_by_key(|(_, open)| open.waited(now))?;
-        chosen.closing = true;
-        self.closing += 1;
-        Some(*id)
+        let (id, _) = candidates.max_by_key(|(_, open)| open.waited(now))?;
+        let id = *id;
+        self.start_closing(id);
+        Some(id)
     }
 
-    /// Returns the number of bytes that the operating system may receive for a
-    /// new connection before they are read. The more connections are open, the
-    /// fewer.
-    pub fn receive_bytes(&self) -> u64 {
-        let share = self.limits.receive_bytes / (self.connections.len() as u64 + 1);
-        share.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES)
+    fn start_closing(&mut self, id: u64) {
+        if let Some(open) = self.connections.get_mut(&id) {
+            open.closing = true;
+            self.closing += 1;
+            self.blocked_bytes -= open.blocked_bytes();
+        }
     }
 
     /// Records a new connection from `address`.
@@ -267,6 +245,9 @@
             receiving: false,
             passing: false,
             bytes: 0,
+            answer_bytes: 0,
+            blocked_since: None,
+            blocked: Duration::ZERO,
             closing: false,
         };
         self.connections.insert(id, connection);
@@ -274,8 +255,11 @@
 
     /// Records the end of a connection.
     pub fn close(&mut self, id: u64) {
-        let closed = self.connections.remove(&id);
-        self.closing -= usize::from(closed.is_some_and(|closed| closed.closing));
+        match self.connections.remove(&id) {
+            Some(closed) if closed.closing => self.closing -= 1,
+            Some(closed) => self.blocked_bytes -= closed.blocked_bytes(),
+            None => {}
+        }
         self.waiting_to_pass.remove(&id);
     }
 
@@ -306,6 +290,7 @@
                 open.waited = Duration::ZERO;
                 open.receiving = false;
                 open.passing = false;
+                open.blocked = Duration::ZERO;
             }
         }
     }
@@ -442,9 +427,14 @@
     }
 
     /// Returns the next action at `now`. Must be called until it returns `None`
-    /// after each [`Intake::release`], [`Intake::end`] and [`Intake::close`],
-    /// and from time to time while a body waits.
+    /// after each [`Intake::release`], [`Intake::end`], [`Intake::close`],
+    /// [`Intake::hold_answer`] and [`Intake::block`], and from time to time while a body waits.
     pub fn next_action(&mut self, now: Duration) -> Option<Action> {
+        if self.blocked_bytes > self.limits.answer_bytes
+            && let Some(id) = self.close_blocked(now, Duration::ZERO)
+        {
+            return Some(Action::Close(id));
+        }
         if let Some((bytes, id, connection)) = self.waiting.first().copied()
             && self.fits(bytes)
         {
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -8,6 +8,7 @@
 const LIMITS: Limits = Limits {
     connections: 16,
     body_bytes: 1_000_000,
+    answer_bytes: 500_000,
     receive_bytes: 1_000_000,
     stalled: 4,
 };
@@ -161,6 +162,80 @@
     assert!(Limits::new(110, 4_100).connections >= 1_000);
 }
 
+/// Guards against answers that callers do not read and that take the memory of
+/// the process, and against a caller that reads and loses its answer for them.
+#[test]
+fn the_caller_that_does_not_read_for_longest_is_closed() {
+    let mut intake = Intake::new(LIMITS);
+    begin(&mut intake, 0..4);
+    for id in 0..4 {
+        intake.resume(seconds(0.0), id, true);
+        intake.hold_answer(id, 200_000);
+    }
+    // The first caller reads, the others stop one after the other.
+    for id in 1..3 {
+        intake.block(seconds(id as f64), id);
+        assert_eq!(intake.next_action(seconds(3.0)), None);
+    }
+    intake.block(seconds(3.0), 3);
+    assert_eq!(intake.next_action(seconds(3.0)), Some(Action::Close(1)));
+    assert_eq!(intake.next_action(seconds(3.0)), None);
+    // Memory that is held while a caller does not read counts as well.
+    intake.hold_answer(2, 200_000);
+    assert_eq!(intake.next_action(seconds(3.0)), Some(Action::Close(2)));
+    assert_eq!(intake.next_action(seconds(3.0)), None);
+}
+
+/// Guards against a caller that reads a little from time to time and counts as
+/// one that reads.
+#[test]
+fn the_time_without_reading_adds_up_within_an_answer() {
+    let mut intake = Intake::new(LIMITS);
+    begin(&mut intake, 0..3);
+    for id in 0..3 {
+        intake.resume(seconds(0.0), id, true);
+        intake.hold_answer(id, 200_000);
+        intake.block(seconds(id as f64), id);
+        if id == 0 {
+            intake.unblock(seconds(2.0), 0);
+            intake.block(seconds(2.0), 0);
+        }
+    }
+    assert_eq!(intake.next_action(seconds(2.0)), Some(Action::Close(0)));
+}
+
+/// Guards against callers that do not read their answers and keep all
+/// connections from others.
+#[test]
+fn a_caller_that_does_not_read_makes_room() {
+    let mut intake = Intake::new(LIMITS);
+    begin(&mut intake, 0..16);
+    for id in 0..16 {
+        intake.resume(seconds(0.0), id, true);
+    }
+    assert_eq!(intake.room(seconds(1.0), address(1)), Room::Full);
+    intake.block(seconds(1.0), 7);
+    assert_eq!(intake.room(seconds(1.4), address(1)), Room::Full);
+    assert_eq!(intake.room(seconds(1.5), address(1)), Room::Close(7));
+}
+
+/// Guards against memory of answers that is never released.
+#[test]
+fn the_end_of_an_answer_releases_its_memory() {
+    let mut intake = Intake::new(LIMITS);
+    begin(&mut intake, 0..4);
+    for id in 0..3 {
+        intake.hold_answer(id, 400_000);
+        intake.block(seconds(0.0), id);
+        intake.release_answer(id, 400_000);
+        assert_eq!(intake.next_action(seconds(0.0)), None);
+    }
+    intake.hold_answer(3, 600_000);
+    intake.block(seconds(0.0), 3);
+    intake.close(3);
+    assert_eq!(intake.next_action(seconds(0.0)), None);
+}
+
 /// Guards against many connections for which the operating system receives more
 /// than the memory of the process, and against a slow upload among few.
 #[test]
