--- a/crates/daemon/src/edge/server/pipeline/mod.rs
+++ b/crates/daemon/src/edge/server/pipeline/mod.rs
@@ -77,9 +77,10 @@
 
 impl Early {
     /// Returns rules by which a request starts early if `may_start` holds for
-    /// its head. It must hold only for idempotent requests, because a request
-    /// that was started can be cancelled and sent again. `observe` is called
-    /// with each event.
+    /// its head, and fewer than `max_started` requests of all connections wait
+    /// started. `may_start` must hold only for idempotent requests, because a
+    /// request that was started can be cancelled and sent again. `observe` is
+    /// called with each event.
     pub fn new(
         max_started: usize,
         may_start: impl Fn(&Parts) -> bool + Send + Sync + 'static,
