--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,4 +11,5 @@
 mod net;
 pub mod platform;
 pub mod report;
+pub mod resources;
 pub mod upstream;
