gatekeeper: a limit of slots for peers that are no hosts

Cause: the gate did not know whose request it admits. A stranger took any slot until the deadline that it states itself, and the gate believed the number of slots in its header: an upstream with one slot got 200 requests at once.

The gate gives strangers a quarter of the slots. Where no slot is free, a stranger that has been waited for for 0.5 s, for its body or for its answer to be read, loses its slot to a host's request, so that the rule also holds for an upstream with a single slot. What a stranger states about slots and instance is not believed, and its service time is not counted.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -11,6 +11,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Empty, Full};
 use tokio::task::AbortHandle;
+use tokio_util::sync::CancellationToken;
 
 mod packed;
 mod replay;
@@ -155,6 +156,18 @@
     /// Wraps `inner`, which is truncated 0.2 s after `deadline`, and before the
     /// frame that exceeds `limit` bytes in total.
     pub fn wrap(inner: Body, deadline: Instant, limit: u64, observer: O) -> Body {
+        Self::wrap_until(inner, deadline, &CancellationToken::new(), limit, observer)
+    }
+
+    /// Wraps `inner` as [`Watched::wrap`] does. The body is also truncated when
+    /// `cancel` is cancelled.
+    pub fn wrap_until(
+        inner: Body,
+        deadline: Instant,
+        cancel: &CancellationToken,
+        limit: u64,
+        observer: O,
+    ) -> Body {
         let deadline = deadline + DEADLINE_GRACE;
         if inner.is_end_stream() {
             observer.on_end(true);
@@ -168,8 +181,10 @@
             ended: false,
         }));
         let timed = Arc::clone(&shared);
+        let cancel = cancel.clone();
         let timer = tokio::spawn(async move {
-            tokio::time::sleep_until(deadline.into()).await;
+            let passed = tokio::time::sleep_until(deadline.into());
+            let _ = cancel.run_until_cancelled(passed).await;
             let (body, reader) = {
                 let mut shared = lock(&timed);
                 (shared.abort(), shared.reader.take())
@@ -226,7 +241,7 @@
             shared.abort();
         }
         let Some(inner) = &mut shared.inner else {
-            return Poll::Ready(Some(Err("the deadline passed within the body".into())));
+            return Poll::Ready(Some(Err("the body was cut before its end".into())));
         };
         let polled = Pin::new(&mut *inner).poll_frame(cx);
         let last = inner.is_end_stream();
--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -65,6 +65,9 @@
     pub attempt: Option<u32>,
     /// Region whose hosts hold the idempotency key.
     pub home: Option<String>,
+    /// Whether the call came to the data port from a peer that is no host of the
+    /// deployment.
+    pub stranger: bool,
 }
 
 /// Origin and destination of a request, and the configuration that it was
@@ -264,6 +267,7 @@
             key,
             attempt,
             home,
+            stranger: false,
         })
     }
 
@@ -367,6 +371,7 @@
             key: None,
             attempt: None,
             home: None,
+            stranger: false,
         }
     }
 
--- a/crates/daemon/src/edge/data/mod.rs
+++ b/crates/daemon/src/edge/data/mod.rs
@@ -7,7 +7,7 @@
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode};
 use savorylane_distribution::age::Numbers;
-use savorylane_policy::quota::Listener;
+use savorylane_policy::quota::{Listener, Peer};
 use savorylane_wire::{Hop, header};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
@@ -140,7 +140,10 @@
     };
     let caller: IpAddr =
         call::parse_header(&head.headers, header::CALLER)?.unwrap_or(IpAddr::from([0, 0, 0, 0]));
-    let call = Arc::new(Call::parse(&head, class, caller, Instant::now())?);
+    let call = Arc::new(Call {
+        stranger: is_stranger(&head),
+        ..Call::parse(&head, class, caller, Instant::now())?
+    });
     if let Some(handoff) = handoff {
         let body = Replay::new(body, context.settings.max_body_bytes);
         return holder::serve_at_holder(context, &snapshot, &call, &body, &handoff).await;
@@ -172,7 +175,10 @@
     };
     hint::on_request(context, peer, sender);
     route::check(context, head, sender.version)?;
-    let call = Call::from_hop(head, hop, peer.ip(), Instant::now());
+    let call = Call {
+        stranger: is_stranger(head),
+        ..Call::from_hop(head, hop, peer.ip(), Instant::now())
+    };
     if head.headers.contains_key(header::RESERVE) {
         let reservation_id = reservation::reserve(context, &call).await?;
         let mut answer = Response::new(body::empty());
@@ -186,3 +192,9 @@
     };
     context.gatekeeper.run(context, &call, body).await
 }
+
+/// Returns whether a request comes from a peer that is no host of the
+/// deployment.
+fn is_stranger(head: &http::request::Parts) -> bool {
+    head.extensions.get() == Some(&Peer::Stranger)
+}
--- a/crates/daemon/src/edge/server/guard.rs
+++ b/crates/daemon/src/edge/server/guard.rs
@@ -112,14 +112,17 @@
 
 impl Flow {
     /// Records the head of a request.
-    pub(super) fn begin(&self, request: Request<Body>) -> Admission {
+    pub(super) fn begin(&self, mut request: Request<Body>) -> Admission {
         match self {
             Self::Caller(flow) => {
                 let (request, exchange) = flow.begin(request);
                 Admission::Admitted(request, Exchange::Caller(exchange))
             }
             Self::Other(flow) => match flow.begin(&request) {
-                Some(exchange) => Admission::Admitted(request, Exchange::Other(exchange)),
+                Some(exchange) => {
+                    request.extensions_mut().insert(exchange.peer());
+                    Admission::Admitted(request, Exchange::Other(exchange))
+                }
                 None => Admission::Refused(refuse()),
             },
         }
--- a/crates/daemon/src/gatekeeper/judge.rs
+++ b/crates/daemon/src/gatekeeper/judge.rs
@@ -8,8 +8,8 @@
 use savorylane_policy::gate::Outcome;
 use savorylane_wire::{Verdict, header};
 
-use super::{Gatekeeper, Slot, deaths, interruption_by};
-use crate::body::{Body, Watched, peek};
+use super::{Gatekeeper, Slot, deaths, interruption_by, watch};
+use crate::body::{Body, peek};
 use crate::call::{Call, Cause, Refusal};
 use crate::edge::upstream;
 use crate::kernel::Context;
@@ -69,8 +69,7 @@
                 Ok(Response::from_parts(head, body))
             }
             Ok(Ok((_, false, body))) => {
-                let body =
-                    Watched::wrap(body, call.deadline, context.settings.max_body_bytes, slot);
+                let body = watch(context, call, body, slot);
                 Ok(Response::from_parts(head, body))
             }
             Ok(Err(error)) => {
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -1,6 +1,7 @@
 //! Admission of requests to the host's upstream, and the verdict whether a
 //! request ran.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -12,6 +13,7 @@
 use savorylane_policy::gate::{self, Decision, Gate, Outcome, Reason, Request};
 use savorylane_wire::{Load, Verdict, header};
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Error, Watched, peek};
 use crate::call::{Call, Cause, Refusal};
@@ -30,12 +32,14 @@
 mod judge;
 mod listing;
 mod slot;
+mod stranger;
 
 use deaths::{Detector, Interruption};
 use departure::Departures;
 use evacuation::Evacuation;
 use listing::check_listed;
 use slot::Slot;
+use stranger::Turn;
 
 /// Expected service time of an upstream on the adapted platform before one was
 /// measured, as a share of the target latency. Daemons on that platform start
@@ -71,6 +75,9 @@
     gate: Gate,
     waiters: Waiters,
     seen: cold::Seen,
+    /// Cancelled when a request of a stranger loses its slot, by the request's
+    /// id.
+    strangers: HashMap<u64, CancellationToken>,
 }
 
 /// State of the gate when a request arrived, and the time that the request
@@ -96,6 +103,7 @@
                 gate,
                 waiters: Waiters::default(),
                 seen: cold::Seen::default(),
+                strangers: HashMap::new(),
             }),
             upstream,
             changed: Notify::new(),
@@ -164,8 +172,20 @@
         check_listed(self, context, call)?;
         self.deaths.on_start(slot.id, fingerprint);
         let remaining = call.remaining(Instant::now());
-        let sent = self.upstream.send(call, body);
-        let answer = match tokio::time::timeout(remaining, sent).await {
+        let turn = call.stranger.then(|| Turn::new(context, slot.id));
+        let body = match &turn {
+            Some(turn) => turn.clone().receive(body),
+            None => body,
+        };
+        let displaced = slot.displaced.clone();
+        let sent = tokio::time::timeout(remaining, self.upstream.send(call, body));
+        let Some(sent) = displaced.run_until_cancelled(sent).await else {
+            return Err(Refusal::may_have_run(
+                StatusCode::BAD_GATEWAY,
+                "the request kept its slot waiting",
+            ));
+        };
+        let answer = match sent {
             Ok(Ok(answer)) => answer,
             Ok(Err(upstream::Failure::Connect)) => {
                 slot.outcome = Outcome::UpstreamDown;
@@ -202,17 +222,14 @@
                 ));
             }
         };
-        if call.route.is_some() {
-            return self.check_answer(context, call, answer, slot).await;
-        }
-        let (mut head, body) = answer.into_parts();
-        head.headers = crate::call::forwarded_headers(&head.headers);
-        head.headers.insert(
-            header::VERDICT,
-            HeaderValue::from_static(Verdict::Ran.as_str()),
-        );
-        let body = Watched::wrap(body, call.deadline, context.settings.max_body_bytes, slot);
-        Ok(Response::from_parts(head, body))
+        let answer = match call.route {
+            Some(_) => self.check_answer(context, call, answer, slot).await?,
+            None => forward_answer(context, call, answer, slot),
+        };
+        Ok(match turn {
+            Some(turn) => turn.answer(answer),
+            None => answer,
+        })
     }
 
     /// Checks that the upstream accepts requests, before the body of a call is
@@ -306,10 +323,17 @@
             class: hash(&call.class.name),
             exclusive: trial.is_some(),
             late: call.late,
+            stranger: call.stranger,
         };
+        let displaced = CancellationToken::new();
         let waiting = {
             let mut inner = self.lock();
-            if let Some(route) = &call.route {
+            match call.stranger {
+                true => drop(inner.strangers.insert(id, displaced.clone())),
+                false => inner.displace_stranger(now),
+            }
+            // A stranger may state anything about the upstream.
+            if let Some(route) = call.route.as_ref().filter(|_| !call.stranger) {
                 if route.slots > 0 {
                     inner.gate.set_slots(route.slots as usize);
                 }
@@ -324,6 +348,7 @@
                 Decision::Run => None,
                 Decision::Refuse(reason) => {
                     let wait = inner.gate.retry_after_ms(&work);
+                    inner.strangers.remove(&id);
                     inner.perform_actions(now);
                     return Err(refusal(reason, wait));
                 }
@@ -344,6 +369,7 @@
             id,
             outcome: Outcome::Cancelled,
             fingerprint,
+            displaced,
             _trial: trial,
         };
         let Some(waiting) = waiting else {
@@ -365,6 +391,7 @@
         let now = self.now();
         let mut inner = self.lock();
         inner.waiters.remove(id);
+        inner.strangers.remove(&id);
         inner.gate.finish(now, id, outcome);
         inner.perform_actions(now);
         self.notify_cold(&inner, now);
@@ -380,8 +407,26 @@
 }
 
 impl Inner {
-    /// Starts and refuses queued requests as the gate decided.
+    /// Cancels a request of a stranger, if the gate decides that a host gets its
+    /// slot.
+    fn displace_stranger(&mut self, now: Duration) {
+        if let Some(id) = self.gate.displace_stranger(now) {
+            self.cancel_stranger(id);
+        }
+    }
+
+    fn cancel_stranger(&mut self, id: u64) {
+        log::info!("a request of a peer that is no host lost its slot: the peer was waited for");
+        if let Some(displaced) = self.strangers.remove(&id) {
+            displaced.cancel();
+        }
+    }
+
+    /// Cancels, starts and refuses requests as the gate decided.
     fn perform_actions(&mut self, now: Duration) {
+        while let Some(id) = self.gate.next_displaced(now) {
+            self.cancel_stranger(id);
+        }
         while let Some(action) = self.gate.next_action(now) {
             if let Some(abandoned) = self.waiters.notify(action) {
                 self.gate.finish(now, abandoned, Outcome::Cancelled);
@@ -390,6 +435,31 @@
     }
 }
 
+/// Returns the answer to forward of an upstream on the product's own platform.
+fn forward_answer(
+    context: &Context,
+    call: &Call,
+    answer: Response<Body>,
+    slot: Slot,
+) -> Response<Body> {
+    let (mut head, body) = answer.into_parts();
+    head.headers = crate::call::forwarded_headers(&head.headers);
+    head.headers.insert(
+        header::VERDICT,
+        HeaderValue::from_static(Verdict::Ran.as_str()),
+    );
+    let body = watch(context, call, body, slot);
+    Response::from_parts(head, body)
+}
+
+/// Returns a body that holds `slot` until it ends, its deadline passes or the
+/// request loses its slot.
+fn watch(context: &Context, call: &Call, body: Body, slot: Slot) -> Body {
+    let displaced = slot.displaced.clone();
+    let limit = context.settings.max_body_bytes;
+    Watched::wrap_until(body, call.deadline, &displaced, limit, slot)
+}
+
 /// Returns the state of the gate that decides on a request, for its log line.
 fn occupancy(gate: &Gate, now: Duration, request: &Request) -> decisions::Occupancy {
     let load = gate.load();
@@ -422,6 +492,10 @@
         Reason::Full => ("the queue of the upstream is full", Cause::Busy),
         Reason::Leaving => ("the host leaves", Cause::Away),
         Reason::Shed => ("the upstream is overloaded", Cause::Busy),
+        Reason::Strangers => {
+            let reason = "peers that are no hosts have as many requests here as they may";
+            (reason, Cause::Busy)
+        }
     };
     Refusal {
         cause,
--- a/crates/daemon/src/gatekeeper/slot.rs
+++ b/crates/daemon/src/gatekeeper/slot.rs
@@ -4,6 +4,7 @@
 
 use savorylane_intent::Hash;
 use savorylane_policy::gate::Outcome;
+use tokio_util::sync::CancellationToken;
 
 use super::{deaths, interruption_by};
 use crate::body::{Error, Observer};
@@ -16,6 +17,9 @@
     pub(super) id: u64,
     pub(super) outcome: Outcome,
     pub(super) fingerprint: Hash,
+    /// Cancelled when the request loses its slot, because its peer, a stranger,
+    /// is waited for.
+    pub(super) displaced: CancellationToken,
     pub(super) _trial: Option<Trial>,
 }
 
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -269,6 +269,10 @@
         if inner.policy.is_stranger(self.id) && (quota.classify)(self.address) == Peer::Host {
             inner.policy.recognise(self.id);
         }
+        let peer = match inner.policy.is_stranger(self.id) {
+            true => Peer::Stranger,
+            false => Peer::Host,
+        };
         let outcome = inner.policy.begin(quota.start.elapsed(), self.id, bytes);
         quota.close(&mut inner, &outcome.closed);
         if !outcome.held {
@@ -278,6 +282,7 @@
         }
         Some(Exchange {
             flow: self.clone(),
+            peer,
             bytes,
         })
     }
@@ -293,11 +298,17 @@
 #[derive(Debug)]
 pub struct Exchange {
     flow: Flow,
+    peer: Peer,
     /// Memory of the request's body and of its answer in bytes.
     bytes: u64,
 }
 
 impl Exchange {
+    /// Returns who sent the request.
+    pub fn peer(&self) -> Peer {
+        self.peer
+    }
+
     /// Takes memory for the answer, and moves the exchange into its body. When
     /// the body is dropped, what it held is kept in `unsent`.
     pub fn answer(mut self, answer: Response<Body>, unsent: &Unsent) -> Response<Body> {
--- a/crates/policy/examples/admission/lane.rs
+++ b/crates/policy/examples/admission/lane.rs
@@ -130,6 +130,7 @@
             caller: id,
             exclusive: false,
             late: !matches!(self.rule, Rule::Refuse),
+            stranger: false,
         };
         self.sent.insert(
             id,
--- a/crates/policy/examples/model/world.rs
+++ b/crates/policy/examples/model/world.rs
@@ -339,6 +339,7 @@
             caller: (attempt % 20) as u64,
             exclusive: false,
             late: false,
+            stranger: false,
         };
         let host = self.attempts[attempt].host;
         self.attempts[attempt].at_gate = true;
--- a/crates/policy/src/gate/inner.rs
+++ b/crates/policy/src/gate/inner.rs
@@ -206,6 +206,7 @@
     pub(super) fn remove_waiting(&mut self, id: u64) {
         if let Some(request) = self.waiting.get(&id).copied() {
             self.dequeue(&request, false);
+            self.strangers.remove(id);
         }
     }
 
@@ -293,7 +294,8 @@
     ///
     /// The running time of a cancelled request counts as a lower bound if it
     /// exceeds the expected service time. Otherwise requests that are
-    /// cancelled at their deadline would hide all slow answers.
+    /// cancelled at their deadline would hide all slow answers. The time of a
+    /// stranger's request does not count, because it may be the stranger's.
     pub(super) fn record_end(
         &mut self,
         now: Duration,
@@ -304,6 +306,9 @@
         let service = now.saturating_sub(running.start);
         let sample = micros(service).max(1.0);
         let request = &running.request;
+        if request.stranger {
+            return;
+        }
         let known = self.expected_service_us(request);
         if outcome == Outcome::UpstreamDown || (outcome == Outcome::Cancelled && sample <= known) {
             return;
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -6,6 +6,7 @@
 mod late;
 mod limit;
 mod queue;
+mod strangers;
 mod types;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -19,6 +20,7 @@
 pub use late::{Counts, MAX_LATE_QUEUE, MIN_LIMIT_RATIO, has_late_lane};
 use limit::Limit;
 use queue::Queue;
+use strangers::Strangers;
 pub use types::{Action, Decision, Outcome, Reason, Request};
 
 /// Maximum number of queued requests of one class.
@@ -93,6 +95,7 @@
     hold_allowed_at: Duration,
     classes: BTreeMap<u64, Class>,
     late: Lane,
+    strangers: Strangers,
     /// Time of the last check of the late lane, until the next arrival or end.
     late_checked_at: Option<Duration>,
     /// Requests removed from the queue whose refusal
@@ -143,6 +146,7 @@
             hold_allowed_at: Duration::ZERO,
             classes: BTreeMap::new(),
             late: Lane::default(),
+            strangers: Strangers::default(),
             late_checked_at: None,
             pending_refusals: VecDeque::new(),
             short_service_us: 0.0,
@@ -181,6 +185,18 @@
             "a request arrives once"
         );
         self.advance(now);
+        if request.stranger && !self.strangers.has_room(self.limit.value_at(now)) {
+            return Decision::Refuse(Reason::Strangers);
+        }
+        let decision = self.decide(now, request);
+        if request.stranger && !matches!(decision, Decision::Refuse(_)) {
+            self.strangers.add(request.id);
+        }
+        decision
+    }
+
+    /// Admits, queues or refuses a request that arrives now.
+    fn decide(&mut self, now: Duration, request: Request) -> Decision {
         if self.leaving {
             return Decision::Refuse(Reason::Leaving);
         }
@@ -236,6 +252,7 @@
         self.late_checked_at = None;
         self.pending_refusals.retain(|(other, _)| *other != id);
         self.remove_waiting(id);
+        self.strangers.remove(id);
         let Some(running) = self.running.remove(&id) else {
             return;
         };
@@ -311,6 +328,9 @@
         if let Some(free_at) = self.cold.free_at(self.now) {
             wake = wake.min(free_at);
         }
+        if let Some(displaces_at) = self.displaces_at() {
+            wake = wake.min(displaces_at.max(self.now));
+        }
         Some(wake)
     }
 
--- a/crates/policy/src/gate/types.rs
+++ b/crates/policy/src/gate/types.rs
@@ -31,6 +31,8 @@
     /// Whether the request may wait in the late lane if it cannot be answered
     /// before its target.
     pub late: bool,
+    /// Whether the request comes from a peer that is no host of the deployment.
+    pub stranger: bool,
 }
 
 /// Reason for a refusal. A refused request did not run.
@@ -51,6 +53,8 @@
     /// The request was displaced from the queue or the late lane under
     /// overload.
     Shed,
+    /// Peers that are no hosts have as many requests as they may.
+    Strangers,
 }
 
 /// Admission decision about an arriving request.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -75,6 +75,7 @@
             caller: self.next_id,
             exclusive: false,
             late: false,
+            stranger: false,
         };
         match self.gate.arrive(now, request) {
             Decision::Run => self.start(now, request.id),
--- a/crates/policy/tests/cold_fleet.rs
+++ b/crates/policy/tests/cold_fleet.rs
@@ -156,6 +156,7 @@
             caller: id,
             exclusive: false,
             late: false,
+            stranger: false,
         };
         let decision = host.gate.arrive(now, request);
         if matches!(decision, Decision::Refuse(_)) {
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -22,6 +22,7 @@
         caller: 1,
         exclusive: false,
         late: false,
+        stranger: false,
     }
 }
 
--- a/crates/policy/tests/gate_late.rs
+++ b/crates/policy/tests/gate_late.rs
@@ -25,6 +25,7 @@
         caller: id,
         exclusive: false,
         late: true,
+        stranger: false,
     }
 }
 
--- a/crates/policy/tests/gate_machine.rs
+++ b/crates/policy/tests/gate_machine.rs
@@ -19,7 +19,10 @@
         timeout_ms: u64,
         exclusive: bool,
         late: bool,
+        stranger: bool,
     },
+    /// One of the running requests waits for its peer, or no longer does.
+    Stall(usize, bool),
     Finish(usize, Outcome),
     Cancel(usize),
     Leave,
@@ -29,11 +32,12 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        40 => (0..4u64, 0..3u64, 1..2_000u64, prop::bool::weighted(0.05), any::<bool>()).prop_map(
-            |(class, caller, timeout_ms, exclusive, late)| {
-                Step::Arrive { class, caller, timeout_ms, exclusive, late }
+        40 => (0..4u64, 0..3u64, 1..2_000u64, flags()).prop_map(
+            |(class, caller, timeout_ms, (exclusive, late, stranger))| {
+                Step::Arrive { class, caller, timeout_ms, exclusive, late, stranger }
             }
         ),
+        10 => (any::<usize>(), any::<bool>()).prop_map(|(at, waits)| Step::Stall(at, waits)),
         25 => any::<usize>().prop_map(|at| Step::Finish(at, Outcome::Answered)),
         3 => any::<usize>().prop_map(|at| Step::Finish(at, Outcome::Cancelled)),
         1 => any::<usize>().prop_map(|at| Step::Finish(at, Outcome::UpstreamDown)),
@@ -44,6 +48,12 @@
     ]
 }
 
+/// Returns whether a request is exclusive, may be late, and is a stranger's.
+fn flags() -> impl Strategy<Value = (bool, bool, bool)> {
+    let stranger = prop::bool::weighted(0.2);
+    (prop::bool::weighted(0.05), any::<bool>(), stranger)
+}
+
 /// Expected running and waiting requests.
 #[derive(Default)]
 struct Model {
@@ -70,12 +80,35 @@
     }
 }
 
+/// Removes a request that lost its slot from the model, which must expect it to
+/// be one of a stranger.
+fn remove_displaced(model: &mut Model, displaced: Option<u64>) {
+    if let Some(id) = displaced {
+        let request = model.running.remove(&id);
+        assert!(request.is_some_and(|request| request.stranger));
+    }
+}
+
+/// Applies what the gate decides at `now` to the model.
+fn perform(gate: &mut Gate, model: &mut Model, now: Duration) {
+    while let Some(id) = gate.next_displaced(now) {
+        remove_displaced(model, Some(id));
+    }
+    while let Some(action) = gate.next_action(now) {
+        apply(model, action);
+    }
+}
+
 /// Compares the gate's load with the model and checks the limits.
 fn compare(gate: &Gate, model: &Model, slots: usize) {
     let load = gate.load();
     assert_eq!(load.running as usize, model.running.len());
     assert_eq!((load.queued + load.late) as usize, model.waiting.len());
     assert!(load.running <= load.limit && load.limit as usize <= slots);
+    let running = model.running.values();
+    let strangers = running.chain(model.waiting.values());
+    let strangers = strangers.filter(|request| request.stranger).count();
+    assert!(strangers <= slots.div_ceil(4), "strangers have a part only");
     let long = |request: &&Request| request.length == Length::Long;
     assert!(model.running.values().filter(long).count() <= max_long_slots(slots));
     if model.running.values().any(|request| request.exclusive) {
@@ -107,6 +140,7 @@
                     timeout_ms,
                     exclusive,
                     late,
+                    stranger,
                 } => {
                     let request = Request {
                         id: next_id,
@@ -123,14 +157,26 @@
                         caller,
                         exclusive,
                         late,
+                        stranger,
                     };
                     next_id += 1;
+                    if !stranger {
+                        let displaced = gate.displace_stranger(now);
+                        remove_displaced(&mut model, displaced);
+                    }
                     match gate.arrive(now, request) {
                         Decision::Run => drop(model.running.insert(request.id, request)),
                         Decision::Wait => drop(model.waiting.insert(request.id, request)),
                         Decision::Refuse(_) => {}
                     }
                 }
+                Step::Stall(at, waits) if !model.running.is_empty() => {
+                    let id = *model.running.keys().nth(at % model.running.len()).unwrap();
+                    match waits {
+                        true => gate.stall(now, id),
+                        false => gate.resume(now, id),
+                    }
+                }
                 Step::Finish(at, outcome) if !model.running.is_empty() => {
                     let id = *model.running.keys().nth(at % model.running.len()).unwrap();
                     model.running.remove(&id);
@@ -149,9 +195,7 @@
                 Step::Advance(ms) => now += Duration::from_millis(ms),
                 _ => {}
             }
-            while let Some(action) = gate.next_action(now) {
-                apply(&mut model, action);
-            }
+            perform(&mut gate, &mut model, now);
             compare(&gate, &model, slots);
             let overdue = model
                 .waiting
@@ -167,14 +211,10 @@
             model.running.remove(&id);
             now += Duration::from_millis(1);
             gate.finish(now, id, Outcome::Answered);
-            while let Some(action) = gate.next_action(now) {
-                apply(&mut model, action);
-            }
+            perform(&mut gate, &mut model, now);
             if let (true, Some(wake)) = (model.running.is_empty(), gate.wake_at()) {
                 now = now.max(wake);
-                while let Some(action) = gate.next_action(now) {
-                    apply(&mut model, action);
-                }
+                perform(&mut gate, &mut model, now);
             }
         }
         prop_assert!(model.waiting.is_empty(), "every waiting request ends");
