gatekeeper: no upstream is lost because callers break off their bodies

Cause, from a trace of the gate: one request of the crowd ran alone for 20 s, with 26 others waiting at 200 slots. When the body of a request broke off, the library closed the connection to the upstream with the error User(Body), which was taken for a connection that the upstream broke (435 times in 4 s at the two hosts). If the bodies of all requests in flight broke at once, as with a connection that is closed, the upstream counted as dead: the gate closed, and the requests were suspected of crashing it. Further requests of the crowd have the same fingerprint, so one of them ran alone, with a body that does not end, until its deadline.

The client of the upstream now tells a body that broke off from a connection that broke, also after the head of the answer. Such a request is no sign of a death. A stranger that runs alone and stalls gives way as any other does.

--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -2,6 +2,7 @@
 //! gatekeeper's timers.
 
 mod abort;
+mod cut;
 
 use std::error::Error;
 use std::io;
@@ -25,6 +26,7 @@
 use crate::gatekeeper::cold;
 use crate::kernel::{Context, Plugin};
 use abort::{Connector, Guard};
+use cut::{Cut, Monitor};
 
 /// Time after which an idle connection is not reused. The connection may have
 /// failed silently, and opening a new one takes about 1 ms.
@@ -48,6 +50,8 @@
     Connect,
     /// The connection failed, and the request may have been sent.
     Broken,
+    /// The body of the request broke off, and a part may have been sent.
+    Cut,
     /// The upstream sent malformed HTTP, and the request may have been sent.
     Malformed,
 }
@@ -72,6 +76,12 @@
     false
 }
 
+/// Returns whether an answer's body failed because the body of its request
+/// broke off.
+pub fn is_cut(error: &(dyn Error + 'static)) -> bool {
+    error.is::<Cut>()
+}
+
 /// Client of the host's upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -123,15 +133,21 @@
     async fn exchange(&self, mut request: Request<Body>) -> Result<Response<Body>, Failure> {
         let connection = capture_connection(&mut request);
         let guard = Guard::new(connection.clone());
+        let monitor = Monitor::default();
+        let request = request.map(|body| monitor.watch(body));
         match self.client.request(request).await {
             Ok(mut answer) => {
                 answer.extensions_mut().insert(connection);
                 let wrap = |body| Packed::wrap(guard.wrap(body));
-                Ok(answer.map(|body| wrap(body.map_err(Into::into).boxed_unsync())))
+                let classify = move |error: hyper::Error| monitor.classify(error.into());
+                Ok(answer.map(|body| wrap(body.map_err(classify).boxed_unsync())))
             }
             Err(error) if error.is_connect() => Err(Failure::Connect),
             Err(error) => {
                 log::debug!("request to the upstream failed: {error}");
+                if monitor.is_cut() {
+                    return Err(Failure::Cut);
+                }
                 match is_malformed(&error) {
                     true => Err(Failure::Malformed),
                     false => Err(Failure::Broken),
--- a/crates/daemon/src/gatekeeper/deaths.rs
+++ b/crates/daemon/src/gatekeeper/deaths.rs
@@ -72,6 +72,9 @@
 pub(super) enum Interruption {
     /// The upstream broke the connection.
     Broken,
+    /// The daemon closed the connection because the body of the request broke
+    /// off.
+    Cut,
     /// The daemon closed the connection because the upstream sent an invalid
     /// answer.
     Malformed,
@@ -89,6 +92,9 @@
     fingerprint: Hash,
     interruption: Interruption,
 ) -> bool {
+    if interruption == Interruption::Cut {
+        return false;
+    }
     let mut result = {
         let mut inner = context.gatekeeper.deaths.lock();
         if inner.counted.contains(&id) && inner.check.is_none() {
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -201,6 +201,7 @@
                         Interruption::Malformed,
                         "the upstream sent what is no answer",
                     ),
+                    upstream::Failure::Cut => (Interruption::Cut, "the request's body was cut"),
                     _ => (Interruption::Broken, "the connection to the upstream broke"),
                 };
                 if deaths::on_interruption(context, slot.id, fingerprint, interruption).await {
@@ -476,6 +477,9 @@
 
 /// Returns how an answer was interrupted that ended with `error`.
 fn interruption_by(error: &Error) -> Interruption {
+    if upstream::is_cut(error.as_ref()) {
+        return Interruption::Cut;
+    }
     match upstream::is_malformed(error.as_ref()) {
         true => Interruption::Malformed,
         false => Interruption::Broken,
--- a/crates/policy/src/gate/strangers.rs
+++ b/crates/policy/src/gate/strangers.rs
@@ -88,7 +88,9 @@
     /// Must be called before the request of a host arrives.
     pub fn displace_stranger(&mut self, now: Duration) -> Option<u64> {
         self.advance(now);
-        if self.strangers.0.is_empty() || self.running.len() < self.slots(now) {
+        // A request that must run alone keeps all slots from others.
+        let has_free = self.running.len() < self.limit.value_at(now) && !self.exclusive_running;
+        if self.strangers.0.is_empty() || has_free {
             return None;
         }
         let id = self.strangers.longest_stalled(now)?;
@@ -117,8 +119,4 @@
         // Most gates have no strangers and need not look.
         !self.strangers.0.is_empty() && self.waiting.values().any(|request| !request.stranger)
     }
-
-    fn slots(&self, now: Duration) -> usize {
-        self.limit.value_at(now)
-    }
 }
--- a/crates/policy/tests/gate_strangers.rs
+++ b/crates/policy/tests/gate_strangers.rs
@@ -85,3 +85,18 @@
     gate.stall(ms(0), 1);
     assert_eq!(gate.displace_stranger(ms(5_000)), None);
 }
+
+/// Guards against a request that must run alone and whose body does not come.
+#[test]
+fn a_stalled_stranger_that_runs_alone_gives_way() {
+    let mut gate = Gate::new(6);
+    let alone = Request {
+        exclusive: true,
+        ..stranger(1)
+    };
+    assert_eq!(gate.arrive(ms(0), alone), Decision::Run);
+    gate.stall(ms(0), 1);
+    assert_eq!(gate.arrive(ms(100), request(2)), Decision::Wait);
+    assert_eq!(gate.next_displaced(ms(500)), Some(1));
+    assert_eq!(gate.next_action(ms(500)), Some(Action::Start(2)));
+}
