quota: memory of connections that are being closed is in use until they are

Found while the HTTP/2 crowd was measured: what a connection holds was free for others as soon as it was chosen to be closed. Its tasks end some milliseconds later, and meanwhile each new request closed the next one.

While connections that are being closed hold more than a quarter of the limit, no others are closed to make room; the request is refused.

The unit test fails before and passes.

--- a/crates/policy/src/quota/mod.rs
+++ b/crates/policy/src/quota/mod.rs
@@ -20,6 +20,9 @@
 /// One in this many connections may be in the course of being closed; their
 /// descriptors are still open.
 const CLOSING_SHARE: usize = 8;
+/// While connections that are being closed hold more than one part in this many
+/// of the memory, no others are closed to make room.
+const CLOSING_MEMORY_SHARE: u64 = 4;
 /// An address may displace connections of another one that has at least this
 /// many times as many connections.
 const FAIR_RATIO: usize = 2;
@@ -149,6 +152,8 @@
     /// Number of connections that were chosen to be closed.
     closing: usize,
     bytes: u64,
+    /// Memory of the connections that are being closed, which is still in use.
+    closing_bytes: u64,
 }
 
 impl Quota {
@@ -159,6 +164,7 @@
             connections: BTreeMap::new(),
             closing: 0,
             bytes: 0,
+            closing_bytes: 0,
         }
     }
 
@@ -241,6 +247,7 @@
             open.closing = true;
             self.closing += 1;
             self.bytes -= open.bytes;
+            self.closing_bytes += open.bytes;
         }
     }
 
@@ -257,6 +264,11 @@
         self.connections.insert(id, connection);
     }
 
+    /// Returns whether a connection is recorded.
+    pub fn contains(&self, id: u64) -> bool {
+        self.connections.contains_key(&id)
+    }
+
     /// Returns whether a connection is one of a stranger.
     pub fn is_stranger(&self, id: u64) -> bool {
         let open = self.connections.get(&id);
@@ -273,7 +285,10 @@
     /// Records the end of a connection.
     pub fn close(&mut self, id: u64) {
         match self.connections.remove(&id) {
-            Some(closed) if closed.closing => self.closing -= 1,
+            Some(closed) if closed.closing => {
+                self.closing -= 1;
+                self.closing_bytes -= closed.bytes;
+            }
             Some(closed) => self.bytes -= closed.bytes,
             None => {}
         }
@@ -326,8 +341,9 @@
     fn add_bytes(&mut self, id: u64, bytes: u64) {
         if let Some(open) = self.connections.get_mut(&id) {
             open.bytes += bytes;
-            if !open.closing {
-                self.bytes += bytes;
+            match open.closing {
+                true => self.closing_bytes += bytes,
+                false => self.bytes += bytes,
             }
         }
     }
@@ -337,10 +353,12 @@
     }
 
     /// Chooses connections to close, so that a request or an answer of `bytes`
-    /// bytes on the connection `id` fits.
+    /// bytes on the connection `id` fits. Chooses none while those that are being
+    /// closed still hold much.
     fn make_room(&mut self, id: u64, bytes: u64) -> Vec<u64> {
         let mut closed = Vec::new();
-        while !self.fits(bytes) {
+        let max_closing = self.limits.bytes / CLOSING_MEMORY_SHARE;
+        while !self.fits(bytes) && self.closing_bytes <= max_closing {
             let Some(chosen) = self.find_largest(id) else {
                 break;
             };
@@ -374,8 +392,9 @@
             open.requests -= 1;
             open.active_at = now;
             open.bytes -= bytes;
-            if !open.closing {
-                self.bytes -= bytes;
+            match open.closing {
+                true => self.closing_bytes -= bytes,
+                false => self.bytes -= bytes,
             }
         }
     }
--- a/crates/policy/tests/quota.rs
+++ b/crates/policy/tests/quota.rs
@@ -172,3 +172,30 @@
     // Two connections from each of 500 hosts.
     assert!(Limits::new(Listener::Data, 110, 4_100).connections >= 1_000);
 }
+
+/// Guards against memory of connections that are being closed, which is given
+/// away many times before it is free.
+#[test]
+fn memory_of_connections_that_are_being_closed_is_given_away_once() {
+    let limits = Limits {
+        strangers: 200,
+        connections: 200,
+        ..LIMITS
+    };
+    let mut quota = Quota::new(limits);
+    open(&mut quota, 0..200, Peer::Stranger, 1);
+    let mut in_use = 0;
+    for id in 0..200 {
+        // The connection of an earlier request takes more than that of a later
+        // one, so that it makes room.
+        let bytes = LARGE - id;
+        let outcome = quota.begin(seconds(300), id, bytes);
+        in_use += if outcome.held { bytes } else { 0 };
+    }
+    let max = LIMITS.bytes + LIMITS.bytes / 4 + LARGE;
+    assert!(in_use <= max, "{in_use} bytes are in use");
+    for id in 0..200 {
+        quota.close(id);
+    }
+    assert_eq!(quota.bytes(), 0);
+}
