entry: limits of HTTP/2 callers

Cause: the intake followed one request of a connection at a time. Of HTTP/2 callers it counted the buffers of bodies only; 1,024 streams a connection, their heads, windows and answers had no limit, and such a connection was closed only when idle, so that a crowd kept all places.

HTTP/2 requests and answers now take memory from a quota of their own, of an eighth of the memory, with the policy of the other listeners. A connection has as many streams as fit in half of it, 16 to 128, and a window of 16 streams. It makes room when all of its requests wait for the caller.

--- a/crates/daemon/src/body/mod.rs
+++ b/crates/daemon/src/body/mod.rs
@@ -15,10 +15,12 @@
 
 mod packed;
 mod replay;
+mod stall;
 mod unsent;
 
 pub use packed::Packed;
 pub use replay::{Fault, Replay};
+pub use stall::Stall;
 pub use unsent::Unsent;
 
 /// Why a body ended early. The connection or stream is then reset, so that a
--- a/crates/daemon/src/edge/server/guard.rs
+++ b/crates/daemon/src/edge/server/guard.rs
@@ -8,7 +8,7 @@
 use savorylane_policy::intake::MIN_RECEIVE_BYTES;
 use savorylane_policy::quota::Peer;
 
-use super::Callers;
+use super::{Callers, Limits};
 use crate::body::{Body, Unsent};
 use crate::call::Refusal;
 use crate::intake;
@@ -67,12 +67,14 @@
         }
     }
 
-    /// Returns whether the peer is neither a caller nor a host of the
-    /// deployment.
-    pub(super) fn is_stranger(&self) -> bool {
+    /// Returns the limits of the connection, given those of the listener.
+    pub(super) fn limits(&self, limits: Limits) -> Limits {
         match self {
-            Self::Caller(_) => false,
-            Self::Other(connection) => connection.peer() == Peer::Stranger,
+            Self::Caller(connection) => limits.for_caller(connection.max_streams()),
+            Self::Other(connection) => match connection.peer() {
+                Peer::Stranger => limits.for_stranger(),
+                Peer::Host => limits,
+            },
         }
     }
 
@@ -114,10 +116,10 @@
     /// Records the head of a request.
     pub(super) fn begin(&self, mut request: Request<Body>) -> Admission {
         match self {
-            Self::Caller(flow) => {
-                let (request, exchange) = flow.begin(request);
-                Admission::Admitted(request, Exchange::Caller(exchange))
-            }
+            Self::Caller(flow) => match flow.begin(request) {
+                Ok((request, exchange)) => Admission::Admitted(request, Exchange::Caller(exchange)),
+                Err(refusal) => Admission::Refused(refusal.to_response()),
+            },
             Self::Other(flow) => match flow.begin(&request) {
                 Some(exchange) => {
                     request.extensions_mut().insert(exchange.peer());
--- a/crates/daemon/src/edge/server/limits.rs
+++ b/crates/daemon/src/edge/server/limits.rs
@@ -49,8 +49,9 @@
 /// Maximum number of concurrent streams of a peer that is no host of the
 /// deployment.
 const STRANGER_STREAMS: u32 = 64;
-/// Number of stream windows that the window of such a peer's connection holds.
-const STRANGER_WINDOW_STREAMS: u32 = 16;
+/// Number of stream windows that the connection window of such a peer, or of a
+/// caller, holds.
+const SHARED_WINDOW_STREAMS: u32 = 16;
 /// Maximum number of streams that an untrusted peer may reset before the server
 /// has accepted them.
 const MAX_RESETS: usize = 20;
@@ -182,9 +183,15 @@
     /// Returns these limits, adjusted to a peer that is no host of the
     /// deployment. A new host, which is not listed yet, needs few streams.
     pub(super) fn for_stranger(self) -> Self {
+        self.for_caller(STRANGER_STREAMS)
+    }
+
+    /// Returns these limits, adjusted to a peer that the operators do not
+    /// control, with at most `max_streams` concurrent HTTP/2 streams.
+    pub(super) fn for_caller(self, max_streams: u32) -> Self {
         Self {
-            connection_window: STRANGER_WINDOW_STREAMS * self.stream_window,
-            max_streams: STRANGER_STREAMS,
+            connection_window: SHARED_WINDOW_STREAMS * self.stream_window,
+            max_streams,
             ..self
         }
     }
--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -133,10 +133,7 @@
         let Some(guard) = peers.open(peer.ip()) else {
             return;
         };
-        let limits = match guard.is_stranger() {
-            true => limits.for_stranger(),
-            false => limits,
-        };
+        let limits = guard.limits(limits);
         let _ = stream.set_nodelay(true);
         if let Some(bytes) = guard.receive_bytes() {
             set_receive_bytes(SockRef::from(&stream), bytes);
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -174,7 +174,7 @@
         let remaining = call.remaining(Instant::now());
         let turn = call.stranger.then(|| Turn::new(context, slot.id));
         let body = match &turn {
-            Some(turn) => turn.clone().receive(body),
+            Some(turn) => turn.receive(body),
             None => body,
         };
         let displaced = slot.displaced.clone();
--- a/crates/daemon/src/intake/counts.rs
+++ b/crates/daemon/src/intake/counts.rs
@@ -16,6 +16,8 @@
     BodyRefused,
     /// A buffer for another attempt was discarded for lack of memory.
     BufferDiscarded,
+    /// An HTTP/2 request was refused for lack of memory.
+    StreamRefused,
 }
 
 /// Occupancy of an entry, and counts since the start of the process.
@@ -37,6 +39,8 @@
     pub refused_bodies: u64,
     /// Number of buffers discarded.
     pub discarded_buffers: u64,
+    /// Number of HTTP/2 requests refused.
+    pub refused_streams: u64,
 }
 
 /// Number of events of each kind.
@@ -47,6 +51,7 @@
     unread_answers: AtomicU64,
     refused_bodies: AtomicU64,
     discarded_buffers: AtomicU64,
+    refused_streams: AtomicU64,
     /// Second of the last log line.
     logged_at: AtomicU64,
 }
@@ -60,6 +65,7 @@
             Event::AnswerUnread => &self.unread_answers,
             Event::BodyRefused => &self.refused_bodies,
             Event::BufferDiscarded => &self.discarded_buffers,
+            Event::StreamRefused => &self.refused_streams,
         };
         count.fetch_add(1, Ordering::Relaxed);
         let second = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -74,7 +80,8 @@
             closed_connections = state.closed_connections,
             unread_answers = state.unread_answers,
             refused_bodies = state.refused_bodies,
-            discarded_buffers = state.discarded_buffers;
+            discarded_buffers = state.discarded_buffers,
+            refused_streams = state.refused_streams;
             "callers reach the limits of this entry; counts since the start"
         );
     }
@@ -87,6 +94,7 @@
             unread_answers: self.unread_answers.load(Ordering::Relaxed),
             refused_bodies: self.refused_bodies.load(Ordering::Relaxed),
             discarded_buffers: self.discarded_buffers.load(Ordering::Relaxed),
+            refused_streams: self.refused_streams.load(Ordering::Relaxed),
             ..State::default()
         }
     }
--- a/crates/daemon/src/intake/mod.rs
+++ b/crates/daemon/src/intake/mod.rs
@@ -11,15 +11,18 @@
 use http_body::Body as _;
 use http_body_util::BodyExt;
 use savorylane_policy::intake::{self as policy, Action, Limits, Room};
+use savorylane_policy::quota;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{Body, Unsent};
 use crate::call::Refusal;
 use counts::{Counts, Event};
+use streams::Stream;
 use track::{Answer, Tracked};
 
 mod counts;
+mod streams;
 mod track;
 
 pub use counts::State;
@@ -44,6 +47,8 @@
 #[derive(Debug)]
 struct Inner {
     policy: policy::Intake,
+    /// Memory of HTTP/2 requests and their answers.
+    streams: quota::Quota,
     /// Cancelled to close a connection, by the connection's id.
     closed: HashMap<u64, CancellationToken>,
     /// Tasks of bodies that wait for memory, by the body's id.
@@ -57,12 +62,19 @@
 impl Intake {
     /// Creates an intake without connections.
     pub fn new(limits: Limits) -> Arc<Self> {
+        // The number of connections is limited by the policy.
+        let streams = quota::Limits {
+            connections: limits.connections,
+            strangers: limits.connections,
+            bytes: limits.stream_bytes,
+        };
         Arc::new(Self {
             start: Instant::now(),
             next_id: AtomicU64::new(1),
             limits,
             inner: Mutex::new(Inner {
                 policy: policy::Intake::new(limits),
+                streams: quota::Quota::new(streams),
                 closed: HashMap::new(),
                 waiting: HashMap::new(),
                 waiting_to_pass: HashMap::new(),
@@ -96,6 +108,7 @@
         let flow = Flow {
             intake: Arc::clone(self),
             id,
+            address,
         };
         Some(Connection { flow, closed })
     }
@@ -204,6 +217,12 @@
         self.flow.intake.lock().policy.receive_bytes() as usize
     }
 
+    /// Returns the maximum number of concurrent requests on the connection, if it
+    /// is one of HTTP/2.
+    pub fn max_streams(&self) -> u32 {
+        self.flow.intake.limits.connection_streams()
+    }
+
     /// Returns what the requests on the connection arrive through.
     pub fn flow(&self) -> &Flow {
         &self.flow
@@ -216,6 +235,7 @@
         let mut inner = intake.lock();
         inner.closed.remove(&self.flow.id);
         inner.policy.close(self.flow.id);
+        inner.streams.close(self.flow.id);
         intake.perform_actions(&mut inner);
     }
 }
@@ -225,21 +245,27 @@
 pub struct Flow {
     intake: Arc<Intake>,
     id: u64,
+    address: IpAddr,
 }
 
 impl Flow {
-    /// Records the head of a request, and tracks its body from now on. Bodies
-    /// that share an HTTP/2 connection are not tracked.
-    pub fn begin(&self, request: Request<Body>) -> (Request<Body>, Exchange) {
-        let shared = request.version() == Version::HTTP_2;
-        let has_body = !shared && !request.body().is_end_stream();
+    /// Records the head of a request, and tracks its body from now on.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if there is no memory for an HTTP/2 request.
+    pub fn begin(&self, mut request: Request<Body>) -> Result<(Request<Body>, Exchange), Refusal> {
+        request.extensions_mut().insert(self.clone());
+        if request.version() == Version::HTTP_2 {
+            return self.begin_stream(request);
+        }
+        let has_body = !request.body().is_end_stream();
         self.intake.lock().policy.begin(self.id, has_body);
-        let mut request = request.map(|body| match has_body {
+        let request = request.map(|body| match has_body {
             true => Tracked::wrap(body, self.clone()),
             false => body,
         });
-        request.extensions_mut().insert(self.clone());
-        (request, Exchange(self.clone()))
+        Ok((request, Exchange::Request(Pending(self.clone()))))
     }
 
     /// Takes memory for a body of `size` bytes, if that is known. Waits until
@@ -272,7 +298,10 @@
         };
         match tokio::time::timeout(MAX_WAIT.min(remaining / 2), waiting).await {
             Ok(Ok(())) => Ok(lease),
-            _ => Err(self.refuse("the entry has no memory for the body in time")),
+            _ => Err(self.refuse(
+                Event::BodyRefused,
+                "the entry has no memory for the body in time",
+            )),
         }
     }
 
@@ -306,7 +335,10 @@
         };
         match tokio::time::timeout(MAX_WAIT.min(remaining / 2), waiting).await {
             Ok(Ok(())) => Ok(()),
-            _ => Err(self.refuse("too many bodies on their way to upstreams are stalled")),
+            _ => Err(self.refuse(
+                Event::BodyRefused,
+                "too many bodies on their way to upstreams are stalled",
+            )),
         }
     }
 
@@ -322,8 +354,8 @@
         self.intake.perform_actions(&mut inner);
     }
 
-    fn refuse(&self, reason: &str) -> Refusal {
-        self.intake.counts.add(Event::BodyRefused);
+    fn refuse(&self, event: Event, reason: &str) -> Refusal {
+        self.intake.counts.add(event);
         Refusal {
             retry_after: Some(RETRY_AFTER),
             ..Refusal::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
@@ -333,12 +365,31 @@
 
 /// A request without a complete answer; recorded as answered when dropped.
 #[derive(Debug)]
-pub struct Exchange(Flow);
+pub enum Exchange {
+    /// A request of HTTP/1.1.
+    Request(Pending),
+    /// A request of HTTP/2.
+    Stream(Stream),
+}
 
 impl Exchange {
     /// Moves the exchange into the body of its answer, with which it ends. When
-    /// the body is dropped, the memory of the answer is kept in `unsent`.
+    /// the body is dropped, the memory of an answer of HTTP/1.1 is kept in
+    /// `unsent`.
     pub fn answer(self, answer: Response<Body>, unsent: &Unsent) -> Response<Body> {
+        match self {
+            Self::Request(pending) => pending.answer(answer, unsent),
+            Self::Stream(stream) => stream.answer(answer),
+        }
+    }
+}
+
+/// A request of HTTP/1.1 without a complete answer.
+#[derive(Debug)]
+pub struct Pending(Flow);
+
+impl Pending {
+    fn answer(self, answer: Response<Body>, unsent: &Unsent) -> Response<Body> {
         answer.map(|body| match body.is_end_stream() {
             true => body,
             false => {
@@ -372,14 +423,14 @@
 
 impl Drop for Held {
     fn drop(&mut self) {
-        let Flow { intake, id } = &self.flow;
+        let Flow { intake, id, .. } = &self.flow;
         intake.lock().policy.release_answer(*id, self.bytes);
     }
 }
 
-impl Drop for Exchange {
+impl Drop for Pending {
     fn drop(&mut self) {
-        let Flow { intake, id } = &self.0;
+        let Flow { intake, id, .. } = &self.0;
         let mut inner = intake.lock();
         inner.waiting_to_pass.remove(id);
         inner.policy.end(intake.now(), *id);
--- a/crates/daemon/src/intake/track.rs
+++ b/crates/daemon/src/intake/track.rs
@@ -7,7 +7,7 @@
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 
-use super::{Exchange, Flow};
+use super::{Flow, Pending};
 use crate::body::{Body, Error};
 
 /// Body of a request. The time for which the daemon waits for its bytes counts
@@ -39,7 +39,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        let Flow { intake, id } = &self.flow;
+        let Flow { intake, id, .. } = &self.flow;
         match &polled {
             Poll::Pending if !self.waiting => {
                 intake.lock().policy.wait(intake.now(), *id);
@@ -66,17 +66,17 @@
     }
 }
 
-/// Body of an answer, with which its exchange ends.
+/// Body of an answer, with which its request ends.
 pub(super) struct Answer {
     inner: Body,
-    _exchange: Exchange,
+    _pending: Pending,
 }
 
 impl Answer {
-    pub(super) fn new(inner: Body, exchange: Exchange) -> Self {
+    pub(super) fn new(inner: Body, pending: Pending) -> Self {
         Self {
             inner,
-            _exchange: exchange,
+            _pending: pending,
         }
     }
 }
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -301,6 +301,7 @@
             ("unread-answer", state.unread_answers),
             ("refused-body", state.refused_bodies),
             ("discarded-buffer", state.discarded_buffers),
+            ("refused-stream", state.refused_streams),
         ] {
             self.caller_limits
                 .record(count, &[KeyValue::new("kind", kind)]);
--- a/crates/policy/src/intake/mod.rs
+++ b/crates/policy/src/intake/mod.rs
@@ -8,6 +8,7 @@
 
 mod answers;
 mod limits;
+mod streams;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
@@ -92,6 +93,8 @@
     address: IpAddr,
     /// Number of requests that have no complete answer.
     requests: u32,
+    /// Number of HTTP/2 requests that wait for the caller.
+    waiting_streams: u32,
     /// When the daemon began to wait for bytes of the caller; `None` while it
     /// does not.
     waiting_since: Option<Duration>,
@@ -121,15 +124,15 @@
         self.waited + current.unwrap_or_default()
     }
 
-    /// Returns whether no request on the connection has arrived completely, so
-    /// that closing it costs no answer.
+    /// Returns whether each request on the connection waits for the caller, so
+    /// that closing it costs no answer but one that the caller does not read.
     fn is_incomplete(&self) -> bool {
-        self.requests == 0 || self.requests == 1 && self.receiving
+        self.requests == 0 || self.requests == 1 && self.receiving || self.waits_for_caller()
     }
 
     fn is_stalled(&self, now: Duration) -> bool {
-        let receiving = self.requests == 1 && self.receiving;
-        receiving && !self.closing && self.waited(now) >= MIN_STALL
+        let stopped = self.requests == 1 && self.receiving || self.waits_for_caller();
+        stopped && !self.closing && self.waited(now) >= MIN_STALL
     }
 }
 
@@ -240,6 +243,7 @@
         let connection = Connection {
             address,
             requests: 0,
+            waiting_streams: 0,
             waiting_since: Some(now),
             waited: Duration::ZERO,
             receiving: false,
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -10,6 +10,7 @@
     body_bytes: 1_000_000,
     answer_bytes: 500_000,
     receive_bytes: 1_000_000,
+    stream_bytes: 1_000_000,
     stalled: 4,
 };
 /// Size of a large body in bytes.
@@ -252,3 +253,25 @@
     }
     assert!(bytes < 160_000_000 / 6, "{bytes} bytes");
 }
+
+/// Guards against HTTP/2 connections that keep others out with requests that all
+/// wait for the caller, and against one that is closed with a request that does
+/// not.
+#[test]
+fn an_http2_connection_whose_requests_all_wait_for_the_caller_makes_room() {
+    let mut intake = Intake::new(LIMITS);
+    for id in 0..16 {
+        intake.open(seconds(0.0), id, address(1));
+        for _ in 0..3 {
+            intake.begin_stream(seconds(0.0), id);
+            intake.set_stream_waiting(seconds(0.0), id, true);
+        }
+        if id != 7 {
+            intake.set_stream_waiting(seconds(0.1), id, false);
+        }
+    }
+    assert_eq!(intake.room(seconds(0.4), address(1)), Room::Full);
+    assert_eq!(intake.room(seconds(1.0), address(1)), Room::Close(7));
+    intake.open(seconds(1.0), 16, address(1));
+    assert_eq!(intake.room(seconds(1.0), address(1)), Room::Full);
+}
