--- a/crates/daemon/src/call/mod.rs
+++ b/crates/daemon/src/call/mod.rs
@@ -2,21 +2,25 @@
 //! answer it.
 
 use std::net::IpAddr;
-use std::str::FromStr;
 use std::time::{Duration, Instant};
 
-use http::header::{HeaderMap, HeaderName, HeaderValue};
-use http::{Method, Response, StatusCode, Uri};
+use http::header::HeaderMap;
+use http::{Method, StatusCode, Uri};
 use savorylane_distribution::age::Numbers;
 use savorylane_intent::bound;
 use savorylane_intent::document::{Class, Target, Work};
 use savorylane_platform::header as platform;
-use savorylane_wire::{Hop, Verdict, header};
-use serde::{Deserialize, Serialize};
+use savorylane_wire::{Hop, header};
 
-use crate::body::{self, Body};
+use crate::body;
 
+mod headers;
 mod late;
+mod refusal;
+
+use headers::malformed_header;
+pub use headers::{forwarded_headers, header_text, parse_header};
+pub use refusal::{Cause, Explanation, Refusal};
 
 /// Maximum number of calls above this one in a chain of calls.
 pub const MAX_DEPTH: u32 = 26;
@@ -86,120 +90,6 @@
     pub numbers: Numbers,
 }
 
-/// Why a request was refused. The cause determines whether the entry tries
-/// another host.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Cause {
-    /// The host or its upstream is unreachable or leaving.
-    Away,
-    /// The host is overloaded, or did not answer in time.
-    Busy,
-    /// The entry chose the host by a configuration that is no longer in force.
-    Outdated,
-    /// The request itself is not acceptable.
-    Request,
-    /// The request may crash the upstream, or was in flight when one died.
-    Suspect,
-}
-
-/// An answer of the system itself instead of the upstream.
-#[derive(Clone, Debug)]
-pub struct Refusal {
-    /// Status of the answer.
-    pub status: StatusCode,
-    /// Reason for the caller, one line.
-    pub reason: String,
-    /// Whether the request may have run.
-    pub verdict: Verdict,
-    /// Why the request was refused.
-    pub cause: Cause,
-    /// Time after which another attempt may succeed.
-    pub retry_after: Option<Duration>,
-    /// The only host that may run a suspect request.
-    pub owner: Option<String>,
-    /// Whether the request reached an upstream. A retry then spends retry
-    /// budget.
-    pub reached_upstream: bool,
-}
-
-/// JSON body of a refusal.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Explanation {
-    /// Reason for the caller, one line.
-    pub reason: String,
-    /// Whether the request may have run.
-    pub verdict: Verdict,
-    /// Why the request was refused.
-    pub cause: Cause,
-    /// The only host that may run a suspect request.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub owner: Option<String>,
-}
-
-impl Refusal {
-    /// Creates a refusal of a request that did not run.
-    pub fn not_run(status: StatusCode, reason: impl Into<String>) -> Self {
-        Self {
-            status,
-            reason: reason.into(),
-            verdict: Verdict::NotRun,
-            cause: if status.is_client_error() {
-                Cause::Request
-            } else {
-                Cause::Busy
-            },
-            retry_after: None,
-            owner: None,
-            reached_upstream: false,
-        }
-    }
-
-    /// Creates a refusal of a request that may have run.
-    pub fn may_have_run(status: StatusCode, reason: impl Into<String>) -> Self {
-        Self {
-            verdict: Verdict::MayHaveRun,
-            reached_upstream: true,
-            ..Self::not_run(status, reason)
-        }
-    }
-
-    /// Returns the refusal as an HTTP response.
-    ///
-    /// # Panics
-    ///
-    /// Never: the explanation is serializable, and status, verdict and numbers
-    /// are valid header values.
-    pub fn to_response(&self) -> Response<Body> {
-        let explanation = Explanation {
-            reason: self.reason.clone(),
-            verdict: self.verdict,
-            cause: self.cause,
-            owner: self.owner.clone(),
-        };
-        let mut text = serde_json::to_vec(&explanation).expect("text is expressible in JSON");
-        text.push(b'\n');
-        let mut answer = Response::new(body::full(text));
-        *answer.status_mut() = self.status;
-        let headers = answer.headers_mut();
-        headers.insert(
-            http::header::CONTENT_TYPE,
-            HeaderValue::from_static("application/json"),
-        );
-        headers.insert(
-            header::VERDICT,
-            HeaderValue::from_static(self.verdict.as_str()),
-        );
-        if let Some(wait) = self.retry_after {
-            headers.insert(
-                header::RETRY_AFTER_MS,
-                HeaderValue::from(wait.as_millis() as u64),
-            );
-        }
-        answer
-    }
-}
-
 impl Call {
     /// Parses a call from the head of a request.
     ///
@@ -428,81 +318,3 @@
         self.target.saturating_duration_since(now)
     }
 }
-
-/// Returns the headers without the hop-by-hop headers and those that the
-/// `Connection` header names.
-pub fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    const HOP_BY_HOP: [HeaderName; 8] = [
-        http::header::CONNECTION,
-        http::header::HOST,
-        http::header::PROXY_AUTHENTICATE,
-        http::header::PROXY_AUTHORIZATION,
-        http::header::TE,
-        http::header::TRAILER,
-        http::header::TRANSFER_ENCODING,
-        http::header::UPGRADE,
-    ];
-    let connection_options: Vec<String> = headers
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut forwarded = headers.clone();
-    for name in HOP_BY_HOP {
-        forwarded.remove(name);
-    }
-    forwarded.remove("keep-alive");
-    for name in connection_options {
-        forwarded.remove(name.as_str());
-    }
-    forwarded
-}
-
-/// Parses a header as a number or address; `None` if the header is missing.
-///
-/// # Errors
-///
-/// Returns a refusal if the value cannot be parsed as `N` or has a plus sign,
-/// or if [`header_text`] refuses it.
-pub fn parse_header<N: FromStr>(
-    headers: &HeaderMap,
-    name: &'static str,
-) -> Result<Option<N>, Refusal> {
-    match header_text(headers, name)? {
-        None => Ok(None),
-        Some(value) => match value.trim().parse() {
-            Ok(number) if !value.starts_with('+') => Ok(Some(number)),
-            _ => Err(malformed_header(name, "a whole number")),
-        },
-    }
-}
-
-/// Reads a header as text; `None` if the header is missing.
-///
-/// # Errors
-///
-/// Returns a refusal if the value has other than visible ASCII characters, or
-/// if the header occurs twice.
-pub fn header_text(headers: &HeaderMap, name: &'static str) -> Result<Option<String>, Refusal> {
-    let mut values = headers.get_all(name).iter();
-    let Some(value) = values.next() else {
-        return Ok(None);
-    };
-    if values.next().is_some() {
-        return Err(malformed_header(name, "one value"));
-    }
-    match value.to_str() {
-        Ok(value) => Ok(Some(value.into())),
-        Err(_) => Err(malformed_header(name, "visible ASCII characters")),
-    }
-}
-
-/// Returns the refusal of a request whose header `name` is malformed.
-fn malformed_header(name: &str, accepted: &str) -> Refusal {
-    Refusal::not_run(
-        StatusCode::BAD_REQUEST,
-        format!("header {name}: expected {accepted}"),
-    )
-}
