--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -327,7 +327,6 @@
     }
 
     fn cancel_stranger(&mut self, id: u64) {
-        log::info!("a request of a peer that is no host lost its slot: the peer was waited for");
         if let Some(displaced) = self.strangers.remove(&id) {
             displaced.cancel();
         }
