upstream: no connection is reused after a refusal

An upstream can send a refusal a second time, where the next answer on the connection is expected. The next request there can be another attempt of the same order, with the same id, which runs; the repeated refusal was taken for its answer. A 421 need not have an id at all.

The client of the upstream excludes a connection from reuse once it carried a refusal, for requests and health reports alike, so that nobody reads what follows it. Connections with other answers are kept.

--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -13,8 +13,9 @@
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, StatusCode, Uri, uri};
 use http_body_util::{BodyExt, Limited};
-use hyper_util::client::legacy::Client;
+use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
+use hyper_util::client::legacy::{self, Client};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use savorylane_platform::header as platform;
 use savorylane_wire::header;
@@ -135,9 +136,8 @@
         let guard = Guard::new(connection.clone());
         let monitor = Monitor::default();
         let request = request.map(|body| monitor.watch(body));
-        match self.client.request(request).await {
-            Ok(mut answer) => {
-                answer.extensions_mut().insert(connection);
+        match self.request(request, connection).await {
+            Ok(answer) => {
                 let wrap = |body| Packed::wrap(guard.wrap(body));
                 let classify = move |error: hyper::Error| monitor.classify(error.into());
                 Ok(answer.map(|body| wrap(body.map_err(classify).boxed_unsync())))
@@ -155,17 +155,31 @@
             }
         }
     }
+
+    /// Sends a request on `connection`, which is not reused after a refusal.
+    ///
+    /// An upstream can repeat an answer where the next one is expected. A
+    /// repeated refusal would be taken for the answer to another attempt of the
+    /// same request, which has the same id and may run.
+    async fn request(
+        &self,
+        request: Request<Body>,
+        connection: CaptureConnection,
+    ) -> Result<Response<Incoming>, legacy::Error> {
+        let mut answer = self.client.request(request).await?;
+        answer.extensions_mut().insert(connection);
+        if platform::is_refusal(&answer) {
+            discard_connection(&answer);
+        }
+        Ok(answer)
+    }
 }
 
 impl Upstream {
     /// Returns whether the upstream's health report at `path` states that the
     /// upstream is draining. Returns `None` if no report could be read.
     pub async fn fetch_draining(&self, path: &str) -> Option<bool> {
-        let uri = format!("http://{}{path}", self.address).parse().ok()?;
-        let mut request = Request::new(body::empty());
-        *request.uri_mut() = uri;
-        let answer = self.client.request(request).await.ok()?;
-        match answer.status() {
+        match self.fetch(path).await?.status() {
             StatusCode::SERVICE_UNAVAILABLE => Some(true),
             status if status.is_success() => Some(false),
             _ => None,
@@ -175,16 +189,7 @@
     /// Asks the upstream at `path` how long it stays cold. Returns `None` if it
     /// does not say.
     pub async fn fetch_cold_left(&self, path: &str) -> Option<Duration> {
-        let uri = format!("http://{}{path}", self.address).parse().ok()?;
-        let mut request = Request::new(body::empty());
-        *request.uri_mut() = uri;
-        let answer = match self.client.request(request).await {
-            Ok(answer) => answer,
-            Err(error) => {
-                log::debug!("the upstream does not say whether it is cold: {error}");
-                return None;
-            }
-        };
+        let answer = self.fetch(path).await?;
         let left = platform::cold_left(&answer);
         // A connection is reused only after the body was read.
         let body = Limited::new(answer.into_body(), MAX_REPORT_BYTES);
@@ -194,6 +199,21 @@
         left
     }
 
+    /// Fetches the upstream's health report at `path`.
+    async fn fetch(&self, path: &str) -> Option<Response<Incoming>> {
+        let uri = format!("http://{}{path}", self.address).parse().ok()?;
+        let mut request = Request::new(body::empty());
+        *request.uri_mut() = uri;
+        let connection = capture_connection(&mut request);
+        match self.request(request, connection).await {
+            Ok(answer) => Some(answer),
+            Err(error) => {
+                log::debug!("cannot read the upstream's health report: {error}");
+                None
+            }
+        }
+    }
+
     /// Returns whether the upstream accepts a connection.
     pub async fn is_reachable(&self) -> bool {
         let connect = tokio::net::TcpStream::connect(self.address);
@@ -205,7 +225,7 @@
 }
 
 /// Excludes the connection of an answer from reuse.
-pub fn discard_connection(answer: &Response<Body>) {
+pub fn discard_connection<Body>(answer: &Response<Body>) {
     let connection = answer.extensions().get::<CaptureConnection>();
     if let Some(connection) = connection
         && let Some(connected) = connection.connection_metadata().as_ref()
