server: a stop answers all pipelined requests that were started

The first answer after the stop closed the connection and cancelled what was started behind it; and the library was shut down 0.1 s after the stop, which ends the connection with the current answer even if that has no `connection: close`.

Now an answer closes the connection only if no started request waits for its turn, and the library is shut down once the turn of the last one has come. Nothing is started after the stop, as before.

--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -253,11 +253,12 @@
         let unsent = unsent.clone();
         async move {
             let mut answer = answer.await;
-            if stop.is_cancelled() && version == Version::HTTP_11 {
-                let close = HeaderValue::from_static("close");
-                answer.headers_mut().insert(CONNECTION, close);
-            }
             if let Some(turns) = turns {
+                let is_last = stop.is_cancelled() && !turns.has_started();
+                if is_last && version == Version::HTTP_11 {
+                    let close = HeaderValue::from_static("close");
+                    answer.headers_mut().insert(CONNECTION, close);
+                }
                 turns.end(&answer);
             }
             if let Some(exchange) = exchange {
@@ -296,8 +297,14 @@
             return;
         }
         () = closing => {
-            connection.as_mut().graceful_shutdown();
-            drive(connection, &pipeline).await
+            // The library closes the connection after the current answer.
+            tokio::select! {
+                ended = drive(connection.as_mut(), &pipeline) => ended,
+                () = pipeline.begun() => {
+                    connection.as_mut().graceful_shutdown();
+                    drive(connection, &pipeline).await
+                }
+            }
         }
     };
     if let Err(error) = ended {
--- a/crates/daemon/src/edge/server/pipeline/mod.rs
+++ b/crates/daemon/src/edge/server/pipeline/mod.rs
@@ -9,14 +9,14 @@
 
 use std::collections::VecDeque;
 use std::fmt;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::mem::{self, MaybeUninit};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 
 use bytes::{Buf, BytesMut};
 use futures::future::BoxFuture;
@@ -215,6 +215,8 @@
     /// Whether the library waits for the rest of a head of which a part is in
     /// `ahead`.
     withheld: bool,
+    /// Waker of the task that waits for the turn of the last started request.
+    begun: Option<Waker>,
 }
 
 impl Pipeline {
@@ -237,6 +239,7 @@
             body_ended: Arc::clone(&body_ended),
             is_read_pending: false,
             withheld: false,
+            begun: None,
         });
         Self {
             state: Arc::new(state),
@@ -275,6 +278,24 @@
         self.lock().begin(request)
     }
 
+    /// Returns whether requests that were started wait for their turn.
+    pub(super) fn has_started(&self) -> bool {
+        !self.lock().started.is_empty()
+    }
+
+    /// Waits until the turn of all requests that were started has come.
+    pub(super) async fn begun(&self) {
+        poll_fn(|cx| {
+            let mut state = self.lock();
+            if state.started.is_empty() {
+                return Poll::Ready(());
+            }
+            state.begun = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+
     /// Records that the head of the answer to the current request is complete.
     pub(super) fn end(&self, answer: &Response<Body>) {
         let mut state = self.lock();
@@ -302,6 +323,7 @@
         let after_body = mem::replace(&mut self.in_body, has_body);
         self.ended |= request.version() != Version::HTTP_11 || head::closes(request.headers());
         let started = self.started.pop_front();
+        self.notify_begun();
         if let Some(started) = &started
             && !started.matches(request)
         {
@@ -492,6 +514,15 @@
             drop(started);
             self.observe(Event::Cancelled);
         }
+        self.notify_begun();
+    }
+
+    fn notify_begun(&mut self) {
+        if self.started.is_empty()
+            && let Some(waker) = self.begun.take()
+        {
+            waker.wake();
+        }
     }
 
     fn observe(&self, event: Event) {
