--- a/crates/daemon/src/edge/server/pipeline/mod.rs
+++ b/crates/daemon/src/edge/server/pipeline/mod.rs
@@ -8,36 +8,36 @@
 //! own.
 
 use std::collections::VecDeque;
-use std::fmt;
-use std::future::{Future, poll_fn};
+use std::future::poll_fn;
 use std::io;
 use std::mem::{self, MaybeUninit};
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, Waker, ready};
 
 use bytes::{Buf, BytesMut};
-use futures::future::BoxFuture;
-use http::request::Parts;
 use http::{Request, Response, Version};
 use hyper::body::{Body as _, Incoming};
 use hyper::rt::ReadBufCursor;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio_util::sync::CancellationToken;
 
-use crate::body::{self, Body, Unsent};
+use crate::body::{Body, Unsent};
 use crate::intake::Flow;
 
+mod early;
 mod head;
 mod stream;
 
+pub use early::{Early, Event};
+
+pub(super) use early::{Answer, Starter};
 pub(super) use stream::Stream;
 
+use early::Started;
+
 /// Maximum number of requests of one connection that are started and wait for
 /// their turn.
 pub const MAX_STARTED: usize = 8;
@@ -46,124 +46,6 @@
 /// Maximum number of bytes that one call reads from the socket.
 const READ_BYTES: usize = 4_096;
 
-/// What happened to a pipelined request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Event {
-    /// It was started before its turn.
-    Started,
-    /// It was cancelled before its turn.
-    Cancelled,
-    /// Another request came in its turn. It was cancelled.
-    Mismatched,
-}
-
-impl Event {
-    /// Returns the name of the event in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Started => "started",
-            Self::Cancelled => "cancelled",
-            Self::Mismatched => "mismatched",
-        }
-    }
-}
-
-/// Rules of a server for requests that start before their turn.
-pub struct Early {
-    may_start: Box<dyn Fn(&Parts) -> bool + Send + Sync>,
-    observe: Box<dyn Fn(Event) + Send + Sync>,
-    room: Arc<Semaphore>,
-}
-
-impl Early {
-    /// Returns rules by which a request starts early if `may_start` holds for
-    /// its head, and fewer than `max_started` requests of all connections wait
-    /// started. `may_start` must hold only for idempotent requests, because a
-    /// request that was started can be cancelled and sent again. `observe` is
-    /// called with each event.
-    pub fn new(
-        max_started: usize,
-        may_start: impl Fn(&Parts) -> bool + Send + Sync + 'static,
-        observe: impl Fn(Event) + Send + Sync + 'static,
-    ) -> Arc<Self> {
-        Arc::new(Self {
-            may_start: Box::new(may_start),
-            observe: Box::new(observe),
-            room: Arc::new(Semaphore::new(max_started)),
-        })
-    }
-}
-
-impl fmt::Debug for Early {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Early")
-    }
-}
-
-/// Answer that is being prepared.
-pub(super) type Answer = BoxFuture<'static, Response<Body>>;
-
-/// Starts the requests of one connection.
-pub(super) struct Starter {
-    early: Arc<Early>,
-    serve: Box<dyn Fn(Request<Body>) -> Answer + Send>,
-    /// No request starts early once the server stops.
-    stop: CancellationToken,
-}
-
-impl Starter {
-    /// Returns a starter for a connection from `peer`, whose requests `handle`
-    /// serves.
-    pub(super) fn new<H, F>(
-        early: Arc<Early>,
-        peer: SocketAddr,
-        stop: CancellationToken,
-        handle: H,
-    ) -> Self
-    where
-        H: Fn(Request<Body>, SocketAddr) -> F + Send + 'static,
-        F: Future<Output = Response<Body>> + Send + 'static,
-    {
-        Self {
-            early,
-            serve: Box::new(move |request| Box::pin(handle(request, peer))),
-            stop,
-        }
-    }
-}
-
-/// Request that runs before its turn.
-struct Started {
-    head: Parts,
-    running: Answer,
-    /// The answer, once its head is complete.
-    answer: Option<Response<Body>>,
-    _permit: OwnedSemaphorePermit,
-}
-
-impl Started {
-    fn poll(&mut self, cx: &mut Context<'_>) {
-        if self.answer.is_none()
-            && let Poll::Ready(answer) = self.running.as_mut().poll(cx)
-        {
-            self.answer = Some(answer);
-        }
-    }
-
-    fn matches(&self, request: &Request<Incoming>) -> bool {
-        self.head.method == *request.method()
-            && self.head.uri == *request.uri()
-            && self.head.headers == *request.headers()
-    }
-
-    fn into_answer(self) -> Answer {
-        match self.answer {
-            Some(answer) => Box::pin(std::future::ready(answer)),
-            None => self.running,
-        }
-    }
-}
-
 /// What the task of a connection does next.
 pub(super) enum Step {
     /// It waits to be woken.
@@ -481,22 +363,14 @@
             let Some(length) = head::length(rest) else {
                 return;
             };
-            let head = head::parse(&rest[..length]);
-            let head = head.filter(|head| (starter.early.may_start)(head));
-            let Some(head) = head.filter(|_| !starter.stop.is_cancelled()) else {
+            let Some(head) = starter.admit(&rest[..length]) else {
                 self.accepts = false;
                 return;
             };
-            let Ok(permit) = Arc::clone(&starter.early.room).try_acquire_owned() else {
+            let Some(started) = starter.start(head) else {
                 return;
             };
-            let request = Request::from_parts(head.clone(), body::empty());
-            self.started.push_back(Started {
-                head,
-                running: (starter.serve)(request),
-                answer: None,
-                _permit: permit,
-            });
+            self.started.push_back(started);
             self.started_bytes += length;
             log::debug!(
                 "started a pipelined request early; {} of its connection wait",
@@ -527,7 +401,7 @@
 
     fn observe(&self, event: Event) {
         if let Some(starter) = &self.starter {
-            (starter.early.observe)(event);
+            starter.observe(event);
         }
     }
 }
