gatekeeper: a line for each request that loses its slot

A request of a peer that is no host can lose its slot while its answer is being read. The answer then ends early, and no line told that from a broken connection or an upstream that broke off.

--- a/crates/daemon/src/gatekeeper/admit.rs
+++ b/crates/daemon/src/gatekeeper/admit.rs
@@ -50,7 +50,7 @@
         let waiting = {
             let mut inner = self.lock();
             match call.stranger {
-                true => drop(inner.strangers.insert(id, displaced.clone())),
+                true => inner.add_stranger(id, call, &displaced),
                 false => inner.displace_stranger(now),
             }
             // A stranger may state anything about the upstream.
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -2,6 +2,7 @@
 //! request ran.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -74,9 +75,19 @@
     gate: Gate,
     waiters: Waiters,
     seen: cold::Seen,
-    /// Cancelled when a request of a stranger loses its slot, by the request's
-    /// id.
-    strangers: HashMap<u64, CancellationToken>,
+    /// Requests of strangers, by the gate's id.
+    strangers: HashMap<u64, Stranger>,
+}
+
+/// Request of a peer that is no host of the deployment.
+#[derive(Debug)]
+struct Stranger {
+    /// Address of the peer.
+    address: IpAddr,
+    /// Id that the caller gave the request; empty if it gave none.
+    id: String,
+    /// Cancelled when the request loses its slot.
+    displaced: CancellationToken,
 }
 
 /// State of the gate when a request arrived, and the time that the request
@@ -327,9 +338,24 @@
     }
 
     fn cancel_stranger(&mut self, id: u64) {
-        if let Some(displaced) = self.strangers.remove(&id) {
-            displaced.cancel();
-        }
+        let Some(stranger) = self.strangers.remove(&id) else {
+            return;
+        };
+        stranger.displaced.cancel();
+        let Stranger { address, id, .. } = stranger;
+        log::info!(
+            target: "peers", outcome = "displaced", peer:display = address, id = id.as_str();
+            "a request of a peer that is no host lost its slot to one of a host"
+        );
+    }
+
+    fn add_stranger(&mut self, id: u64, call: &Call, displaced: &CancellationToken) {
+        let stranger = Stranger {
+            address: call.caller,
+            id: call.id.clone().unwrap_or_default(),
+            displaced: displaced.clone(),
+        };
+        self.strangers.insert(id, stranger);
     }
 
     /// Cancels, starts and refuses requests as the gate decided.
