quota: a host stays one after its upstream has left

A peer counted as a host only while a list named it. A host is dropped from the lists when its upstream leaves, and completes the requests of its callers after that; its requests then were those of a stranger, which lose their slot after 0.5 s of waiting.

The store of the configuration remembers the addresses of all hosts that a list in force named, and quotas, windows and the gate ask it. Requests that a new host sent before are recognised when a list names it.

--- a/crates/daemon/src/config/mod.rs
+++ b/crates/daemon/src/config/mod.rs
@@ -4,6 +4,7 @@
 //! writers, which replace the snapshot.
 
 use std::collections::{BTreeSet, VecDeque};
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -18,6 +19,9 @@
 
 use crate::audit::{Event, MAX_NAMED_HOSTS, Trail};
 use crate::logs;
+use addresses::Addresses;
+
+mod addresses;
 
 /// Version of the document and number of the host list in force.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -76,6 +80,7 @@
     adoptions: Mutex<VecDeque<(Instant, u64)>>,
     /// Version whose homes were compared with a host list.
     homes_checked: Mutex<Option<Version>>,
+    addresses: Addresses,
     current: watch::Sender<Current>,
 }
 
@@ -89,6 +94,7 @@
             keeps_hosts: AtomicBool::default(),
             adoptions: Mutex::default(),
             homes_checked: Mutex::default(),
+            addresses: Addresses::default(),
             current: watch::Sender::default(),
         }
     }
@@ -265,6 +271,12 @@
         self.keeps_hosts.load(Ordering::Relaxed)
     }
 
+    /// Returns whether `address` is that of a host other than `own`, listed now
+    /// or earlier.
+    pub fn is_other_host(&self, address: IpAddr, own: &str) -> bool {
+        self.addresses.is_other(address, own)
+    }
+
     /// Returns the hosts that this daemon keeps although the platform's list
     /// lacks them.
     pub fn kept_hosts(&self) -> Vec<Host> {
@@ -288,6 +300,7 @@
                 .take(MAX_NAMED_HOSTS)
                 .collect(),
         });
+        self.addresses.record(&list);
         self.list.store(Some(list));
         let read_from_platform = self.current.borrow().read_from_platform;
         self.publish(latest, read_from_platform);
--- a/crates/daemon/src/distribution/mod.rs
+++ b/crates/daemon/src/distribution/mod.rs
@@ -28,6 +28,7 @@
 use crate::decisions::{self, Kind};
 use crate::kernel::Context;
 use crate::peers;
+use crate::quota;
 use crate::settings::Settings;
 
 /// Source of this daemon's versions and host lists, and the age of its
@@ -237,6 +238,7 @@
     let gatekeeper = &context.gatekeeper;
     gatekeeper.departures.on_host_list(now, confirmed_at, own);
     gatekeeper.on_own_host(own);
+    quota::on_host_list(context);
     let data_centre = &context.settings.data_centre;
     gatekeeper
         .evacuation
--- a/crates/daemon/src/edge/platform/mod.rs
+++ b/crates/daemon/src/edge/platform/mod.rs
@@ -23,6 +23,7 @@
 use crate::edge::keyed_store;
 use crate::kernel::{Context, Plugin};
 use crate::peers::fetch;
+use crate::quota;
 use crate::settings::Readers;
 
 /// Key of the manifest's value.
@@ -255,6 +256,7 @@
                 context
                     .config
                     .offer_list(&context.trail, list, PLATFORM_SOURCE);
+                quota::on_host_list(context);
                 ApplyOutcome::Settled
             }
             Err(fault) => refused(format!("host list: {fault}")),
--- a/crates/daemon/src/gatekeeper/mod.rs
+++ b/crates/daemon/src/gatekeeper/mod.rs
@@ -293,6 +293,18 @@
         self.changed.notify_one();
     }
 
+    /// Records hosts of a list that came into force. Requests that they sent
+    /// before are no longer those of strangers.
+    pub fn on_hosts(&self, is_host: impl Fn(IpAddr) -> bool) {
+        let mut inner = self.lock();
+        let Inner {
+            gate, strangers, ..
+        } = &mut *inner;
+        for (id, _) in strangers.extract_if(|_, stranger| is_host(stranger.address)) {
+            gate.recognise(id);
+        }
+    }
+
     /// Refuses all new requests from now on, because the host is leaving.
     pub fn leave(&self) {
         self.lock().gate.leave();
--- a/crates/daemon/src/peers/fetch.rs
+++ b/crates/daemon/src/peers/fetch.rs
@@ -15,6 +15,7 @@
 use crate::distribution;
 use crate::edge::control::client;
 use crate::kernel::Context;
+use crate::quota;
 
 /// Timeout of a fetch of a document or host list.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -78,8 +79,12 @@
 /// Fetches the host list of the daemon at `address` and offers it. Returns
 /// whether the list was adopted.
 pub async fn offer_host_list(context: &Arc<Context>, address: SocketAddr, source: &str) -> bool {
-    let list = host_list(context, address, source).await;
-    list.is_some_and(|list| context.config.offer_list(&context.trail, list, source))
+    let Some(list) = host_list(context, address, source).await else {
+        return false;
+    };
+    let adopted = context.config.offer_list(&context.trail, list, source);
+    quota::on_host_list(context);
+    adopted
 }
 
 /// Fetches the host list of the daemon at `address` if it is newer than the one
--- a/crates/daemon/src/quota/mod.rs
+++ b/crates/daemon/src/quota/mod.rs
@@ -11,7 +11,6 @@
 
 use http::{Request, Response};
 use http_body::Body as _;
-use savorylane_intent::hosts::Host;
 use savorylane_policy::quota::{self as policy, Limits, Listener, Peer, Room};
 use tokio_util::sync::CancellationToken;
 
@@ -96,8 +95,8 @@
     }
 
     /// Creates the quota of a listener of this daemon. The addresses of other
-    /// hosts in the list in force are those of hosts. This host's own address is
-    /// not, because its callers share it.
+    /// hosts, listed now or earlier, are those of hosts. This host's own address
+    /// is not, because its callers share it.
     pub fn for_listener(
         context: &Arc<Context>,
         name: &'static str,
@@ -196,17 +195,23 @@
 /// Returns who connects from `address`. Without a host list, all peers are taken
 /// for hosts, because the first requests of a deployment come before it.
 fn classify(context: &Context, address: IpAddr) -> Peer {
-    let Some(list) = context.config.list() else {
-        return Peer::Host;
-    };
-    let mut others = list.hosts.iter();
-    let is_other = |host: &Host| host.name != context.settings.host && host.data.ip() == address;
-    match others.any(is_other) {
+    match context.config.list().is_none() || is_other_host(context, address) {
         true => Peer::Host,
         false => Peer::Stranger,
     }
 }
 
+fn is_other_host(context: &Context, address: IpAddr) -> bool {
+    let own = &context.settings.host;
+    context.config.is_other_host(address, own)
+}
+
+/// Recognises requests of hosts that a list in force names since they began.
+pub fn on_host_list(context: &Context) {
+    let gatekeeper = &context.gatekeeper;
+    gatekeeper.on_hosts(|address| is_other_host(context, address));
+}
+
 /// An open connection of a peer; recorded as closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/policy/src/gate/strangers.rs
+++ b/crates/policy/src/gate/strangers.rs
@@ -67,6 +67,11 @@
 }
 
 impl Gate {
+    /// Records that a request is one of a host after all.
+    pub fn recognise(&mut self, id: u64) {
+        self.strangers.remove(id);
+    }
+
     /// Records that a running request waits for its peer, a stranger.
     pub fn stall(&mut self, now: Duration, id: u64) {
         if let Some(stall) = self.strangers.0.get_mut(&id) {
--- a/crates/policy/tests/gate_strangers.rs
+++ b/crates/policy/tests/gate_strangers.rs
@@ -46,6 +46,17 @@
     }
 }
 
+/// Guards against a new host that is cut off, although it is listed meanwhile.
+#[test]
+fn a_stranger_that_becomes_a_host_keeps_its_slot() {
+    let mut gate = Gate::new(1);
+    assert_eq!(gate.arrive(ms(0), stranger(1)), Decision::Run);
+    gate.stall(ms(0), 1);
+    gate.recognise(1);
+    gate.stall(ms(0), 1);
+    assert_eq!(gate.displace_stranger(ms(5_000)), None);
+}
+
 /// Guards against a host's request that is refused or waits behind a peer that
 /// does not send or does not read.
 #[test]
