server: answers are delivered to peers that still send at a stop

A peer that still sends when the server ends its connection lost the last answers: of 150,000 bytes it got 0 over HTTP/2 and 12,189 over HTTP/1.1, then a reset. A server closed its side as soon as all requests were answered, and the operating system resets a connection that is closed with unread bytes and discards what it has not sent.

A connection that the server has ended, after GOAWAY or an answer that says so, now stays open for reading until the peer closes it, 1 s at most. Idle connections of HTTP/1.1 are closed at once as before.

--- a/crates/daemon/src/edge/server/mod.rs
+++ b/crates/daemon/src/edge/server/mod.rs
@@ -55,6 +55,10 @@
 /// rest of an answer.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Time for which a connection that the server has ended waits for its peer to
+/// close it, several round trips on a link with full queues.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Serves HTTP/1.1 and HTTP/2 until `stop`. Then answers all requests that have
 /// arrived, and returns once every connection is closed.
 ///
@@ -307,8 +311,15 @@
             }
         }
     };
-    if let Err(error) = ended {
-        log_connection_error(peer, error.as_ref(), is_http2.load(Ordering::Relaxed));
+    let is_http2 = is_http2.load(Ordering::Relaxed);
+    match ended {
+        // A peer closes the connection after GOAWAY or an answer that says so.
+        // One of HTTP/1.1 may keep an idle connection that the server has ended.
+        Ok(()) if is_http2 || pipeline.has_ended() => {
+            let _ = tokio::time::timeout(LINGER_TIMEOUT, pipeline.linger()).await;
+        }
+        Ok(()) => {}
+        Err(error) => log_connection_error(peer, error.as_ref(), is_http2),
     }
 }
 
--- a/crates/daemon/src/edge/server/pipeline/mod.rs
+++ b/crates/daemon/src/edge/server/pipeline/mod.rs
@@ -149,6 +149,30 @@
         }
     }
 
+    /// Returns whether the peer was told that the connection ends.
+    pub(super) fn has_ended(&self) -> bool {
+        self.lock().ended
+    }
+
+    /// Reads and discards what the peer sends until it closes the connection,
+    /// after the last answer was written.
+    ///
+    /// The operating system resets a connection that is closed with unread bytes,
+    /// and discards the answers that it has not sent.
+    pub(super) async fn linger(&self) {
+        let mut discarded = vec![0; READ_BYTES];
+        poll_fn(|cx| {
+            loop {
+                let mut part = ReadBuf::new(&mut discarded);
+                match ready!(self.lock().poll_socket(cx, &mut part)) {
+                    Ok(()) if !part.filled().is_empty() => {}
+                    _ => return Poll::Ready(()),
+                }
+            }
+        })
+        .await;
+    }
+
     /// Returns the answers that were not written yet.
     pub(super) fn unsent(&self) -> Unsent {
         self.unsent.clone()
