upstream: only requests that must run at most once end connections

A repeated refusal matters only to a request that must run at most once. These requests now have connections of their own, and only those end with a refusal. Idempotent requests and health reports share the others.

--- a/crates/daemon/src/edge/upstream/mod.rs
+++ b/crates/daemon/src/edge/upstream/mod.rs
@@ -87,22 +87,21 @@
 #[derive(Clone, Debug)]
 pub struct Upstream {
     address: SocketAddr,
-    client: Client<Connector, Body>,
+    /// Client for idempotent requests and health reports.
+    idempotent: Client<Connector, Body>,
+    /// Client for requests that must run at most once. Its connections carry
+    /// nothing else, and end with a refusal.
+    once: Client<Connector, Body>,
 }
 
 impl Upstream {
     /// Returns a client of the upstream at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_recv_buffer_size(Some(RECEIVE_BYTES));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .http1_max_buf_size(READ_BUFFER_BYTES)
-            .build(Connector(connector));
-        Self { address, client }
+        Self {
+            address,
+            idempotent: build_client(),
+            once: build_client(),
+        }
     }
 
     /// Sends a call and returns the head of the answer with a streamed body.
@@ -120,7 +119,7 @@
         let remaining = call.remaining(Instant::now());
         if let Some(route) = &call.route {
             platform::write_request(headers, remaining, &route.origin, &route.instance);
-            return self.exchange(request).await;
+            return self.exchange(request, call.class.idempotent).await;
         }
         let remaining = remaining.as_millis() as u64;
         headers.insert(header::TIMEOUT_MS, HeaderValue::from(remaining.max(1)));
@@ -128,15 +127,23 @@
         if let Some(attempts_left) = call.attempts_left {
             headers.insert(header::ATTEMPTS_LEFT, HeaderValue::from(attempts_left));
         }
-        self.exchange(request).await
+        self.exchange(request, call.class.idempotent).await
     }
 
-    async fn exchange(&self, mut request: Request<Body>) -> Result<Response<Body>, Failure> {
+    async fn exchange(
+        &self,
+        mut request: Request<Body>,
+        idempotent: bool,
+    ) -> Result<Response<Body>, Failure> {
         let connection = capture_connection(&mut request);
         let guard = Guard::new(connection.clone());
         let monitor = Monitor::default();
         let request = request.map(|body| monitor.watch(body));
-        match self.request(request, connection).await {
+        let sent = match idempotent {
+            true => self.request(request, connection).await,
+            false => self.request_once(request, connection).await,
+        };
+        match sent {
             Ok(answer) => {
                 let wrap = |body| Packed::wrap(guard.wrap(body));
                 let classify = move |error: hyper::Error| monitor.classify(error.into());
@@ -156,17 +163,29 @@
         }
     }
 
-    /// Sends a request on `connection`, which is not reused after a refusal.
+    /// Sends an idempotent request on `connection`.
+    async fn request(
+        &self,
+        request: Request<Body>,
+        connection: CaptureConnection,
+    ) -> Result<Response<Incoming>, legacy::Error> {
+        let mut answer = self.idempotent.request(request).await?;
+        answer.extensions_mut().insert(connection);
+        Ok(answer)
+    }
+
+    /// Sends a request that must run at most once on `connection`, which is not
+    /// reused after a refusal.
     ///
     /// An upstream can repeat an answer where the next one is expected. A
     /// repeated refusal would be taken for the answer to another attempt of the
     /// same request, which has the same id and may run.
-    async fn request(
+    async fn request_once(
         &self,
         request: Request<Body>,
         connection: CaptureConnection,
     ) -> Result<Response<Incoming>, legacy::Error> {
-        let mut answer = self.client.request(request).await?;
+        let mut answer = self.once.request(request).await?;
         answer.extensions_mut().insert(connection);
         if platform::is_refusal(&answer) {
             discard_connection(&answer);
@@ -224,6 +243,18 @@
     }
 }
 
+fn build_client() -> Client<Connector, Body> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_recv_buffer_size(Some(RECEIVE_BYTES));
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .http1_max_buf_size(READ_BUFFER_BYTES)
+        .build(Connector(connector))
+}
+
 /// Excludes the connection of an answer from reuse.
 pub fn discard_connection<Body>(answer: &Response<Body>) {
     let connection = answer.extensions().get::<CaptureConnection>();
